Start the workspace: shared vocabulary and the consensus core

Cause: nothing exists yet; every later part needs one mechanism that decides. Change: crates/model (ids, labels, selectors, configuration and its fold, caller interface, errors) and crates/consensus (diskless Raft, sans-I/O) with group_fuzz under virtual time.

--- /dev/null
+++ b/crates/model/src/error.rs
@@ -0,0 +1,127 @@
+//! Errors that callers and operators see.
+
+use nanoserde::{DeBin, SerBin};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Whether a refused or failed request ran at its engine or server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, SerBin, DeBin)]
+#[serde(rename_all = "snake_case")]
+pub enum Executed {
+    /// It did not run and will not.
+    No,
+    /// It may have run; nobody here knows.
+    Unknown,
+    /// It ran.
+    Yes,
+}
+
+/// Kind of a refusal or failure; part of the caller interface.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, SerBin, DeBin)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request does not have the documented form.
+    InvalidRequest,
+    /// The request body exceeds the limit.
+    BodyTooLarge,
+    /// No such program, or its record was dropped after its end.
+    ProgramUnknown,
+    /// The program has ended.
+    ProgramEnded,
+    /// An earlier call number has not been issued yet.
+    CallNumberTooEarly,
+    /// The call number is taken by a request with another key.
+    CallNumberConflict,
+    /// The request key was used for another call of the program.
+    RequestKeyConflict,
+    /// The request key was refused for good; a new key is needed.
+    RequestKeyRefused,
+    /// The highest possible cost does not fit the remaining budget.
+    BudgetExhausted,
+    /// The program's deadline has passed.
+    DeadlineExceeded,
+    /// The program has made as many calls as it may.
+    TurnLimit,
+    /// No engine or server may serve this call under the configuration.
+    NoTarget,
+    /// Queues are full.
+    Overloaded,
+    /// This daemon serves no new work now.
+    NotReady,
+    /// The deciding replica could not be reached in time.
+    Unavailable,
+    /// A request that is not repeatable may or may not have run.
+    OutcomeUnknown,
+    /// The engine or server answered with an error or was lost too often.
+    TargetFailed,
+    /// The program ended while the call was running.
+    Cancelled,
+    /// This replica does not lead the shard (between daemons only).
+    NotLeader,
+}
+
+/// The body of every error answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, SerBin, DeBin)]
+pub struct CallError {
+    /// Kind of the error.
+    pub kind: ErrorKind,
+    /// Whether the request ran.
+    pub executed: Executed,
+    /// When to come back, in milliseconds; absent if coming back is no use.
+    pub retry_after_ms: Option<u64>,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl CallError {
+    /// An error for a request that did not run.
+    pub fn not_run(kind: ErrorKind, remedy: impl Into<String>) -> Self {
+        Self { kind, executed: Executed::No, retry_after_ms: None, remedy: remedy.into() }
+    }
+
+    /// The same error with the time to come back.
+    pub fn retry_after(mut self, delay_ms: u64) -> Self {
+        self.retry_after_ms = Some(delay_ms);
+        self
+    }
+
+    /// The same error with another statement about execution.
+    pub fn executed(mut self, executed: Executed) -> Self {
+        self.executed = executed;
+        self
+    }
+
+    /// HTTP status that goes with this error.
+    pub fn status(&self) -> u16 {
+        match self.kind {
+            ErrorKind::InvalidRequest => 400,
+            ErrorKind::BodyTooLarge => 413,
+            ErrorKind::ProgramUnknown => 404,
+            ErrorKind::ProgramEnded | ErrorKind::Cancelled => 410,
+            ErrorKind::CallNumberTooEarly
+            | ErrorKind::CallNumberConflict
+            | ErrorKind::RequestKeyConflict
+            | ErrorKind::RequestKeyRefused => 409,
+            ErrorKind::BudgetExhausted | ErrorKind::TurnLimit => 402,
+            ErrorKind::DeadlineExceeded => 408,
+            ErrorKind::Overloaded => 429,
+            ErrorKind::TargetFailed | ErrorKind::OutcomeUnknown => 502,
+            ErrorKind::NoTarget
+            | ErrorKind::NotReady
+            | ErrorKind::Unavailable
+            | ErrorKind::NotLeader => 503,
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:?} (executed: {:?}): {}",
+            self.kind, self.executed, self.remedy
+        )
+    }
+}
+
+impl std::error::Error for CallError {}
