--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -44,7 +44,10 @@
         };
         let voters = self.members().voters.clone();
         for to in voters.into_iter().filter(|voter| *voter != self.id) {
-            let message = Message { term, body: Body::Vote(vote.clone()) };
+            let message = Message {
+                term,
+                body: Body::Vote(vote.clone()),
+            };
             self.actions.push(Action::Send { to, message });
         }
     }
@@ -57,8 +60,17 @@
             self.reset_election_timer();
         }
         let reply_term = if granted { term } else { self.term };
-        let body = Body::VoteReply(VoteReply { pre_vote: vote.pre_vote, granted });
-        self.actions.push(Action::Send { to: from, message: Message { term: reply_term, body } });
+        let body = Body::VoteReply(VoteReply {
+            pre_vote: vote.pre_vote,
+            granted,
+        });
+        self.actions.push(Action::Send {
+            to: from,
+            message: Message {
+                term: reply_term,
+                body,
+            },
+        });
     }
 
     fn may_grant(&self, from: ReplicaId, term: u64, vote: &Vote) -> bool {
@@ -88,7 +100,11 @@
 
     fn count_votes(&mut self) {
         let members = self.members();
-        let granted = self.votes.iter().filter(|voter| members.is_voter(**voter)).count();
+        let granted = self
+            .votes
+            .iter()
+            .filter(|voter| members.is_voter(**voter))
+            .count();
         if granted < members.quorum() {
             return;
         }
@@ -117,10 +133,13 @@
     /// Keeps one progress record for each other member.
     pub(crate) fn follow_members(&mut self) {
         let members = self.members().clone();
-        self.progress.retain(|replica, _| members.contains(*replica));
+        self.progress
+            .retain(|replica, _| members.contains(*replica));
         let next = self.log.last_index().max(1);
         for replica in members.others(self.id) {
-            self.progress.entry(replica).or_insert_with(|| Progress::new(next));
+            self.progress
+                .entry(replica)
+                .or_insert_with(|| Progress::new(next));
         }
     }
 
@@ -133,7 +152,11 @@
     /// Tells the chosen successor to campaign once it has the whole log.
     pub(crate) fn advance_transfer(&mut self, to: ReplicaId) {
         let last_index = self.log.last_index();
-        if self.progress.get(&to).is_some_and(|progress| progress.matched == last_index) {
+        if self
+            .progress
+            .get(&to)
+            .is_some_and(|progress| progress.matched == last_index)
+        {
             self.send(to, Body::TimeoutNow);
         }
     }
--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -45,6 +45,8 @@
         if voter == self.id {
             return Some(self.now_ms);
         }
-        self.progress.get(&voter).and_then(|progress| progress.acknowledged_ms)
+        self.progress
+            .get(&voter)
+            .and_then(|progress| progress.acknowledged_ms)
     }
 }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -37,7 +37,12 @@
 
 impl Log {
     pub(crate) fn new(members: Members) -> Self {
-        Self { prefix_index: 0, prefix_term: 0, prefix_members: members, entries: VecDeque::new() }
+        Self {
+            prefix_index: 0,
+            prefix_term: 0,
+            prefix_members: members,
+            entries: VecDeque::new(),
+        }
     }
 
     pub(crate) fn last_index(&self) -> u64 {
@@ -45,7 +50,9 @@
     }
 
     pub(crate) fn last_term(&self) -> u64 {
-        self.entries.back().map_or(self.prefix_term, |entry| entry.term)
+        self.entries
+            .back()
+            .map_or(self.prefix_term, |entry| entry.term)
     }
 
     /// Term of an entry, if it is known here.
@@ -85,16 +92,24 @@
     /// Members in force: those of the newest membership entry, committed or
     /// not, as the algorithm asks.
     pub(crate) fn members(&self) -> (u64, &Members) {
-        let newest = self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Members(members) => Some((entry.index, members)),
-            _ => None,
-        });
+        let newest = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Members(members) => Some((entry.index, members)),
+                _ => None,
+            });
         newest.unwrap_or((self.prefix_index, &self.prefix_members))
     }
 
     /// Members in force at an index that is held here.
     pub(crate) fn members_at(&self, index: u64) -> &Members {
-        let held = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        let held = self
+            .entries
+            .iter()
+            .rev()
+            .filter(|entry| entry.index <= index);
         let newest = held.filter_map(|entry| match &entry.payload {
             Payload::Members(members) => Some(members),
             _ => None,
@@ -104,9 +119,15 @@
 
     /// Forgets entries up to `index`, which must be applied.
     pub(crate) fn compact(&mut self, index: u64) {
-        let Some(term) = self.term_at(index) else { return };
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
         self.prefix_members = self.members_at(index).clone();
-        while self.entries.front().is_some_and(|entry| entry.index <= index) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= index)
+        {
             self.entries.pop_front();
         }
         self.prefix_index = index;
--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -27,7 +27,10 @@
 impl Members {
     /// A group of voters.
     pub fn of_voters(voters: Vec<ReplicaId>) -> Self {
-        Self { voters, learners: Vec::new() }
+        Self {
+            voters,
+            learners: Vec::new(),
+        }
     }
 
     /// Smallest number of voters that is a majority.
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -16,7 +16,12 @@
 
 impl Progress {
     pub(crate) fn new(next: u64) -> Self {
-        Self { next, matched: 0, acknowledged_ms: None, snapshot_asked_ms: None }
+        Self {
+            next,
+            matched: 0,
+            acknowledged_ms: None,
+            snapshot_asked_ms: None,
+        }
     }
 
     /// Takes in an answer that matched up to `index`.
--- a/crates/consensus/src/reconcile.rs
+++ b/crates/consensus/src/reconcile.rs
@@ -35,10 +35,15 @@
         return plan_learner(replica, *learner, gone_voter, live_voters, candidates.size);
     }
     if live_voters < candidates.size {
-        let joining = candidates.joining.iter().find(|joining| !members.contains(**joining));
+        let joining = candidates
+            .joining
+            .iter()
+            .find(|joining| !members.contains(**joining));
         return joining.copied().map(MemberChange::AddLearner);
     }
-    gone_voter.map(MemberChange::Remove).or_else(|| surplus(replica, candidates.size))
+    gone_voter
+        .map(MemberChange::Remove)
+        .or_else(|| surplus(replica, candidates.size))
 }
 
 fn plan_learner(
@@ -62,5 +67,8 @@
     if members.voters.len() <= size {
         return None;
     }
-    members.others(replica.id()).last().map(MemberChange::Remove)
+    members
+        .others(replica.id())
+        .last()
+        .map(MemberChange::Remove)
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -123,7 +123,13 @@
 impl Replica {
     /// A replica with an empty log. A joining learner starts with empty
     /// members and learns them from the leader.
-    pub fn new(id: ReplicaId, members: Members, settings: Settings, now_ms: u64, seed: u64) -> Self {
+    pub fn new(
+        id: ReplicaId,
+        members: Members,
+        settings: Settings,
+        now_ms: u64,
+        seed: u64,
+    ) -> Self {
         let mut replica = Self {
             id,
             settings,
@@ -224,7 +230,11 @@
 
     pub(crate) fn append_own(&mut self, payload: Payload) -> u64 {
         let index = self.log.last_index() + 1;
-        self.log.push(Entry { index, term: self.term, payload });
+        self.log.push(Entry {
+            index,
+            term: self.term,
+            payload,
+        });
         index
     }
 
@@ -267,7 +277,8 @@
 
     fn receive(&mut self, from: ReplicaId, message: Message) {
         if message.term > self.term && !self.ignores_higher_term(&message) {
-            let leader = matches!(message.body, Body::Append(_) | Body::Snapshot(_)).then_some(from);
+            let leader =
+                matches!(message.body, Body::Append(_) | Body::Snapshot(_)).then_some(from);
             self.become_follower(message.term, leader);
         }
         match message.body {
@@ -324,13 +335,18 @@
     }
 
     pub(crate) fn send(&mut self, to: ReplicaId, body: Body) {
-        let message = Message { term: self.term, body };
+        let message = Message {
+            term: self.term,
+            body,
+        };
         self.actions.push(Action::Send { to, message });
     }
 
     fn apply_committed(&mut self) {
         while self.applied < self.commit {
-            let Some(entry) = self.log.get(self.applied + 1).cloned() else { break };
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
+                break;
+            };
             self.applied += 1;
             self.actions.push(Action::Apply(entry));
         }
@@ -346,10 +362,21 @@
         }
         // The owner may have applied less than this replica has committed,
         // never less than what compaction left.
-        let Some(index_term) = self.log.term_at(index) else { return };
+        let Some(index_term) = self.log.term_at(index) else {
+            return;
+        };
         let members = self.log.members_at(index).clone();
         let stamp_ms = self.now_ms;
-        self.send(to, Body::Snapshot(Snapshot { index, index_term, members, state, stamp_ms }));
+        self.send(
+            to,
+            Body::Snapshot(Snapshot {
+                index,
+                index_term,
+                members,
+                state,
+                stamp_ms,
+            }),
+        );
     }
 
     /// This replica's identity.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -32,13 +32,17 @@
     }
 
     fn send_append(&mut self, to: ReplicaId) {
-        let Some(progress) = self.progress.get(&to).copied() else { return };
+        let Some(progress) = self.progress.get(&to).copied() else {
+            return;
+        };
         let previous_index = progress.next - 1;
         let Some(previous_term) = self.log.term_at(previous_index) else {
             self.ask_for_snapshot(to);
             return;
         };
-        let entries = self.log.slice(progress.next, self.settings.entries_per_message);
+        let entries = self
+            .log
+            .slice(progress.next, self.settings.entries_per_message);
         if let Some(progress) = self.progress.get_mut(&to) {
             // Sent is taken for received; a heartbeat goes back to what is proven.
             progress.next += entries.len() as u64;
@@ -56,8 +60,13 @@
     fn ask_for_snapshot(&mut self, to: ReplicaId) {
         let pause_ms = SNAPSHOT_PAUSE_TIMEOUTS * self.settings.election_ms;
         let now_ms = self.now_ms;
-        let Some(progress) = self.progress.get_mut(&to) else { return };
-        if progress.snapshot_asked_ms.is_none_or(|asked_ms| now_ms >= asked_ms + pause_ms) {
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        if progress
+            .snapshot_asked_ms
+            .is_none_or(|asked_ms| now_ms >= asked_ms + pause_ms)
+        {
             progress.snapshot_asked_ms = Some(now_ms);
             self.actions.push(Action::MakeSnapshot { to });
         }
@@ -91,7 +100,11 @@
     fn accept_overlapping(&mut self, from: ReplicaId, append: Append) {
         let commit = self.commit;
         let matched = commit.max(append.previous_index + append.entries.len() as u64);
-        let rest = append.entries.into_iter().filter(|entry| entry.index > commit).collect();
+        let rest = append
+            .entries
+            .into_iter()
+            .filter(|entry| entry.index > commit)
+            .collect();
         self.store(rest);
         self.commit = self.commit.max(append.commit.min(matched));
         self.reply(from, true, matched, append.stamp_ms);
@@ -132,7 +145,14 @@
     }
 
     fn reply(&mut self, to: ReplicaId, accepted: bool, index: u64, stamp_ms: u64) {
-        self.send(to, Body::AppendReply(AppendReply { accepted, index, stamp_ms }));
+        self.send(
+            to,
+            Body::AppendReply(AppendReply {
+                accepted,
+                index,
+                stamp_ms,
+            }),
+        );
     }
 
     pub(crate) fn on_append_reply(&mut self, from: ReplicaId, reply: &AppendReply) {
@@ -140,7 +160,9 @@
             return;
         }
         let last_index = self.log.last_index();
-        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
         if !reply.accepted {
             progress.reject(reply.index, reply.stamp_ms);
             self.send_append(from);
@@ -162,9 +184,15 @@
     /// Commits the newest entry of this term that a majority holds.
     pub(crate) fn advance_commit(&mut self) {
         let members = self.members();
-        let mut held: Vec<u64> = members.voters.iter().map(|voter| self.held_by(*voter)).collect();
+        let mut held: Vec<u64> = members
+            .voters
+            .iter()
+            .map(|voter| self.held_by(*voter))
+            .collect();
         held.sort_unstable_by(|left, right| right.cmp(left));
-        let Some(index) = held.get(members.quorum() - 1).copied() else { return };
+        let Some(index) = held.get(members.quorum() - 1).copied() else {
+            return;
+        };
         if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit = index;
             self.step_down_if_removed();
@@ -175,7 +203,9 @@
         if voter == self.id {
             return self.log.last_index();
         }
-        self.progress.get(&voter).map_or(0, |progress| progress.matched)
+        self.progress
+            .get(&voter)
+            .map_or(0, |progress| progress.matched)
     }
 
     fn step_down_if_removed(&mut self) {
@@ -192,12 +222,15 @@
         }
         self.hear_leader(from);
         if snapshot.index > self.commit {
-            self.log.reset(snapshot.index, snapshot.index_term, snapshot.members);
+            self.log
+                .reset(snapshot.index, snapshot.index_term, snapshot.members);
             self.commit = snapshot.index;
             self.applied = snapshot.index;
-            self.actions.push(Action::Install { index: snapshot.index, state: snapshot.state });
+            self.actions.push(Action::Install {
+                index: snapshot.index,
+                state: snapshot.state,
+            });
         }
         self.reply(from, true, self.commit, snapshot.stamp_ms);
     }
-
 }
--- a/crates/consensus/tests/group_fuzz.rs
+++ b/crates/consensus/tests/group_fuzz.rs
@@ -17,6 +17,7 @@
     Propose(u8),
     Loss(u8),
     Cut(u8),
+    CutLink(u8, u8),
     Heal,
     Freeze(u8, u16),
     Replace(u8),
@@ -26,7 +27,7 @@
 impl Arbitrary for Operation {
     fn arbitrary(generator: &mut Gen) -> Self {
         let node = u8::arbitrary(generator);
-        match u8::arbitrary(generator) % 16 {
+        match u8::arbitrary(generator) % 19 {
             0..=4 => Self::Run(u16::arbitrary(generator) % 2000),
             5..=9 => Self::Propose(node),
             10 => Self::Loss(u8::arbitrary(generator) % 40),
@@ -34,6 +35,7 @@
             12 => Self::Heal,
             13 => Self::Freeze(node, u16::arbitrary(generator) % 4000),
             14 => Self::Replace(node),
+            16..=18 => Self::CutLink(node, u8::arbitrary(generator)),
             _ => Self::Transfer(node, u8::arbitrary(generator)),
         }
     }
@@ -45,6 +47,7 @@
         Operation::Propose(node) => simulation.propose(node),
         Operation::Loss(percent) => simulation.loss_percent = percent,
         Operation::Cut(node) => simulation.cut(node),
+        Operation::CutLink(left, right) => simulation.cut_link(left, right),
         Operation::Heal => simulation.heal(),
         Operation::Freeze(node, span_ms) => simulation.freeze(node, u64::from(span_ms)),
         Operation::Replace(node) => simulation.replace(node),
@@ -63,7 +66,10 @@
 
 /// Number of cases and the seed, for longer runs by `scripts/fuzz`.
 fn setting(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
 }
 
 #[test]
--- a/crates/consensus/tests/support/simulation.rs
+++ b/crates/consensus/tests/support/simulation.rs
@@ -1,8 +1,8 @@
 //! A group of three daemons under virtual time, with the oracle's checks.
 
 use fieldhook_consensus::{
-    Action, Candidates, Entry, Input, Members, Message, Payload, Replica, Role,
-    Settings, plan_change,
+    Action, Candidates, Entry, Input, Members, Message, Payload, Replica, Role, Settings,
+    plan_change,
 };
 use fieldhook_model::address::{Address, ReplicaId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +30,7 @@
 pub struct Simulation {
     nodes: Vec<Node>,
     network: Vec<InFlight>,
+    cut_links: BTreeSet<(Address, Address)>,
     now_ms: u64,
     order: u64,
     random: fastrand::Rng,
@@ -46,11 +47,17 @@
 }
 
 fn replica_id(node: usize, incarnation: u64) -> ReplicaId {
-    ReplicaId { address: address(node), incarnation }
+    ReplicaId {
+        address: address(node),
+        incarnation,
+    }
 }
 
 fn settings() -> Settings {
-    Settings { retained_entries: 4, ..Settings::default() }
+    Settings {
+        retained_entries: 4,
+        ..Settings::default()
+    }
 }
 
 impl Simulation {
@@ -61,12 +68,19 @@
             .map(|node| {
                 let id = replica_id(node, 1);
                 let replica = Replica::new(id, members.clone(), settings(), 0, random.u64(..));
-                Node { replica, applied: Vec::new(), frozen_until_ms: 0, cut: false, incarnation: 1 }
+                Node {
+                    replica,
+                    applied: Vec::new(),
+                    frozen_until_ms: 0,
+                    cut: false,
+                    incarnation: 1,
+                }
             })
             .collect();
         Self {
             nodes,
             network: Vec::new(),
+            cut_links: BTreeSet::new(),
             now_ms: 0,
             order: 0,
             random,
@@ -98,7 +112,9 @@
     fn tick_all(&mut self) {
         for node in 0..NODES {
             if self.is_running(node) {
-                let actions = self.nodes[node].replica.step(Input::Tick { now_ms: self.now_ms });
+                let actions = self.nodes[node].replica.step(Input::Tick {
+                    now_ms: self.now_ms,
+                });
                 self.carry_out(node, actions);
                 self.reconcile(node);
             }
@@ -111,8 +127,9 @@
 
     fn deliver_due(&mut self) {
         let now_ms = self.now_ms;
-        let (mut due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.network).into_iter().partition(|item| item.due_ms <= now_ms);
+        let (mut due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|item| item.due_ms <= now_ms);
         self.network = later;
         due.sort_by_key(|item| (item.due_ms, item.order));
         for item in due {
@@ -132,7 +149,10 @@
             self.network.push(item);
             return;
         }
-        let input = Input::Receive { from: item.from, message: item.message };
+        let input = Input::Receive {
+            from: item.from,
+            message: item.message,
+        };
         let actions = self.nodes[node].replica.step(input);
         self.carry_out(node, actions);
     }
@@ -151,14 +171,22 @@
     }
 
     fn post(&mut self, node: usize, to: ReplicaId, message: Message) {
-        if self.nodes[node].cut || self.random.u8(0..100) < self.loss_percent {
+        let link = (address(node), to.address);
+        if self.nodes[node].cut || self.cut_links.contains(&link) {
+            return;
+        }
+        if self.random.u8(0..100) < self.loss_percent {
             return;
         }
         let copies = if self.random.u8(0..100) < 5 { 2 } else { 1 };
         for _ in 0..copies {
             self.order += 1;
             let late = self.random.u8(0..100) < 5;
-            let delay_ms = if late { self.random.u64(1..900) } else { self.random.u64(1..6) };
+            let delay_ms = if late {
+                self.random.u64(1..900)
+            } else {
+                self.random.u64(1..6)
+            };
             self.network.push(InFlight {
                 due_ms: self.now_ms + delay_ms,
                 order: self.order,
@@ -171,9 +199,19 @@
 
     /// The heart of the oracle: one entry per index, for everyone and for ever.
     fn apply(&mut self, node: usize, entry: Entry) {
-        let agreed = self.agreed.entry(entry.index).or_insert_with(|| entry.clone());
-        assert_eq!(*agreed, entry, "two replicas applied different entries at one index");
-        assert_eq!(self.nodes[node].applied.len() as u64 + 1, entry.index, "gap in applied entries");
+        let agreed = self
+            .agreed
+            .entry(entry.index)
+            .or_insert_with(|| entry.clone());
+        assert_eq!(
+            *agreed, entry,
+            "two replicas applied different entries at one index"
+        );
+        assert_eq!(
+            self.nodes[node].applied.len() as u64 + 1,
+            entry.index,
+            "gap in applied entries"
+        );
         if let Some(command) = self.pending.remove(&(entry.index, entry.term)) {
             self.acknowledged.insert(command);
         }
@@ -184,7 +222,11 @@
         let entries: Vec<Entry> = nanoserde::DeBin::deserialize_bin(state).unwrap();
         assert_eq!(entries.len() as u64, index);
         for entry in &entries {
-            assert_eq!(self.agreed.get(&entry.index), Some(entry), "snapshot differs from the log");
+            assert_eq!(
+                self.agreed.get(&entry.index),
+                Some(entry),
+                "snapshot differs from the log"
+            );
         }
         self.nodes[node].applied = entries;
     }
@@ -213,13 +255,21 @@
 
     /// What the daemon does with the same planner: replaced processes are gone.
     fn reconcile(&mut self, node: usize) {
-        let current: Vec<ReplicaId> =
-            (0..NODES).map(|other| replica_id(other, self.nodes[other].incarnation)).collect();
+        let current: Vec<ReplicaId> = (0..NODES)
+            .map(|other| replica_id(other, self.nodes[other].incarnation))
+            .collect();
         let replica = &mut self.nodes[node].replica;
         let members = replica.members().clone();
         let all = members.voters.iter().chain(&members.learners);
-        let gone = all.filter(|member| !current.contains(member)).copied().collect();
-        let candidates = Candidates { gone, joining: current, size: NODES };
+        let gone = all
+            .filter(|member| !current.contains(member))
+            .copied()
+            .collect();
+        let candidates = Candidates {
+            gone,
+            joining: current,
+            size: NODES,
+        };
         if let Some(change) = plan_change(replica, &candidates)
             && let Ok(actions) = replica.propose_change(change)
         {
@@ -254,7 +304,16 @@
         self.nodes[usize::from(node) % NODES].cut = true;
     }
 
+    /// Cuts the link between two machines that both still reach the third.
+    pub fn cut_link(&mut self, left: u8, right: u8) {
+        let left = address(usize::from(left) % NODES);
+        let right = address(usize::from(right) % NODES);
+        self.cut_links.insert((left, right));
+        self.cut_links.insert((right, left));
+    }
+
     pub fn heal(&mut self) {
+        self.cut_links.clear();
         self.loss_percent = 0;
         for node in &mut self.nodes {
             node.cut = false;
@@ -276,8 +335,13 @@
         let id = replica_id(node, incarnation);
         let seed = self.random.u64(..);
         let replica = Replica::new(id, Members::default(), settings(), self.now_ms, seed);
-        self.nodes[node] =
-            Node { replica, applied: Vec::new(), frozen_until_ms: 0, cut: false, incarnation };
+        self.nodes[node] = Node {
+            replica,
+            applied: Vec::new(),
+            frozen_until_ms: 0,
+            cut: false,
+            incarnation,
+        };
     }
 
     /// Whether every member set that may be in force keeps a live majority.
@@ -309,13 +373,21 @@
         for _ in 0..60 {
             self.run(500);
             self.propose_to_leader();
-            if self.acknowledged.iter().next_back().is_some_and(|command| *command > before) {
+            if self
+                .acknowledged
+                .iter()
+                .next_back()
+                .is_some_and(|command| *command > before)
+            {
                 break;
             }
         }
         self.run(1000);
         let newest = self.acknowledged.iter().next_back();
-        assert!(newest.is_some_and(|command| *command > before), "no progress after the faults");
+        assert!(
+            newest.is_some_and(|command| *command > before),
+            "no progress after the faults"
+        );
         self.check_acknowledged();
     }
 
@@ -329,7 +401,10 @@
             })
             .collect();
         for command in &self.acknowledged {
-            assert!(commands.contains(&command.to_le_bytes().to_vec()), "lost command {command}");
+            assert!(
+                commands.contains(&command.to_le_bytes().to_vec()),
+                "lost command {command}"
+            );
         }
     }
 }
--- /dev/null
+++ b/crates/emulator/src/engine/mod.rs
@@ -0,0 +1,12 @@
+//! A model engine: continuous batching over a prefix cache, with a step-time
+//! model. `core` and `cache` are pure; `service` is the HTTP shell.
+
+mod cache;
+mod core;
+mod service;
+mod text;
+
+pub use cache::PrefixCache;
+pub use core::{EngineCore, EngineSettings, Generate, StepReport};
+pub use service::{CacheEvent, CacheExport, GenerateEvent, Options, Order, run};
+pub use text::{BLOCK_TOKENS, answer_word, count_tokens, expected_answer, prompt_digest};
--- /dev/null
+++ b/crates/emulator/src/engine/service.rs
@@ -0,0 +1,443 @@
+//! The engine's HTTP shell: streams, cache, load and orders.
+
+use crate::engine::core::{EngineCore, EngineSettings, Generate, StepReport};
+use crate::faults::Faults;
+use crate::serve::serve;
+use fieldhook_http::{encode_event, event_stream, json, text};
+use fieldhook_model::api::Usage;
+use fieldhook_model::platform::EngineLoad;
+use futures_util::stream;
+use ntex::time::{Millis, sleep};
+use ntex::util::Bytes;
+use ntex::web::{self, HttpResponse, ServiceConfig, types};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const IDLE_POLL: Millis = Millis(1);
+/// How long a finished stream can still be resumed.
+const STREAM_RETENTION: Duration = Duration::from_secs(60);
+/// Cache events that are kept for readers.
+const EVENT_RETENTION: usize = 10_000;
+
+/// Data of one event of a generated stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GenerateEvent {
+    /// New text.
+    Text(String),
+    /// The stream is complete.
+    Done(Usage),
+}
+
+/// A cache event: blocks of a program came or went.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Place in the sequence; a missing number is a gap.
+    pub sequence: u64,
+    /// The program.
+    pub program: String,
+    /// Tokens now held; 0 after a release.
+    pub tokens: u64,
+}
+
+/// An order to change what the engine serves, fenced by a number that must not
+/// fall.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Order {
+    /// Fencing number of the sender's term.
+    pub fence: u64,
+    /// `load_model`, `load_adapter` or `set_role`.
+    pub kind: String,
+    /// Name of the model, adapter or role.
+    pub name: String,
+}
+
+#[derive(Debug, Default)]
+struct StreamState {
+    text: String,
+    finished: Option<Usage>,
+    finished_at: Option<Instant>,
+    cancelled: bool,
+}
+
+struct Engine {
+    core: EngineCore,
+    settings: EngineSettings,
+    incarnation: u64,
+    models: Vec<String>,
+    role: String,
+    fence: u64,
+    leaving: bool,
+    streams: BTreeMap<String, Rc<RefCell<StreamState>>>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    event_sequence: u64,
+    load: EngineLoad,
+    load_at: Instant,
+}
+
+#[derive(Clone)]
+struct Shared {
+    engine: Rc<RefCell<Engine>>,
+    event_lag: Duration,
+    load_lag: Duration,
+    weights: Option<String>,
+}
+
+/// What the engine is started with, besides its cost model.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Models that are loaded from the start.
+    pub models: Vec<String>,
+    /// How late cache events come, in milliseconds.
+    pub event_lag_ms: u64,
+    /// How old a load report may be, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Address of the weight store.
+    pub weights: Option<String>,
+}
+
+impl Engine {
+    fn new(settings: EngineSettings, models: Vec<String>) -> Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self {
+            core: EngineCore::new(settings),
+            settings,
+            incarnation: started.as_millis() as u64,
+            models,
+            role: "mixed".to_owned(),
+            fence: 0,
+            leaving: false,
+            streams: BTreeMap::new(),
+            events: VecDeque::new(),
+            event_sequence: 0,
+            load: EngineLoad::default(),
+            load_at: Instant::now(),
+        }
+    }
+
+    fn submit(&mut self, request: Generate) -> Rc<RefCell<StreamState>> {
+        if let Some(stream) = self.streams.get(&request.stream) {
+            return stream.clone();
+        }
+        let stream = Rc::new(RefCell::new(StreamState::default()));
+        self.streams.insert(request.stream.clone(), stream.clone());
+        self.core.submit(request);
+        stream
+    }
+
+    fn step(&mut self) -> u64 {
+        let (span_us, reports) = self.core.step();
+        for report in reports {
+            self.deliver(report);
+        }
+        span_us
+    }
+
+    fn deliver(&mut self, report: StepReport) {
+        let Some(stream) = self.streams.get(&report.stream) else { return };
+        let mut stream = stream.borrow_mut();
+        stream.text.push_str(&report.text);
+        stream.finished = report.finished;
+        stream.finished_at = report.finished.map(|_| Instant::now());
+    }
+
+    fn note_event(&mut self, program: &str, faults: &Faults) {
+        self.event_sequence += 1;
+        if faults.drops_event() {
+            return;
+        }
+        let tokens = self.core.cache.held_tokens().get(program).copied().unwrap_or(0);
+        let event =
+            CacheEvent { sequence: self.event_sequence, program: program.to_owned(), tokens };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > EVENT_RETENTION {
+            self.events.pop_front();
+        }
+    }
+
+    fn drop_old_streams(&mut self) {
+        self.streams.retain(|_, stream| {
+            let finished_at = stream.borrow().finished_at;
+            finished_at.is_none_or(|at| at.elapsed() < STREAM_RETENTION)
+        });
+    }
+
+    fn measure(&mut self, step_us: u64) {
+        self.load_at = Instant::now();
+        self.load = EngineLoad {
+            incarnation: self.incarnation,
+            running: self.core.running() as u32,
+            waiting: self.core.waiting() as u32,
+            max_running: self.settings.max_running as u32,
+            step_us,
+            prefill_tokens_per_step: self.settings.prefill_tokens_per_step as u32,
+            cached_tokens: self.core.cache.used_tokens(),
+            cache_capacity_tokens: self.settings.cache_tokens,
+            leaving: self.leaving,
+        };
+    }
+}
+
+/// Runs the stand-in.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn run(address: &str, settings: EngineSettings, options: Options) -> io::Result<()> {
+    serve(address, move |config: &mut ServiceConfig| {
+        let shared = Shared {
+            engine: Rc::new(RefCell::new(Engine::new(settings, options.models.clone()))),
+            event_lag: Duration::from_millis(options.event_lag_ms),
+            load_lag: Duration::from_millis(options.load_lag_ms),
+            weights: options.weights.clone(),
+        };
+        Faults::default().configure(config);
+        ntex::rt::spawn(run_steps(shared.clone()));
+        configure_routes(config, shared);
+    })
+    .await
+}
+
+fn configure_routes(config: &mut ServiceConfig, shared: Shared) {
+    config
+        .state(shared)
+        .route("/v1/generate", web::post().to(generate))
+        .service(
+            web::resource("/v1/streams/{stream}")
+                .route(web::get().to(resume_stream))
+                .route(web::delete().to(cancel_stream)),
+        )
+        .route("/v1/programs", web::get().to(held_programs))
+        .route("/v1/programs/{program}", web::delete().to(release_program))
+        .route("/v1/load", web::get().to(show_load))
+        .route("/v1/cache/events", web::get().to(cache_events))
+        .route("/v1/kv/{program}", web::get().to(export_cache))
+        .route("/v1/kv/{program}", web::post().to(import_cache))
+        .route("/v1/orders", web::post().to(take_order))
+        .route("/control/leave", web::post().to(announce_leave));
+}
+
+async fn run_steps(shared: Shared) {
+    let mut due = Instant::now();
+    loop {
+        let busy = {
+            let engine = shared.engine.borrow();
+            engine.core.running() + engine.core.waiting() > 0
+        };
+        if !busy {
+            refresh_load(&shared, 0);
+            sleep(IDLE_POLL).await;
+            due = Instant::now();
+            continue;
+        }
+        let span_us = shared.engine.borrow_mut().step();
+        refresh_load(&shared, span_us);
+        due += Duration::from_micros(span_us);
+        // Sleeping is coarser than steps: the average pace is what counts.
+        let ahead_ms = due.saturating_duration_since(Instant::now()).as_millis() as u32;
+        sleep(Millis(ahead_ms)).await;
+    }
+}
+
+fn refresh_load(shared: &Shared, step_us: u64) {
+    let mut engine = shared.engine.borrow_mut();
+    if engine.load_at.elapsed() >= shared.load_lag || engine.load.incarnation == 0 {
+        engine.measure(step_us);
+        engine.drop_old_streams();
+    }
+}
+
+async fn generate(
+    shared: types::State<Shared>,
+    faults: types::State<Faults>,
+    body: Bytes,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    let request: Generate = match serde_json::from_slice(&body) {
+        Ok(request) => request,
+        Err(error) => return text(400, error.to_string()),
+    };
+    if !shared.engine.borrow().models.contains(&request.model) {
+        return text(404, "this engine has not loaded the model");
+    }
+    let program = request.program.clone();
+    let stream = shared.engine.borrow_mut().submit(request);
+    shared.engine.borrow_mut().note_event(&program, &faults);
+    faults.after(stream_from(stream, 0)).await
+}
+
+#[derive(Deserialize)]
+struct FromQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn resume_stream(
+    shared: types::State<Shared>,
+    faults: types::State<Faults>,
+    name: types::Path<String>,
+    query: types::Query<FromQuery>,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    let stream = shared.engine.borrow().streams.get(&*name).cloned();
+    match stream {
+        Some(stream) => stream_from(stream, query.from as usize),
+        None => text(404, "no such stream"),
+    }
+}
+
+/// Sends a stream's text from a byte offset on, until it ends.
+fn stream_from(state: Rc<RefCell<StreamState>>, from: usize) -> HttpResponse {
+    let events = stream::unfold((state, from, false), |(state, sent, over)| async move {
+        if over {
+            return None;
+        }
+        loop {
+            let next = next_events(&state.borrow(), sent);
+            if let Some((events, sent, over)) = next {
+                return Some((Ok(Bytes::from(events)), (state, sent, over)));
+            }
+            if state.borrow().cancelled {
+                return None;
+            }
+            sleep(IDLE_POLL).await;
+        }
+    });
+    event_stream(events)
+}
+
+fn next_events(state: &StreamState, sent: usize) -> Option<(String, usize, bool)> {
+    let fresh = state.text.get(sent..).unwrap_or_default();
+    let mut events = String::new();
+    if !fresh.is_empty() {
+        events = encode_event("", "", &GenerateEvent::Text(fresh.to_owned()));
+    }
+    if let Some(usage) = state.finished {
+        events.push_str(&encode_event("", "", &GenerateEvent::Done(usage)));
+    }
+    (!events.is_empty()).then(|| (events, state.text.len(), state.finished.is_some()))
+}
+
+async fn cancel_stream(shared: types::State<Shared>, name: types::Path<String>) -> HttpResponse {
+    let mut engine = shared.engine.borrow_mut();
+    engine.core.cancel(&name);
+    if let Some(stream) = engine.streams.remove(&*name) {
+        stream.borrow_mut().cancelled = true;
+    }
+    text(200, "cancelled")
+}
+
+async fn held_programs(shared: types::State<Shared>) -> HttpResponse {
+    json(200, &shared.engine.borrow().core.cache.held_tokens())
+}
+
+async fn release_program(
+    shared: types::State<Shared>,
+    faults: types::State<Faults>,
+    program: types::Path<String>,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    shared.engine.borrow_mut().core.release(&program);
+    shared.engine.borrow_mut().note_event(&program, &faults);
+    faults.after(text(200, "released")).await
+}
+
+async fn show_load(shared: types::State<Shared>, faults: types::State<Faults>) -> HttpResponse {
+    match faults.before().await {
+        Ok(()) => json(200, &shared.engine.borrow().load),
+        Err(answer) => answer,
+    }
+}
+
+async fn cache_events(
+    shared: types::State<Shared>,
+    faults: types::State<Faults>,
+    query: types::Query<FromQuery>,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    let engine = shared.engine.borrow();
+    let old_enough = engine.events.iter().filter(|(at, _)| at.elapsed() >= shared.event_lag);
+    let wanted = old_enough.map(|(_, event)| event).filter(|event| event.sequence >= query.from);
+    json(200, &wanted.collect::<Vec<_>>())
+}
+
+/// Cache of a program, as exported by one engine and imported by another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CacheExport {
+    /// Hashes of the blocks; they stand for the blocks themselves.
+    pub blocks: Vec<u64>,
+}
+
+async fn export_cache(shared: types::State<Shared>, program: types::Path<String>) -> HttpResponse {
+    let blocks = shared.engine.borrow().core.cache.blocks_of(&program);
+    json(200, &CacheExport { blocks })
+}
+
+async fn import_cache(
+    shared: types::State<Shared>,
+    program: types::Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    match serde_json::from_slice::<CacheExport>(&body) {
+        Ok(export) => {
+            shared.engine.borrow_mut().core.cache.insert(&program, &export.blocks);
+            text(200, "imported")
+        }
+        Err(error) => text(400, error.to_string()),
+    }
+}
+
+async fn take_order(
+    shared: types::State<Shared>,
+    faults: types::State<Faults>,
+    body: Bytes,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    let order: Order = match serde_json::from_slice(&body) {
+        Ok(order) => order,
+        Err(error) => return text(400, error.to_string()),
+    };
+    let fence = shared.engine.borrow().fence;
+    if order.fence < fence {
+        return text(409, format!("fence {} is below {fence}", order.fence));
+    }
+    shared.engine.borrow_mut().fence = order.fence;
+    match order.kind.as_str() {
+        "set_role" => shared.engine.borrow_mut().role = order.name,
+        "load_model" | "load_adapter" => {
+            if let Some(address) = &shared.weights
+                && let Err(cause) = download(address, &order.name).await
+            {
+                return text(502, cause);
+            }
+            shared.engine.borrow_mut().models.push(order.name);
+        }
+        _ => return text(400, "kind is load_model, load_adapter or set_role"),
+    }
+    faults.after(text(200, "done")).await
+}
+
+async fn download(address: &str, name: &str) -> Result<(), String> {
+    let client = fieldhook_http::HttpClient::new().await;
+    let url = format!("http://{address}/v1/weights/{name}");
+    let weights = client.get_json::<crate::weights::Weights>(&url, Duration::from_secs(600)).await;
+    weights.map(|_| ()).map_err(|error| error.to_string())
+}
+
+async fn announce_leave(shared: types::State<Shared>) -> HttpResponse {
+    shared.engine.borrow_mut().leaving = true;
+    text(200, "leaving")
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,14 +1,12 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! Stand-ins for what fieldhook meets outside itself: model engines, the
+//! append-only log, the machine list, the weight store, and tool or
+//! application servers. Each runs as its own process and takes its faults
+//! over a control route.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub mod engine;
+pub mod faults;
+pub mod log;
+pub mod machines;
+pub mod serve;
+pub mod server;
+pub mod weights;
--- /dev/null
+++ b/crates/emulator/src/machines.rs
@@ -0,0 +1,71 @@
+//! The platform's list of machines, served with a lag.
+
+use crate::faults::Faults;
+use crate::serve::serve;
+use fieldhook_http::{json, text};
+use fieldhook_model::platform::Machine;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpResponse, ServiceConfig, types};
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+struct Change {
+    at: Instant,
+    machines: Vec<Machine>,
+}
+
+#[derive(Clone)]
+struct MachineList {
+    lag: Duration,
+    changes: Rc<RefCell<Vec<Change>>>,
+}
+
+impl MachineList {
+    fn visible(&self) -> Vec<Machine> {
+        let changes = self.changes.borrow();
+        let old_enough = changes.iter().rev().find(|change| change.at.elapsed() >= self.lag);
+        // The first list is there from the start: it lags only behind changes.
+        old_enough.or(changes.first()).map(|change| change.machines.clone()).unwrap_or_default()
+    }
+}
+
+/// Runs the stand-in.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn run(address: &str, lag_ms: u64) -> io::Result<()> {
+    serve(address, move |config: &mut ServiceConfig| {
+        let list = MachineList {
+            lag: Duration::from_millis(lag_ms),
+            changes: Rc::new(RefCell::new(Vec::new())),
+        };
+        Faults::default().configure(config);
+        config
+            .state(list)
+            .route("/v1/machines", web::get().to(show_machines))
+            .route("/control/machines", web::post().to(set_machines));
+    })
+    .await
+}
+
+async fn show_machines(
+    list: types::State<MachineList>,
+    faults: types::State<Faults>,
+) -> HttpResponse {
+    match faults.before().await {
+        Ok(()) => json(200, &list.visible()),
+        Err(answer) => answer,
+    }
+}
+
+async fn set_machines(list: types::State<MachineList>, body: Bytes) -> HttpResponse {
+    match serde_json::from_slice::<Vec<Machine>>(&body) {
+        Ok(machines) => {
+            list.changes.borrow_mut().push(Change { at: Instant::now(), machines });
+            text(200, "set")
+        }
+        Err(error) => text(400, error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,11 @@
+//! HTTP helpers that every process of the project shares, over `ntex`: a
+//! client that says whether a failed request may have run, server-sent
+//! events, and JSON answers.
+
+mod client;
+mod respond;
+mod sse;
+
+pub use client::{HttpClient, SendError, TextReply};
+pub use respond::{aborted, event_stream, json, text};
+pub use sse::{SseDecoder, SseEvent, encode_event};
--- /dev/null
+++ b/crates/http/src/sse.rs
@@ -0,0 +1,68 @@
+//! Server-sent events (WHATWG HTML, section 9.2): the subset with `id`,
+//! `event` and one `data` line.
+
+use serde::Serialize;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SseEvent {
+    /// The `id` field, empty if absent.
+    pub id: String,
+    /// The `event` field, empty if absent.
+    pub event: String,
+    /// The `data` field.
+    pub data: String,
+}
+
+/// Puts events together from the chunks in which they arrive.
+#[derive(Debug, Default)]
+pub struct SseDecoder {
+    pending: Vec<u8>,
+    current: SseEvent,
+}
+
+impl SseDecoder {
+    /// Takes a chunk and returns the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Vec<SseEvent> {
+        self.pending.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        while let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.pending.drain(..=end).collect();
+            let line = String::from_utf8_lossy(&line[..end]);
+            self.take_line(line.trim_end_matches('\r'), &mut events);
+        }
+        events
+    }
+
+    fn take_line(&mut self, line: &str, events: &mut Vec<SseEvent>) {
+        if line.is_empty() {
+            let event = std::mem::take(&mut self.current);
+            if !event.data.is_empty() {
+                events.push(event);
+            }
+            return;
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value).to_owned();
+        match field {
+            "id" => self.current.id = value,
+            "event" => self.current.event = value,
+            "data" => self.current.data = value,
+            _ => {}
+        }
+    }
+}
+
+/// Encodes an event whose data is one line of JSON.
+pub fn encode_event<T: Serialize>(id: &str, event: &str, data: &T) -> String {
+    let data = serde_json::to_string(data).unwrap_or_default();
+    let mut text = String::with_capacity(data.len() + 32);
+    if !id.is_empty() {
+        text.push_str(&format!("id: {id}\n"));
+    }
+    if !event.is_empty() {
+        text.push_str(&format!("event: {event}\n"));
+    }
+    text.push_str(&format!("data: {data}\n\n"));
+    text
+}
--- /dev/null
+++ b/crates/membership/src/detector.rs
@@ -0,0 +1,325 @@
+//! The failure detector: whom to probe, whom to suspect, what to pass on.
+
+use crate::fact::{Fact, Member, MemberState};
+use crate::gossip::{Packet, Question, Queue};
+use crate::settings::Settings;
+use crate::table::FactTable;
+use fieldhook_model::address::{Address, ReplicaId};
+use std::collections::BTreeMap;
+
+/// A packet to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: Address,
+    /// The packet.
+    pub packet: Packet,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    target: Address,
+    sequence: u64,
+    started_ms: u64,
+    helpers_asked: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Errand {
+    asker: Address,
+    asker_sequence: u64,
+}
+
+/// Failure detector and gossip of one daemon.
+#[derive(Debug)]
+pub struct Detector {
+    own: Member,
+    settings: Settings,
+    seeds: Vec<Address>,
+    random: fastrand::Rng,
+    table: FactTable,
+    queue: Queue,
+    now_ms: u64,
+    next_probe_ms: u64,
+    sequence: u64,
+    probe: Option<Probe>,
+    round: Vec<Address>,
+    errands: BTreeMap<u64, Errand>,
+    suspected_ms: BTreeMap<Address, (ReplicaId, u64)>,
+    dead_ms: BTreeMap<Address, (ReplicaId, u64)>,
+    packets_out: Vec<Outgoing>,
+}
+
+impl Detector {
+    /// A detector that knows only itself and the addresses to start from.
+    pub fn new(id: ReplicaId, zone: &str, seeds: Vec<Address>, settings: Settings, seed: u64) -> Self {
+        let own =
+            Member { id, zone: zone.to_owned(), state: MemberState::Alive, refutation: 0 };
+        let mut detector = Self {
+            own: own.clone(),
+            settings,
+            seeds,
+            random: fastrand::Rng::with_seed(seed),
+            table: FactTable::default(),
+            queue: Queue::default(),
+            now_ms: 0,
+            next_probe_ms: 0,
+            sequence: 0,
+            probe: None,
+            round: Vec::new(),
+            errands: BTreeMap::new(),
+            suspected_ms: BTreeMap::new(),
+            dead_ms: BTreeMap::new(),
+            packets_out: Vec::new(),
+        };
+        detector.learn(Fact::Member(own));
+        detector
+    }
+
+    /// What is known.
+    pub fn table(&self) -> &FactTable {
+        &self.table
+    }
+
+    /// This daemon.
+    pub fn id(&self) -> ReplicaId {
+        self.own.id
+    }
+
+    /// How long a daemon has been held dead or gone here, in milliseconds.
+    pub fn dead_for_ms(&self, id: ReplicaId) -> Option<u64> {
+        let (dead, since_ms) = self.dead_ms.get(&id.address)?;
+        (*dead == id).then(|| self.now_ms.saturating_sub(*since_ms))
+    }
+
+    /// Takes a fact from this daemon or a full exchange, and passes it on if
+    /// it is news. True if it was news.
+    pub fn learn(&mut self, fact: Fact) -> bool {
+        if let Fact::Member(member) = &fact
+            && member.id.address == self.own.id.address
+            && member.id.incarnation >= self.own.id.incarnation
+            && *member != self.own
+        {
+            return self.object_to(&member.clone());
+        }
+        let subject = fact.subject();
+        let state = match &fact {
+            Fact::Member(member) => Some((member.id, member.state)),
+            _ => None,
+        };
+        if !self.table.insert(fact) {
+            return false;
+        }
+        self.queue.add(subject);
+        if let Some((id, state)) = state {
+            self.note_state(id, state);
+        }
+        true
+    }
+
+    /// Says that this daemon goes.
+    pub fn leave(&mut self) {
+        self.own.state = MemberState::Left;
+        self.learn(Fact::Member(self.own.clone()));
+    }
+
+    fn object_to(&mut self, claim: &Member) -> bool {
+        if claim.id != self.own.id || self.own.state == MemberState::Left {
+            return false;
+        }
+        if claim.state > MemberState::Alive && claim.refutation >= self.own.refutation {
+            self.own.refutation = claim.refutation + 1;
+            self.learn(Fact::Member(self.own.clone()));
+        }
+        false
+    }
+
+    fn note_state(&mut self, id: ReplicaId, state: MemberState) {
+        self.suspected_ms.remove(&id.address);
+        self.dead_ms.remove(&id.address);
+        match state {
+            MemberState::Alive => {}
+            MemberState::Suspect => {
+                self.suspected_ms.insert(id.address, (id, self.now_ms));
+            }
+            MemberState::Dead | MemberState::Left => {
+                self.dead_ms.insert(id.address, (id, self.now_ms));
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
+        // After a pause of its own the detector has missed answers: it must not
+        // blame others for that.
+        if now_ms > self.now_ms + self.settings.suspicion_ms {
+            self.forgive(now_ms);
+        }
+        self.now_ms = now_ms;
+        self.follow_probe();
+        self.bury_suspects();
+        if now_ms >= self.next_probe_ms {
+            self.next_probe_ms = now_ms + self.settings.probe_ms;
+            self.start_probe();
+        }
+        std::mem::take(&mut self.packets_out)
+    }
+
+    fn forgive(&mut self, now_ms: u64) {
+        self.probe = None;
+        for (_, since_ms) in self.suspected_ms.values_mut() {
+            *since_ms = now_ms;
+        }
+    }
+
+    fn start_probe(&mut self) {
+        self.errands.retain(|sequence, _| *sequence + 64 > self.sequence);
+        if let Some(probe) = self.probe.take() {
+            self.suspect(probe.target);
+        }
+        let Some(target) = self.next_target() else {
+            self.knock_at_seeds();
+            return;
+        };
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let started_ms = self.now_ms;
+        self.probe = Some(Probe { target, sequence, started_ms, helpers_asked: false });
+        self.send(target, Question::Ping { sequence });
+        // A seed nobody has heard of may be a group that split off.
+        if sequence.is_multiple_of(8) {
+            self.knock_at_seeds();
+        }
+    }
+
+    fn knock_at_seeds(&mut self) {
+        let unknown: Vec<Address> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| *seed != self.own.id.address)
+            .filter(|seed| {
+                self.table.member(*seed).is_none_or(|member| member.state >= MemberState::Dead)
+            })
+            .collect();
+        for seed in unknown {
+            self.sequence += 1;
+            self.send(seed, Question::Ping { sequence: self.sequence });
+        }
+    }
+
+    /// Goes round all members in random order, so that each is probed once a
+    /// round (SWIM, section 4.3).
+    fn next_target(&mut self) -> Option<Address> {
+        if self.round.is_empty() {
+            self.round = self.others();
+            self.random.shuffle(&mut self.round);
+        }
+        while let Some(target) = self.round.pop() {
+            if self.table.member(target).is_some_and(|member| member.state <= MemberState::Suspect) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    fn others(&self) -> Vec<Address> {
+        let live = self.table.live().map(|member| member.id.address);
+        live.filter(|address| *address != self.own.id.address).collect()
+    }
+
+    fn follow_probe(&mut self) {
+        let Some(probe) = self.probe else { return };
+        if probe.helpers_asked || self.now_ms < probe.started_ms + self.settings.answer_ms {
+            return;
+        }
+        self.probe = Some(Probe { helpers_asked: true, ..probe });
+        let mut helpers = self.others();
+        helpers.retain(|helper| *helper != probe.target);
+        self.random.shuffle(&mut helpers);
+        for helper in helpers.into_iter().take(self.settings.helpers) {
+            let question = Question::PingFor { sequence: probe.sequence, target: probe.target };
+            self.send(helper, question);
+        }
+    }
+
+    fn suspect(&mut self, address: Address) {
+        let Some(member) = self.table.member(address) else { return };
+        if member.state == MemberState::Alive {
+            let suspicion = Member { state: MemberState::Suspect, ..member.clone() };
+            self.learn(Fact::Member(suspicion));
+        }
+    }
+
+    fn bury_suspects(&mut self) {
+        let limit_ms = self.settings.suspicion_ms;
+        let due = |since_ms: u64| self.now_ms >= since_ms + limit_ms;
+        let buried: Vec<Address> = self
+            .suspected_ms
+            .iter()
+            .filter(|(_, (_, since_ms))| due(*since_ms))
+            .map(|(address, _)| *address)
+            .collect();
+        for address in buried {
+            if let Some(member) = self.table.member(address) {
+                let death = Member { state: MemberState::Dead, ..member.clone() };
+                self.learn(Fact::Member(death));
+            }
+        }
+    }
+
+    /// Takes a packet.
+    pub fn receive(&mut self, packet: Packet) -> Vec<Outgoing> {
+        for fact in packet.facts {
+            self.learn(fact);
+        }
+        let from = packet.from.address;
+        match packet.question {
+            Question::Ping { sequence } => {
+                self.tell_if_mistaken(packet.from);
+                self.send(from, Question::Ack { sequence });
+            }
+            Question::Ack { sequence } => self.take_answer(sequence),
+            Question::PingFor { sequence, target } => {
+                self.sequence += 1;
+                self.errands
+                    .insert(self.sequence, Errand { asker: from, asker_sequence: sequence });
+                self.send(target, Question::Ping { sequence: self.sequence });
+            }
+        }
+        std::mem::take(&mut self.packets_out)
+    }
+
+    /// A sender that is held dead here must hear of it, or it never objects.
+    fn tell_if_mistaken(&mut self, from: ReplicaId) {
+        let Some(member) = self.table.member(from.address) else { return };
+        if member.id == from && member.state > MemberState::Alive {
+            let subject = Fact::Member(member.clone()).subject();
+            self.queue.add(subject);
+        }
+    }
+
+    fn take_answer(&mut self, sequence: u64) {
+        if let Some(errand) = self.errands.remove(&sequence) {
+            self.send(errand.asker, Question::Ack { sequence: errand.asker_sequence });
+            return;
+        }
+        let answered = |probe: &Probe| probe.sequence == sequence;
+        if self.probe.as_ref().is_some_and(answered) {
+            self.probe = None;
+        }
+    }
+
+    fn send(&mut self, to: Address, question: Question) {
+        let size = self.table.live().count().max(2);
+        let limit = self.settings.repeats * (usize::BITS - size.leading_zeros());
+        let mut facts = self.queue.take(&self.table, self.settings.packet_bytes, limit);
+        let own = Fact::Member(self.own.clone());
+        if self.table.member(to).is_none() && !facts.contains(&own) {
+            // The receiver does not know this daemon either.
+            facts.push(own);
+        }
+        let packet = Packet { from: self.own.id, question, facts };
+        self.packets_out.push(Outgoing { to, packet });
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,14 +1,18 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! Which daemons live, and what they tell each other in passing.
+//!
+//! A SWIM failure detector (Das, Gupta and Motivala, 2002) with incarnations
+//! and suspicion, without I/O: the owner feeds packets and time and sends the
+//! packets that come back. Facts ride on the detector's packets: members,
+//! shard routes, the configuration's version and leaving machines.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+mod detector;
+mod fact;
+mod gossip;
+mod settings;
+mod table;
 
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub use detector::{Detector, Outgoing};
+pub use fact::{Fact, LeavingMachine, Member, MemberState, ShardRoute};
+pub use gossip::{Packet, Question};
+pub use settings::{Settings, SettingsError};
+pub use table::FactTable;
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,107 @@
+//! All facts known here, newest per subject.
+
+use crate::fact::{Fact, Member, MemberState, ShardRoute, Subject};
+use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::ids::ShardId;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// All facts known here, newest per subject.
+#[derive(Debug, Default)]
+pub struct FactTable {
+    facts: BTreeMap<Subject, Fact>,
+}
+
+impl FactTable {
+    /// Takes a fact in; true if it was news.
+    pub fn insert(&mut self, fact: Fact) -> bool {
+        let subject = fact.subject();
+        let news = self.facts.get(&subject).is_none_or(|known| fact.replaces(known));
+        if news {
+            self.facts.insert(subject, fact);
+        }
+        news
+    }
+
+    pub(crate) fn get(&self, subject: &Subject) -> Option<&Fact> {
+        self.facts.get(subject)
+    }
+
+    /// Every fact, for a full exchange.
+    pub fn all(&self) -> Vec<Fact> {
+        self.facts.values().cloned().collect()
+    }
+
+    /// A hash of all facts: equal hashes spare a full exchange.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for fact in self.facts.values() {
+            fact.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// All daemons, in whatever state.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.facts.values().filter_map(|fact| match fact {
+            Fact::Member(member) => Some(member),
+            _ => None,
+        })
+    }
+
+    /// What is known of the daemon at an address.
+    pub fn member(&self, address: Address) -> Option<&Member> {
+        match self.facts.get(&Subject::Member(address)) {
+            Some(Fact::Member(member)) => Some(member),
+            _ => None,
+        }
+    }
+
+    /// Whether a process is surely gone: another one runs at its address, or it
+    /// left. Silence is no evidence.
+    pub fn is_surely_gone(&self, id: ReplicaId) -> bool {
+        self.member(id.address).is_some_and(|member| {
+            member.id.incarnation > id.incarnation
+                || (member.id == id && member.state == MemberState::Left)
+        })
+    }
+
+    /// Daemons that take part: alive or merely suspected.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|member| member.state <= MemberState::Suspect)
+    }
+
+    /// The newest route of a shard.
+    pub fn route(&self, shard: ShardId) -> Option<&ShardRoute> {
+        match self.facts.get(&Subject::Route(shard)) {
+            Some(Fact::Route(route)) => Some(route),
+            _ => None,
+        }
+    }
+
+    /// All known routes.
+    pub fn routes(&self) -> impl Iterator<Item = &ShardRoute> {
+        self.facts.values().filter_map(|fact| match fact {
+            Fact::Route(route) => Some(route),
+            _ => None,
+        })
+    }
+
+    /// The longest folded prefix of the configuration log that anyone has.
+    pub fn config_offset(&self) -> u64 {
+        match self.facts.get(&Subject::Config) {
+            Some(Fact::ConfigOffset(offset)) => *offset,
+            _ => 0,
+        }
+    }
+
+    /// Whether a machine of this incarnation is leaving.
+    pub fn is_leaving(&self, address: &str, incarnation: u64) -> bool {
+        match self.facts.get(&Subject::Leaving(address.to_owned())) {
+            Some(Fact::Leaving(machine)) => {
+                machine.incarnation == 0 || incarnation == 0 || machine.incarnation >= incarnation
+            }
+            _ => false,
+        }
+    }
+}
--- a/crates/model/src/address.rs
+++ b/crates/model/src/address.rs
@@ -16,7 +16,10 @@
 impl Address {
     /// Builds an address from its socket form.
     pub fn new(socket: SocketAddrV4) -> Self {
-        Self { ip: u32::from(*socket.ip()), port: socket.port() }
+        Self {
+            ip: u32::from(*socket.ip()),
+            port: socket.port(),
+        }
     }
 
     /// The form that sockets take.
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -103,7 +103,8 @@
 impl CallRequest {
     /// The stated or default repeatability.
     pub fn is_repeatable(&self) -> bool {
-        self.repeatable.unwrap_or(matches!(self.call, CallSpec::Model(_)))
+        self.repeatable
+            .unwrap_or(matches!(self.call, CallSpec::Model(_)))
     }
 }
 
@@ -141,6 +142,8 @@
 pub enum StreamEvent {
     /// More text, beginning at a byte offset of the whole answer.
     Delta {
+        /// Lineage of the text; see `Attempt::lineage`.
+        lineage: u32,
         /// Byte offset of `text` in the answer.
         offset: u64,
         /// The text.
@@ -148,6 +151,8 @@
     },
     /// Text sent so far does not belong to the answer: discard it.
     Reset,
+    /// Nothing new; the sender is alive.
+    KeepAlive,
     /// The whole answer. Nothing follows.
     Done(Answer),
     /// The call failed or was refused. Nothing follows.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -132,7 +132,10 @@
     /// The first problem found.
     pub fn validate(&self) -> Result<(), ConfigError> {
         for (index, rule) in self.rules.iter().enumerate() {
-            if self.rules[..index].iter().any(|earlier| earlier.name == rule.name) {
+            if self.rules[..index]
+                .iter()
+                .any(|earlier| earlier.name == rule.name)
+            {
                 return Err(ConfigError::DuplicateRule(rule.name.clone()));
             }
             rule.validate()?;
@@ -159,12 +162,16 @@
     fn validate(&self) -> Result<(), ConfigError> {
         let requirements = self.programs.0.iter().chain(&self.machines.0);
         if let Some(problem) = requirements.filter_map(|item| item.problem()).next() {
-            return Err(ConfigError::Requirement { rule: self.name.clone(), problem });
+            return Err(ConfigError::Requirement {
+                rule: self.name.clone(),
+                problem,
+            });
         }
         match self.priority {
-            Some(value) if value > MAX_PRIORITY => {
-                Err(ConfigError::Priority { rule: self.name.clone(), value })
-            }
+            Some(value) if value > MAX_PRIORITY => Err(ConfigError::Priority {
+                rule: self.name.clone(),
+                value,
+            }),
             _ => Ok(()),
         }
     }
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -76,7 +76,12 @@
 impl CallError {
     /// An error for a request that did not run.
     pub fn not_run(kind: ErrorKind, remedy: impl Into<String>) -> Self {
-        Self { kind, executed: Executed::No, retry_after_ms: None, remedy: remedy.into() }
+        Self {
+            kind,
+            executed: Executed::No,
+            retry_after_ms: None,
+            remedy: remedy.into(),
+        }
     }
 
     /// The same error with the time to come back.
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -27,13 +27,19 @@
     /// same identifier, which makes opening a program repeatable.
     pub fn root(tenant: &str, request_key: &str, shard_count: u16) -> Self {
         let unique = xxh3_64(format!("{tenant}\n{request_key}").as_bytes());
-        Self { shard: (unique % u64::from(shard_count.max(1))) as ShardId, unique }
+        Self {
+            shard: (unique % u64::from(shard_count.max(1))) as ShardId,
+            unique,
+        }
     }
 
     /// Identifier of a sub-agent: on its parent's shard.
     pub fn child(parent: ProgramId, request_key: &str) -> Self {
         let unique = xxh3_64(format!("{parent}\n{request_key}").as_bytes());
-        Self { shard: parent.shard, unique }
+        Self {
+            shard: parent.shard,
+            unique,
+        }
     }
 }
 
--- a/crates/model/src/labels.rs
+++ b/crates/model/src/labels.rs
@@ -55,8 +55,15 @@
             return Some("a requirement has an empty key".to_owned());
         }
         if needs_values == self.values.is_empty() {
-            let wanted = if needs_values { "at least one value" } else { "no values" };
-            return Some(format!("the operator on label {:?} takes {wanted}", self.key));
+            let wanted = if needs_values {
+                "at least one value"
+            } else {
+                "no values"
+            };
+            return Some(format!(
+                "the operator on label {:?} takes {wanted}",
+                self.key
+            ));
         }
         None
     }
--- /dev/null
+++ b/crates/placement/src/choice.rs
@@ -0,0 +1,125 @@
+//! The choice among the engines that the rules leave.
+
+use crate::cost::{Estimate, estimate};
+use crate::rules::{Verdict, judge};
+use fieldhook_model::config::ConfigDocument;
+use fieldhook_model::labels::Labels;
+use fieldhook_model::platform::EngineLoad;
+use std::collections::BTreeMap;
+
+/// Label by which the platform says what an engine has loaded.
+const MODEL_LABEL: &str = "model";
+
+/// What is known here of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineView {
+    /// IP and port.
+    pub address: String,
+    /// All its labels.
+    pub labels: Labels,
+    /// Its last report.
+    pub load: EngineLoad,
+    /// Calls that this daemon has running there.
+    pub assigned: u32,
+    /// Whether it goes away.
+    pub leaving: bool,
+    /// Whether it answered lately.
+    pub reachable: bool,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Labels of the program, with its tenant.
+    pub labels: Labels,
+    /// Model asked for.
+    pub model: String,
+    /// Tokens of the whole prompt, as far as known.
+    pub prompt_tokens: u64,
+    /// Tokens to generate at most.
+    pub new_tokens: u64,
+    /// Tokens of this program that engines are thought to hold.
+    pub held: BTreeMap<String, u64>,
+    /// Engines that failed this call already.
+    pub avoid: Vec<String>,
+}
+
+/// The engine chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// IP and port.
+    pub address: String,
+    /// Priority by the rules.
+    pub priority: u8,
+    /// The expectation that decided.
+    pub estimate: Estimate,
+}
+
+/// Why there is no choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No live engine has the model and is allowed.
+    NoEngine,
+    /// All allowed engines have long queues; when to come back, in milliseconds.
+    Overloaded(u64),
+}
+
+/// Batches that may wait at an engine before work is refused.
+const QUEUE_LIMIT_BATCHES: u32 = 4;
+
+/// Chooses the engine with the earliest expected finish.
+///
+/// # Errors
+/// No engine may or can take the work.
+pub fn choose(
+    document: &ConfigDocument,
+    engines: &[EngineView],
+    work: &Work,
+) -> Result<Choice, Refusal> {
+    let able = engines.iter().filter(|engine| can_serve(engine, work));
+    let judged = able.map(|engine| (engine, judge(document, &work.labels, &engine.labels)));
+    let allowed: Vec<(&EngineView, Verdict)> =
+        judged.filter(|(_, verdict)| verdict.allowed).collect();
+    if allowed.is_empty() {
+        return Err(Refusal::NoEngine);
+    }
+    let open: Vec<&(&EngineView, Verdict)> =
+        allowed.iter().filter(|(engine, _)| has_room(engine)).collect();
+    let best = open
+        .into_iter()
+        .map(|(engine, verdict)| candidate(engine, verdict, work))
+        .min_by_key(|choice| (choice.estimate.total_us(), choice.address.clone()));
+    best.ok_or_else(|| Refusal::Overloaded(shortest_wait_ms(&allowed)))
+}
+
+fn can_serve(engine: &EngineView, work: &Work) -> bool {
+    engine.reachable
+        && !engine.leaving
+        && !engine.load.leaving
+        && !work.avoid.contains(&engine.address)
+        && engine.labels.get(MODEL_LABEL) == Some(&work.model)
+}
+
+fn has_room(engine: &EngineView) -> bool {
+    let places = engine.load.max_running.max(1);
+    let queued = (engine.load.running + engine.load.waiting).max(engine.assigned);
+    queued < places * QUEUE_LIMIT_BATCHES
+}
+
+fn candidate(engine: &EngineView, verdict: &Verdict, work: &Work) -> Choice {
+    let held = work.held.get(&engine.address).copied().unwrap_or(0);
+    let missing = work.prompt_tokens.saturating_sub(held);
+    Choice {
+        address: engine.address.clone(),
+        priority: verdict.priority,
+        estimate: estimate(&engine.load, engine.assigned, missing, work.new_tokens),
+    }
+}
+
+fn shortest_wait_ms(engines: &[(&EngineView, Verdict)]) -> u64 {
+    let waits = engines.iter().map(|(engine, _)| {
+        let estimate = estimate(&engine.load, engine.assigned, 0, 0);
+        estimate.wait_us / 1_000
+    });
+    waits.min().unwrap_or(0).max(50)
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,14 +1,10 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! Which engine serves a call: rules bound the choice, expected finish time
+//! decides it. Pure.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+mod choice;
+mod cost;
+mod rules;
 
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub use choice::{Choice, EngineView, Refusal, Work, choose};
+pub use cost::{Estimate, estimate};
+pub use rules::{Verdict, judge};
--- /dev/null
+++ b/crates/program/src/view.rs
@@ -0,0 +1,35 @@
+//! What callers and operators see of a program.
+
+use crate::machine::ShardState;
+use crate::program::Program;
+use fieldhook_model::api::ProgramView;
+use fieldhook_model::error::CallError;
+use fieldhook_model::ids::ProgramId;
+
+impl ShardState {
+    /// The public view of a program.
+    ///
+    /// # Errors
+    /// No record of the program.
+    pub fn view(&self, id: ProgramId) -> Result<ProgramView, CallError> {
+        let program = self.program(id)?;
+        let budget = self.programs.get(&program.root).map_or(program.budget, |root| root.budget);
+        Ok(ProgramView {
+            program: id.to_string(),
+            tenant: program.tenant.clone(),
+            labels: program.labels.clone(),
+            phase: phase_name(program).to_owned(),
+            calls: program.calls.len() as u64,
+            running_call: program.running_call(),
+            budget: budget.limit,
+            spent: budget.spent,
+            reserved: budget.reserved,
+            held_by: program.held_by.keys().cloned().collect(),
+            history: self.history(id),
+        })
+    }
+}
+
+fn phase_name(program: &Program) -> &'static str {
+    if program.is_open() { "open" } else { "ended" }
+}
