--- /dev/null
+++ b/crates/bench/src/caller.rs
@@ -0,0 +1,429 @@
+//! An agent program's side of the caller interface, with its own account of
+//! the conversation, by which every answer is checked.
+
+use fieldhook_emulator::engine::expected_answer;
+use fieldhook_http::{HttpClient, SendError, SseDecoder, SseEvent};
+use fieldhook_model::api::{
+    Answer, CallRequest, CallSpec, Message, ModelCall, OpenProgram, ProgramOpened, ProgramView,
+    ServerCall,
+};
+use fieldhook_model::error::{CallError, ErrorKind, Executed};
+use futures_util::StreamExt;
+use ntex::client::ClientResponse;
+use ntex::http::Method;
+use ntex::time::{Millis, sleep, timeout};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+const OPEN_TIMEOUT: Duration = Duration::from_secs(15);
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest silence of a stream before the caller asks another daemon.
+const SILENCE: Duration = Duration::from_secs(5);
+const RETRY: Millis = Millis(50);
+
+/// What is wrong with an answer, seen from outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// The text is not the one that this conversation must give.
+    WrongAnswer {
+        /// The program.
+        program: String,
+        /// The call.
+        call: u64,
+        /// What came.
+        got: String,
+        /// What had to come.
+        wanted: String,
+    },
+    /// The pieces of a stream do not make up its closing event's whole.
+    PiecesDiffer {
+        /// The program.
+        program: String,
+        /// The call.
+        call: u64,
+        /// Pieces put together.
+        pieces: String,
+        /// The whole.
+        whole: String,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{self:?}")
+    }
+}
+
+/// How a call ended for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// With a whole answer.
+    Answered(Answer),
+    /// With an error body.
+    Refused(CallError),
+    /// Without any final answer in the caller's time.
+    NoAnswer(String),
+}
+
+/// Times of one call as the caller saw it.
+#[derive(Clone, Debug, Default)]
+pub struct CallTimes {
+    /// Until the first piece of text.
+    pub first: Option<Duration>,
+    /// Longest pause between two pieces.
+    pub longest_pause: Duration,
+    /// Until the end.
+    pub total: Duration,
+    /// Times the caller had to ask again.
+    pub asked_again: u32,
+}
+
+/// One program as its caller sees it.
+pub struct Caller {
+    client: HttpClient,
+    gateways: Vec<String>,
+    gateway: usize,
+    /// Identifier of the program.
+    pub program: String,
+    /// Calls issued so far.
+    pub calls: u64,
+    /// The conversation, by the caller's own account.
+    pub history: Vec<Message>,
+    /// What was wrong so far.
+    pub violations: Vec<Violation>,
+    /// Times of the last call.
+    pub times: CallTimes,
+}
+
+/// A user's message.
+pub fn user(content: impl Into<String>) -> Message {
+    Message { role: "user".to_owned(), content: content.into() }
+}
+
+fn open_body(tenant: &str, key: &str, budget: i64) -> OpenProgram {
+    OpenProgram {
+        tenant: tenant.to_owned(),
+        labels: Default::default(),
+        budget,
+        deadline_ms: 600_000,
+        request_key: key.to_owned(),
+        max_turns: None,
+        parent: None,
+    }
+}
+
+enum Asked {
+    End(CallEnd),
+    Again(String),
+}
+
+impl Caller {
+    /// Opens a program; asks again under the same key until it is answered.
+    ///
+    /// # Errors
+    /// No daemon answered in time, or the request is refused for good.
+    pub async fn open(
+        client: &HttpClient,
+        gateways: &[String],
+        tenant: &str,
+        key: &str,
+        budget: i64,
+    ) -> Result<Self, SendError> {
+        Self::open_with(client, gateways, &open_body(tenant, key, budget)).await
+    }
+
+    /// Opens a program as described.
+    ///
+    /// # Errors
+    /// No daemon answered in time, or the request is refused for good.
+    pub async fn open_with(
+        client: &HttpClient,
+        gateways: &[String],
+        body: &OpenProgram,
+    ) -> Result<Self, SendError> {
+        let mut gateway = fastrand::usize(..gateways.len());
+        let begun = Instant::now();
+        loop {
+            let url = format!("http://{}/v1/programs", gateways[gateway]);
+            let opened: Result<ProgramOpened, SendError> =
+                client.post_json(&url, body, OPEN_TIMEOUT).await;
+            match opened {
+                Ok(opened) => {
+                    return Ok(Self {
+                        client: client.clone(),
+                        gateways: gateways.to_vec(),
+                        gateway,
+                        program: opened.program,
+                        calls: 0,
+                        history: Vec::new(),
+                        violations: Vec::new(),
+                        times: CallTimes::default(),
+                    });
+                }
+                Err(error @ SendError::Status { status: 400..=499, .. }) => return Err(error),
+                Err(error) if begun.elapsed() > CALL_TIMEOUT => return Err(error),
+                Err(_) => gateway = (gateway + 1) % gateways.len(),
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Asks a model; the history is kept by the system and, apart from it, here.
+    pub async fn ask_model(&mut self, model: &str, content: &str, max_tokens: u32) -> CallEnd {
+        let messages = vec![user(content)];
+        let call = ModelCall { model: model.to_owned(), messages: messages.clone(), max_tokens };
+        let end = self.call(CallSpec::Model(call), None, true).await;
+        if let CallEnd::Answered(answer) = &end {
+            self.history.extend(messages);
+            self.check_answer(answer, max_tokens);
+            self.history
+                .push(Message { role: "assistant".to_owned(), content: answer.content.clone() });
+        }
+        end
+    }
+
+    fn check_answer(&mut self, answer: &Answer, max_tokens: u32) {
+        let wanted = expected_answer(&self.history, u64::from(max_tokens));
+        if answer.content != wanted {
+            self.violations.push(Violation::WrongAnswer {
+                program: self.program.clone(),
+                call: answer.call_number,
+                got: answer.content.clone(),
+                wanted,
+            });
+        }
+    }
+
+    /// Asks a server.
+    pub async fn ask_server(&mut self, service: &str, path: &str, repeatable: bool) -> CallEnd {
+        let call = ServerCall {
+            service: service.to_owned(),
+            path: path.to_owned(),
+            body: "{}".to_owned(),
+        };
+        self.call(CallSpec::Server(call), Some(repeatable), false).await
+    }
+
+    /// Key of a call number; stable, so that asking again is recognised.
+    pub fn request_key(&self, number: u64) -> String {
+        format!("call-{number}")
+    }
+
+    /// Issues the next call and asks again, elsewhere, until it has an end.
+    pub async fn call(&mut self, spec: CallSpec, repeatable: Option<bool>, stream: bool) -> CallEnd {
+        let number = self.calls + 1;
+        let request = CallRequest {
+            call_number: number,
+            request_key: self.request_key(number),
+            call: spec,
+            repeatable,
+            stream,
+        };
+        let end = self.ask_until_end(&request).await;
+        // A refused call that did not run leaves its number free.
+        if !matches!(&end, CallEnd::Refused(error) if error.executed == Executed::No) {
+            self.calls = number;
+        }
+        end
+    }
+
+    async fn ask_until_end(&mut self, request: &CallRequest) -> CallEnd {
+        let begun = Instant::now();
+        self.times = CallTimes::default();
+        let mut reading = Reading::default();
+        loop {
+            let asked = if request.stream {
+                self.ask_stream(request, &mut reading, begun).await
+            } else {
+                self.ask_whole(request).await
+            };
+            match asked {
+                Asked::End(end) => {
+                    self.times.total = begun.elapsed();
+                    return end;
+                }
+                Asked::Again(cause) if begun.elapsed() > CALL_TIMEOUT => {
+                    return CallEnd::NoAnswer(cause);
+                }
+                Asked::Again(_) => {}
+            }
+            self.times.asked_again += 1;
+            self.gateway = (self.gateway + 1) % self.gateways.len();
+            sleep(RETRY).await;
+        }
+    }
+
+    fn url(&self) -> String {
+        format!("http://{}/v1/programs/{}/calls", self.gateways[self.gateway], self.program)
+    }
+
+    async fn ask_whole(&self, request: &CallRequest) -> Asked {
+        let body = serde_json::to_vec(request).unwrap_or_default();
+        let headers = [("content-type", "application/json")];
+        let reply =
+            self.client.fetch(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT).await;
+        match reply {
+            Ok(reply) if reply.status == 200 => match serde_json::from_str(&reply.body) {
+                Ok(answer) => Asked::End(CallEnd::Answered(answer)),
+                Err(error) => Asked::Again(error.to_string()),
+            },
+            Ok(reply) => refused(&reply.body),
+            Err(error) => Asked::Again(error.to_string()),
+        }
+    }
+
+    async fn ask_stream(
+        &mut self,
+        request: &CallRequest,
+        reading: &mut Reading,
+        begun: Instant,
+    ) -> Asked {
+        let body = serde_json::to_vec(request).unwrap_or_default();
+        let mut headers = vec![("content-type", "application/json")];
+        let last_event = reading.last_event.clone();
+        if !last_event.is_empty() {
+            headers.push(("last-event-id", &last_event));
+        }
+        let opened =
+            self.client.open(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT).await;
+        let mut response = match opened {
+            Ok(response) => response,
+            Err(error) => return Asked::Again(error.to_string()),
+        };
+        if !response.status().is_success() {
+            let body = response.body().await.map(|bytes| bytes.to_vec()).unwrap_or_default();
+            return refused(&String::from_utf8_lossy(&body));
+        }
+        self.read_stream(request, &mut response, reading, begun).await
+    }
+
+    async fn read_stream(
+        &mut self,
+        request: &CallRequest,
+        response: &mut ClientResponse,
+        reading: &mut Reading,
+        begun: Instant,
+    ) -> Asked {
+        let mut decoder = SseDecoder::default();
+        loop {
+            let Ok(Some(Ok(chunk))) = timeout(SILENCE, response.next()).await else {
+                return Asked::Again("the stream broke off".to_owned());
+            };
+            for event in decoder.push(&chunk) {
+                if let Some(end) = self.take_event(request, &event, reading, begun) {
+                    return end;
+                }
+            }
+        }
+    }
+
+    fn take_event(
+        &mut self,
+        request: &CallRequest,
+        event: &SseEvent,
+        reading: &mut Reading,
+        begun: Instant,
+    ) -> Option<Asked> {
+        match event.event.as_str() {
+            "delta" => {
+                reading.take_delta(event);
+                self.note_piece(reading, begun);
+                None
+            }
+            "reset" => {
+                reading.text.clear();
+                reading.last_event.clear();
+                None
+            }
+            "done" => match serde_json::from_str::<Answer>(&event.data) {
+                Ok(answer) => {
+                    self.check_pieces(request, reading, &answer);
+                    Some(Asked::End(CallEnd::Answered(answer)))
+                }
+                Err(error) => Some(Asked::Again(error.to_string())),
+            },
+            "error" => Some(refused(&event.data)),
+            _ => None,
+        }
+    }
+
+    fn note_piece(&mut self, reading: &mut Reading, begun: Instant) {
+        let now = Instant::now();
+        match reading.last_piece {
+            None => self.times.first = Some(begun.elapsed()),
+            Some(last) => self.times.longest_pause = self.times.longest_pause.max(now - last),
+        }
+        reading.last_piece = Some(now);
+    }
+
+    fn check_pieces(&mut self, request: &CallRequest, reading: &Reading, answer: &Answer) {
+        if reading.text != answer.content {
+            self.violations.push(Violation::PiecesDiffer {
+                program: self.program.clone(),
+                call: request.call_number,
+                pieces: reading.text.clone(),
+                whole: answer.content.clone(),
+            });
+        }
+    }
+
+    /// The program as the system shows it.
+    ///
+    /// # Errors
+    /// No answer from any daemon.
+    pub async fn view(&mut self) -> Result<ProgramView, SendError> {
+        let mut last = SendError::NotSent("no daemon".to_owned());
+        for _ in 0..self.gateways.len() * 4 {
+            let url = format!("http://{}/v1/programs/{}", self.gateways[self.gateway], self.program);
+            match self.client.get_json(&url, OPEN_TIMEOUT).await {
+                Ok(view) => return Ok(view),
+                Err(error) => last = error,
+            }
+            self.gateway = (self.gateway + 1) % self.gateways.len();
+            sleep(RETRY).await;
+        }
+        Err(last)
+    }
+
+    /// Ends the program; asks again until it is acknowledged. False if it never was.
+    pub async fn end(&mut self) -> bool {
+        for _ in 0..self.gateways.len() * 8 {
+            let url = format!("http://{}/v1/programs/{}", self.gateways[self.gateway], self.program);
+            let reply =
+                self.client.fetch(Method::DELETE, &url, &[], Vec::new(), OPEN_TIMEOUT).await;
+            if reply.is_ok_and(|reply| reply.status == 200) {
+                return true;
+            }
+            self.gateway = (self.gateway + 1) % self.gateways.len();
+            sleep(RETRY).await;
+        }
+        false
+    }
+}
+
+/// What a reader has of a streamed answer.
+#[derive(Default)]
+struct Reading {
+    text: String,
+    last_event: String,
+    last_piece: Option<Instant>,
+}
+
+impl Reading {
+    fn take_delta(&mut self, event: &SseEvent) {
+        let data: serde_json::Value = serde_json::from_str(&event.data).unwrap_or_default();
+        self.text.push_str(data["text"].as_str().unwrap_or_default());
+        self.last_event = event.id.clone();
+    }
+}
+
+/// A refusal: final, unless it says to ask again and another daemon may do better.
+fn refused(body: &str) -> Asked {
+    match serde_json::from_str::<CallError>(body) {
+        Ok(error) if matches!(error.kind, ErrorKind::NotReady | ErrorKind::Unavailable) => {
+            Asked::Again(error.to_string())
+        }
+        Ok(error) => Asked::End(CallEnd::Refused(error)),
+        Err(error) => Asked::Again(format!("{error}: {body}")),
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,14 +1,6 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! `fieldhook-bench`: starts clusters of real processes on loopback, drives
+//! them as callers do, causes faults, and checks from outside what must hold.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub mod caller;
+pub mod cluster;
+pub mod quickstart;
--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -10,10 +10,16 @@
 impl Replica {
     /// Whether this replica leads and may answer reads from its own state.
     pub fn holds_lease(&self) -> bool {
+        self.holds_lease_at(self.now_ms)
+    }
+
+    /// The same at a time of the owner's clock. A process that was frozen must
+    /// ask with the present time: the last tick may lie before the freeze.
+    pub fn holds_lease_at(&self, now_ms: u64) -> bool {
         self.role == Role::Leader
             && self.transfer_to.is_none()
             && self.term_is_open()
-            && self.now_ms < self.lease_end_ms()
+            && now_ms < self.lease_end_ms()
     }
 
     /// Whether an entry of the current term is committed, so that everything
--- /dev/null
+++ b/crates/daemon/src/drain.rs
@@ -0,0 +1,77 @@
+//! The planned stop: take nothing new, hand leadership over, finish what is
+//! under way, and only then go.
+
+use crate::node::{Node, Phase};
+use crate::shard::{ShardHost, carry_out};
+use fieldhook_program::CallState;
+use ntex::time::{Millis, sleep};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const CHECK: Millis = Millis(20);
+/// Time for which new calls are held back until requests to servers that are
+/// not repeatable have answered here.
+const HOLD_LIMIT: Duration = Duration::from_secs(12);
+/// Time in which others learn that this daemon goes.
+const FAREWELL: Millis = Millis(700);
+/// Longest planned stop; streams of engines end well within it.
+const STOP_LIMIT: Duration = Duration::from_secs(120);
+
+/// Does all of a planned stop but ending the process.
+pub async fn drain(node: Rc<Node>) {
+    tracing::info!("planned stop begins");
+    node.set_phase(Phase::Draining);
+    let begun = Instant::now();
+    let handovers = node.hosts().into_iter().map(|host| hand_over(node.clone(), host));
+    futures_util::future::join_all(handovers).await;
+    while node.metrics.in_flight.get() > 0 && begun.elapsed() < STOP_LIMIT {
+        sleep(CHECK).await;
+    }
+    node.detector.borrow_mut().leave();
+    sleep(FAREWELL).await;
+    tracing::info!(seconds = begun.elapsed().as_secs_f64(), "planned stop done");
+}
+
+/// Hands a shard's leadership to another replica. Streams of engines go on
+/// there; a request that must not run twice has to end here first, because its
+/// answer can only be recorded by the leader that waits for it.
+async fn hand_over(node: Rc<Node>, host: Rc<ShardHost>) {
+    let begun = Instant::now();
+    host.holding.set(true);
+    while host.is_leader() && runs_unrepeatable(&host) && begun.elapsed() < HOLD_LIMIT {
+        sleep(CHECK).await;
+    }
+    while host.is_leader() && begun.elapsed() < HOLD_LIMIT {
+        transfer(&node, &host);
+        sleep(CHECK).await;
+    }
+}
+
+fn runs_unrepeatable(host: &ShardHost) -> bool {
+    let state = host.state.borrow();
+    let running = host.live.borrow();
+    running.keys().any(|(program, number)| {
+        let record = state.programs.get(program).and_then(|program| program.call(*number));
+        record.is_some_and(|call| !call.repeatable && call.state == CallState::Running)
+    })
+}
+
+fn transfer(node: &Rc<Node>, host: &Rc<ShardHost>) {
+    let successor = {
+        let core = host.core.borrow();
+        let detector = node.detector.borrow();
+        let is_alive = |id: &fieldhook_model::address::ReplicaId| {
+            let member = detector.table().member(id.address);
+            member.is_some_and(|member| {
+                member.id == *id && member.state == fieldhook_membership::MemberState::Alive
+            })
+        };
+        let voters = core.members().voters.iter();
+        voters.filter(|id| **id != node.id && core.is_caught_up(**id)).find(|id| is_alive(id)).copied()
+    };
+    let Some(successor) = successor else { return };
+    let started = host.core.borrow_mut().transfer(successor);
+    if let Ok(actions) = started {
+        carry_out(node, host, actions);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/input.rs
@@ -0,0 +1,91 @@
+//! Reading and checking what callers send.
+
+use crate::node::{Node, Phase};
+use fieldhook_http::json;
+use fieldhook_model::error::{CallError, ErrorKind};
+use fieldhook_model::ids::ProgramId;
+use futures_util::StreamExt;
+use ntex::web::{HttpResponse, types};
+use serde::de::DeserializeOwned;
+
+const KEY_LENGTH: usize = 128;
+const NOT_READY_RETRY_MS: u64 = 500;
+
+/// Answers with an error.
+pub fn failure(node: &Node, error: &CallError) -> HttpResponse {
+    node.metrics.errors.inc();
+    json(error.status(), error)
+}
+
+/// An error for a request of the wrong form.
+pub fn invalid(remedy: impl Into<String>) -> CallError {
+    CallError::not_run(ErrorKind::InvalidRequest, remedy)
+}
+
+/// Checks that this daemon takes new work.
+///
+/// # Errors
+/// It does not; ask another one.
+pub fn check_admission(node: &Node) -> Result<(), CallError> {
+    if node.may_admit() {
+        return Ok(());
+    }
+    let remedy = match node.phase() {
+        Phase::Starting => "ask again shortly or ask another daemon; this one is starting",
+        Phase::Draining => "ask another daemon; this one is stopping",
+        Phase::Serving => "ask another daemon; this one is cut off from the log and its peers",
+    };
+    Err(CallError::not_run(ErrorKind::NotReady, remedy).retry_after(NOT_READY_RETRY_MS))
+}
+
+/// Reads a JSON body up to the limit.
+///
+/// # Errors
+/// Too large, broken off, or not of the documented form.
+pub async fn read_json<T: DeserializeOwned>(
+    node: &Node,
+    mut payload: types::Payload,
+) -> Result<T, CallError> {
+    let limit = node.settings.limits.body_bytes;
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| invalid("send the whole body"))?;
+        if body.len() + chunk.len() > limit {
+            return Err(CallError::not_run(
+                ErrorKind::BodyTooLarge,
+                format!("send at most {limit} bytes; fieldhook keeps the history"),
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body)
+        .map_err(|error| invalid(format!("correct the JSON body (docs/API.md): {error}")))
+}
+
+/// Checks a program identifier from a path.
+///
+/// # Errors
+/// Not one of this installation's identifiers.
+pub fn parse_program(node: &Node, text: &str) -> Result<ProgramId, CallError> {
+    let parsed = text.parse::<ProgramId>().ok();
+    parsed.filter(|id| id.shard < node.settings.shards).ok_or_else(|| {
+        CallError::not_run(
+            ErrorKind::ProgramUnknown,
+            "use the identifier that POST /v1/programs returned",
+        )
+    })
+}
+
+/// Checks a request key.
+///
+/// # Errors
+/// Empty, too long, or with characters that do not fit into a path.
+pub fn check_key(key: &str) -> Result<(), CallError> {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    if key.is_empty() || key.len() > KEY_LENGTH || !key.bytes().all(fits) {
+        return Err(invalid(format!(
+            "use a request_key of 1 to {KEY_LENGTH} letters, digits, '-', '_' or '.'"
+        )));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,15 @@
+//! The caller's side: check a request, find the leader of its shard, and relay
+//! the answer, through changes of leader.
+
+mod calls;
+mod commands;
+mod input;
+mod programs;
+mod relay;
+mod routing;
+mod source;
+
+pub use calls::post_call;
+pub use commands::ask_leader;
+pub use source::encode_frame;
+pub use programs::{delete_program, post_program, show_program};
--- /dev/null
+++ b/crates/daemon/src/gateway/source.rs
@@ -0,0 +1,101 @@
+//! A call's events from its leader, here or on another daemon.
+
+use crate::node::Node;
+use crate::sequencer::{CallMessage, serve_call};
+use fieldhook_http::SendError;
+use fieldhook_model::address::Address;
+use fieldhook_model::api::StreamEvent;
+use futures_util::StreamExt;
+use nanoserde::{DeBin, SerBin};
+use ntex::client::ClientResponse;
+use ntex::http::Method;
+use ntex::time::timeout;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Events of one call that may wait for a slow reader.
+pub const EVENT_BACKLOG: usize = 64;
+/// Silence after which a leader counts as lost; it sends keep-alives sooner.
+const SILENCE: Duration = Duration::from_millis(1_200);
+const LENGTH_BYTES: usize = 4;
+
+/// A call's events from its leader.
+pub enum EventSource {
+    /// This daemon leads.
+    Local(mpsc::Receiver<StreamEvent>),
+    /// Another daemon leads.
+    Remote(Box<FrameReader>),
+}
+
+/// Frames of an answer between daemons.
+pub struct FrameReader {
+    response: ClientResponse,
+    pending: Vec<u8>,
+}
+
+/// Encodes an event with its length before it.
+pub fn encode_frame(event: &StreamEvent) -> Vec<u8> {
+    let body = event.serialize_bin();
+    let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+    frame.extend(body);
+    frame
+}
+
+impl EventSource {
+    /// Asks the daemon at an address to serve the call.
+    ///
+    /// # Errors
+    /// Whether the message can have arrived.
+    pub async fn open(
+        node: &Rc<Node>,
+        leader: Address,
+        call: &CallMessage,
+    ) -> Result<Self, SendError> {
+        if leader == node.id.address {
+            let (out, events) = mpsc::channel(EVENT_BACKLOG);
+            ntex::rt::spawn(serve_call(node.clone(), call.clone(), out));
+            return Ok(Self::Local(events));
+        }
+        let url = node.url(leader, "/internal/call");
+        let body = call.serialize_bin();
+        let response = node.client.open(Method::POST, &url, &[], body, SILENCE).await?;
+        if !response.status().is_success() {
+            return Err(SendError::Unknown(format!("status {}", response.status())));
+        }
+        Ok(Self::Remote(Box::new(FrameReader { response, pending: Vec::new() })))
+    }
+
+    /// The next event; nothing if the leader is lost or silent.
+    pub async fn next(&mut self) -> Option<StreamEvent> {
+        let next = async {
+            match self {
+                Self::Local(events) => events.recv().await,
+                Self::Remote(reader) => reader.next().await,
+            }
+        };
+        timeout(SILENCE, next).await.unwrap_or(None)
+    }
+}
+
+impl FrameReader {
+    async fn next(&mut self) -> Option<StreamEvent> {
+        loop {
+            if let Some(event) = self.take_frame() {
+                return StreamEvent::deserialize_bin(&event).ok();
+            }
+            let chunk = self.response.next().await?.ok()?;
+            self.pending.extend_from_slice(&chunk);
+        }
+    }
+
+    fn take_frame(&mut self) -> Option<Vec<u8>> {
+        let head: [u8; LENGTH_BYTES] = self.pending.get(..LENGTH_BYTES)?.try_into().ok()?;
+        let end = LENGTH_BYTES + u32::from_le_bytes(head) as usize;
+        if self.pending.len() < end {
+            return None;
+        }
+        let frame: Vec<u8> = self.pending.drain(..end).collect();
+        Some(frame[LENGTH_BYTES..].to_vec())
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,14 +1,18 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! `fieldhookd`: the daemon. The decisions are made in the pure crates; this
+//! one gives them sockets, clocks and tasks, all on one thread.
+//!
+//! A call's way through the modules:
+//! `server` (routes) -> `gateway` (find the leader, relay) -> `sequencer`
+//! (admit, record, dispatch) -> `shard` (replicate) -> engine or server.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub mod drain;
+pub mod gateway;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod platform;
+pub mod sequencer;
+pub mod server;
+pub mod settings;
+pub mod shard;
+pub mod transport;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,172 @@
+//! `fieldhookd`: reads the settings, starts the node's tasks, serves, and stops
+//! in order on SIGTERM.
+
+use fieldhook_daemon::drain::drain;
+use fieldhook_daemon::node::{Node, Phase};
+use fieldhook_daemon::platform::{archive, claims, config_follow, fleet, recovery};
+use fieldhook_daemon::sequencer::run_upkeep;
+use fieldhook_daemon::server::{self, FactExchange};
+use fieldhook_daemon::settings::{Flags, Settings, SettingsError};
+use fieldhook_daemon::shard::{run_management, run_shards};
+use fieldhook_daemon::transport::run_datagrams;
+use fieldhook_http::HttpClient;
+use gumdrop::Options;
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::time::{Millis, Seconds, sleep};
+use ntex::web::{self, HttpServer};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+
+const BAD_SETTINGS: u8 = 2;
+/// What is logged unless the environment variable `FIELDHOOK_LOG` says otherwise.
+const DEFAULT_LOG: &str = "warn,fieldhookd=info,fieldhook_daemon=info";
+const CANNOT_SERVE: u8 = 1;
+/// Longer than any client of the project keeps an idle connection.
+const KEEP_ALIVE: Seconds = Seconds(75);
+const READY_CHECK: Millis = Millis(50);
+const EXCHANGE_PAUSE: Millis = Millis(10_000);
+const FIRST_EXCHANGE_PAUSE: Millis = Millis(200);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(
+            tracing_subscriber::EnvFilter::try_from_env("FIELDHOOK_LOG")
+                .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new(DEFAULT_LOG)),
+        )
+        .with_writer(std::io::stderr)
+        .init();
+    let settings = match flags.settings() {
+        Ok(settings) => settings,
+        Err(error) => {
+            tracing::error!(%error, "settings are not valid");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("{settings:#?}");
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            tracing::error!(cause, "cannot serve; check that the address is free and is this machine's");
+            ExitCode::from(CANNOT_SERVE)
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> Result<(), String> {
+    let address = settings.address.clone();
+    let (drained, on_drained) = oneshot::channel::<()>();
+    let drained = std::sync::Arc::new(std::sync::Mutex::new(Some(drained)));
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
+    let running = HttpServer::new(async move || {
+        let node = start_node(&settings).await;
+        if let (Ok(node), Some(drained)) =
+            (&node, drained.lock().ok().and_then(|mut slot| slot.take()))
+        {
+            ntex::rt::spawn(stop_on_signal(node.clone(), drained));
+        }
+        web::App::new().configure(move |config| {
+            if let Ok(node) = &node {
+                server::configure(config, node.clone());
+            }
+        })
+    })
+    // All decisions are made on one thread.
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(Seconds(5))
+    .config(SharedCfg::new("FIELDHOOKD").add(http))
+    .bind(&address)
+    .map_err(|error| error.to_string())?
+    .run();
+    let stop = running.clone();
+    ntex::rt::spawn(async move {
+        let _ = on_drained.await;
+        stop.stop(true).await;
+    });
+    running.await.map_err(|error| error.to_string())
+}
+
+async fn start_node(settings: &Settings) -> Result<Rc<Node>, SettingsError> {
+    let address = settings.own_address()?;
+    let seeds = settings.seed_addresses()?;
+    let client = HttpClient::new().await;
+    let node = Rc::new(Node::new(settings.clone(), address, seeds, client));
+    tracing::info!(id = %node.id, zone = settings.zone, "starts");
+    if let Err(error) = run_datagrams(node.clone()).await {
+        tracing::error!(%error, "cannot bind UDP; check that the port is free");
+    }
+    ntex::rt::spawn(run_shards(node.clone()));
+    ntex::rt::spawn(run_management(node.clone()));
+    ntex::rt::spawn(run_upkeep(node.clone()));
+    ntex::rt::spawn(claims::run_claims(node.clone()));
+    ntex::rt::spawn(claims::run_member_records(node.clone()));
+    ntex::rt::spawn(archive::run_archive(node.clone()));
+    ntex::rt::spawn(recovery::run_recovery(node.clone()));
+    ntex::rt::spawn(config_follow::run_config_from_log(node.clone()));
+    ntex::rt::spawn(config_follow::run_config_from_peers(node.clone()));
+    ntex::rt::spawn(fleet::run_machine_list(node.clone()));
+    ntex::rt::spawn(fleet::run_load_reports(node.clone()));
+    ntex::rt::spawn(exchange_facts(node.clone()));
+    ntex::rt::spawn(become_ready(node.clone()));
+    Ok(node)
+}
+
+/// Serves once every shard has a known leader.
+async fn become_ready(node: Rc<Node>) {
+    while node.detector.borrow().table().routes().count() < usize::from(node.settings.shards) {
+        sleep(READY_CHECK).await;
+    }
+    node.set_phase(Phase::Serving);
+    tracing::info!("serves");
+}
+
+/// Exchanges all facts with a random peer, often until this daemon is ready and
+/// now and then afterwards, in case gossip missed something.
+async fn exchange_facts(node: Rc<Node>) {
+    loop {
+        let starting = node.phase() == Phase::Starting;
+        sleep(if starting { FIRST_EXCHANGE_PAUSE } else { EXCHANGE_PAUSE }).await;
+        let peers: Vec<_> = {
+            let detector = node.detector.borrow();
+            detector.table().live().map(|member| member.id).filter(|id| *id != node.id).collect()
+        };
+        let Some(peer) = fastrand::choice(&peers) else { continue };
+        let mine = FactExchange {
+            digest: node.detector.borrow().table().digest(),
+            facts: Vec::new(),
+        };
+        let url = node.url(peer.address, "/internal/facts");
+        let reply = node
+            .client
+            .post_binary::<FactExchange, FactExchange>(&url, &mine, EXCHANGE_TIMEOUT)
+            .await;
+        for fact in reply.map(|reply| reply.facts).unwrap_or_default() {
+            node.announce(fact);
+        }
+    }
+}
+
+async fn stop_on_signal(node: Rc<Node>, drained: oneshot::Sender<()>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    drain(node).await;
+    let _ = drained.send(());
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics in Prometheus text form.
+
+use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
+
+/// The daemon's counters and gauges.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests from callers.
+    pub requests: IntCounter,
+    /// Requests under way for callers.
+    pub in_flight: IntGauge,
+    /// Answers that ended in an error.
+    pub errors: IntCounter,
+    /// Calls asked again at another or a new leader.
+    pub leader_retries: IntCounter,
+    /// Attempts of calls after the first.
+    pub further_attempts: IntCounter,
+    /// Shards led here.
+    pub shards_led: IntGauge,
+    /// Replicas here.
+    pub replicas: IntGauge,
+    /// Committed commands that the platform's log does not have yet.
+    pub archive_lag: IntGauge,
+    /// Version of the configuration in force here.
+    pub config_version: IntGauge,
+    /// Daemons held alive here.
+    pub live_members: IntGauge,
+    /// Bytes sent between daemons for control, without calls and their entries.
+    pub control_bytes: IntCounter,
+    /// Bytes of replicated entries and snapshots sent between daemons.
+    pub replication_bytes: IntCounter,
+    /// Programs in replicas here.
+    pub programs: IntGauge,
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::new(name, help).unwrap_or_else(|error| panic!("{name}: {error}"));
+    let _ = registry.register(Box::new(metric.clone()));
+    metric
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::new(name, help).unwrap_or_else(|error| panic!("{name}: {error}"));
+    let _ = registry.register(Box::new(metric.clone()));
+    metric
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let r = &registry;
+        Self {
+            requests: counter(r, "fieldhook_requests_total", "Requests from callers"),
+            in_flight: gauge(r, "fieldhook_in_flight", "Requests under way for callers"),
+            errors: counter(r, "fieldhook_errors_total", "Answers that ended in an error"),
+            leader_retries: counter(r, "fieldhook_leader_retries_total", "Calls asked again"),
+            further_attempts: counter(
+                r,
+                "fieldhook_further_attempts_total",
+                "Attempts of calls after the first",
+            ),
+            shards_led: gauge(r, "fieldhook_shards_led", "Shards led here"),
+            replicas: gauge(r, "fieldhook_replicas", "Replicas here"),
+            archive_lag: gauge(
+                r,
+                "fieldhook_archive_lag_commands",
+                "Committed commands not yet in the platform's log",
+            ),
+            config_version: gauge(r, "fieldhook_config_version", "Configuration in force here"),
+            live_members: gauge(r, "fieldhook_live_members", "Daemons held alive here"),
+            control_bytes: counter(
+                r,
+                "fieldhook_control_bytes_total",
+                "Bytes sent between daemons for control",
+            ),
+            replication_bytes: counter(
+                r,
+                "fieldhook_replication_bytes_total",
+                "Bytes of entries and snapshots sent between daemons",
+            ),
+            programs: gauge(r, "fieldhook_programs", "Programs in replicas here"),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,152 @@
+//! The daemon's shared state, on one thread.
+
+use crate::metrics::Metrics;
+use fieldhook_model::claims::ClaimTable;
+use crate::platform::fleet::Fleet;
+use crate::settings::Settings;
+use crate::shard::ShardHost;
+use crate::transport::Outbox;
+use fieldhook_http::HttpClient;
+use fieldhook_membership::{Detector, Fact};
+use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::config_log::ConfigState;
+use fieldhook_model::ids::ShardId;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long a daemon without the log and without most peers admits new work.
+const ISOLATION_LIMIT: Duration = Duration::from_secs(5);
+
+/// Where the daemon's life stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not all shards have a known leader yet.
+    Starting,
+    /// Serves.
+    Serving,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+}
+
+/// The daemon's shared state. Handlers and tasks hold it by `Rc`; no borrow is
+/// kept across an await.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// This process.
+    pub id: ReplicaId,
+    /// Client for all outgoing requests.
+    pub client: HttpClient,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Failure detector and known facts.
+    pub detector: RefCell<Detector>,
+    /// Replicas here.
+    pub shards: RefCell<BTreeMap<ShardId, Rc<ShardHost>>>,
+    /// Replicas of superseded epochs, kept for the re-formed group to read.
+    pub retired: RefCell<BTreeMap<ShardId, Rc<ShardHost>>>,
+    /// Configuration in force.
+    pub config: RefCell<ConfigState>,
+    /// Claims of shards, from the platform's log.
+    pub claims: RefCell<ClaimTable>,
+    /// Machines and their load.
+    pub fleet: RefCell<Fleet>,
+    /// Messages to other daemons.
+    pub outbox: Outbox,
+    /// When the log last answered.
+    pub log_contact: Cell<Option<Instant>>,
+    /// When most peers were last in touch.
+    pub peer_contact: Cell<Instant>,
+    phase: Cell<Phase>,
+    started: Instant,
+}
+
+impl Node {
+    /// The state of a new process.
+    pub fn new(settings: Settings, address: Address, seeds: Vec<Address>, client: HttpClient) -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let id = ReplicaId { address, incarnation: since_epoch.as_millis() as u64 };
+        let seed = fastrand::u64(..);
+        let detector =
+            Detector::new(id, &settings.zone, seeds, settings.membership_core(), seed);
+        Self {
+            id,
+            client,
+            metrics: Metrics::default(),
+            detector: RefCell::new(detector),
+            shards: RefCell::default(),
+            retired: RefCell::default(),
+            config: RefCell::default(),
+            claims: RefCell::default(),
+            fleet: RefCell::default(),
+            outbox: Outbox::default(),
+            log_contact: Cell::new(None),
+            peer_contact: Cell::new(Instant::now()),
+            phase: Cell::new(Phase::Starting),
+            started: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Milliseconds since the process started; the clock of all cores.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Where the daemon's life stands.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Moves on; a draining daemon never serves again.
+    pub fn set_phase(&self, phase: Phase) {
+        if self.phase.get() != Phase::Draining {
+            self.phase.set(phase);
+        }
+    }
+
+    /// The replica of a shard here.
+    pub fn shard(&self, shard: ShardId) -> Option<Rc<ShardHost>> {
+        self.shards.borrow().get(&shard).cloned()
+    }
+
+    /// All replicas here.
+    pub fn hosts(&self) -> Vec<Rc<ShardHost>> {
+        self.shards.borrow().values().cloned().collect()
+    }
+
+    /// Tells the others a fact.
+    pub fn announce(&self, fact: Fact) {
+        self.detector.borrow_mut().learn(fact);
+    }
+
+    /// Whether new work may be admitted: this daemon serves, and it has been in
+    /// touch with the log or with most peers, from whom it would have heard of
+    /// a newer configuration.
+    pub fn may_admit(&self) -> bool {
+        let log_recent =
+            self.log_contact.get().is_some_and(|contact| contact.elapsed() < ISOLATION_LIMIT);
+        let peers_recent = self.peer_contact.get().elapsed() < ISOLATION_LIMIT;
+        self.phase() == Phase::Serving && (log_recent || peers_recent)
+    }
+
+    /// Notes whether most known daemons are held alive.
+    pub fn check_peers(&self) {
+        let detector = self.detector.borrow();
+        let known = detector.table().members().filter(|member| {
+            member.state != fieldhook_membership::MemberState::Left
+        });
+        let live = detector.table().live().count();
+        if live * 2 > known.count() {
+            self.peer_contact.set(Instant::now());
+        }
+        self.metrics.live_members.set(live as i64);
+    }
+
+    /// URL of a path at another daemon.
+    pub fn url(&self, address: Address, path: &str) -> String {
+        format!("http://{address}{path}")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/fleet.rs
@@ -0,0 +1,163 @@
+//! Engines and servers: the platform's list, their load reports, and the work
+//! that this daemon has running there.
+
+use crate::node::Node;
+use fieldhook_membership::{Fact, LeavingMachine};
+use fieldhook_model::platform::{EngineLoad, Machine, MachineKind};
+use fieldhook_placement::EngineView;
+use ntex::time::{Millis, sleep};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const LIST_PAUSE: Millis = Millis(500);
+const LOAD_PAUSE: Millis = Millis(250);
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Age of the last report after which an engine counts as not reachable.
+const REPORT_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which a failed connection keeps work away from an engine.
+const FAILURE_PAUSE: Duration = Duration::from_secs(2);
+
+/// What is known here of engines and servers.
+#[derive(Default)]
+pub struct Fleet {
+    machines: Vec<Machine>,
+    loads: BTreeMap<String, (Instant, EngineLoad)>,
+    assigned: BTreeMap<String, u32>,
+    failed: BTreeMap<String, Instant>,
+}
+
+impl Fleet {
+    /// The platform's list, as last read.
+    pub fn machines(&self) -> &[Machine] {
+        &self.machines
+    }
+
+    /// Notes that a call starts at a machine.
+    pub fn assign(&mut self, address: &str) {
+        *self.assigned.entry(address.to_owned()).or_insert(0) += 1;
+    }
+
+    /// Notes that a call ended at a machine.
+    pub fn unassign(&mut self, address: &str) {
+        if let Some(count) = self.assigned.get_mut(address) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a machine did not answer.
+    pub fn note_failure(&mut self, address: &str) {
+        self.failed.insert(address.to_owned(), Instant::now());
+    }
+
+    /// Incarnation of an engine by its last report.
+    pub fn incarnation(&self, address: &str) -> u64 {
+        self.loads.get(address).map_or(0, |(_, load)| load.incarnation)
+    }
+
+    fn reachable(&self, address: &str) -> bool {
+        let reported = self.loads.get(address).is_some_and(|(at, _)| at.elapsed() < REPORT_LIMIT);
+        reported && !self.failed_lately(address)
+    }
+
+    fn failed_lately(&self, address: &str) -> bool {
+        self.failed.get(address).is_some_and(|at| at.elapsed() < FAILURE_PAUSE)
+    }
+}
+
+/// All engines as placement sees them.
+pub fn engine_views(node: &Node) -> Vec<EngineView> {
+    let fleet = node.fleet.borrow();
+    let config = node.config.borrow();
+    let detector = node.detector.borrow();
+    let engines = fleet.machines.iter().filter(|machine| machine.kind == MachineKind::Engine);
+    engines
+        .map(|machine| {
+            let load = fleet.loads.get(&machine.address).map(|(_, load)| *load).unwrap_or_default();
+            let labels = &machine.labels;
+            let marked = detector.table().is_leaving(&machine.address, load.incarnation);
+            EngineView {
+                address: machine.address.clone(),
+                labels: config.document.machine_labels(&machine.name, &machine.zone, labels),
+                load,
+                assigned: fleet.assigned.get(&machine.address).copied().unwrap_or(0),
+                leaving: machine.leaving || marked,
+                reachable: fleet.reachable(&machine.address),
+            }
+        })
+        .collect()
+}
+
+/// Servers that offer a service and are not leaving, those that failed lately
+/// last.
+pub fn servers_for(node: &Node, service: &str) -> Vec<Machine> {
+    let fleet = node.fleet.borrow();
+    let offers = |machine: &&Machine| {
+        machine.kind == MachineKind::Server
+            && !machine.leaving
+            && machine.labels.get("service").is_some_and(|name| name == service)
+    };
+    let mut servers: Vec<Machine> = fleet.machines.iter().filter(offers).cloned().collect();
+    servers.sort_by_key(|machine| {
+        let assigned = fleet.assigned.get(&machine.address).copied().unwrap_or(0);
+        (fleet.failed_lately(&machine.address), assigned)
+    });
+    servers
+}
+
+/// Reads the platform's list for as long as the process lives. While it is
+/// down the last one counts.
+pub async fn run_machine_list(node: Rc<Node>) {
+    let url = format!("http://{}/v1/machines", node.settings.platform.machines);
+    loop {
+        if let Ok(machines) = node.client.get_json::<Vec<Machine>>(&url, TIMEOUT).await {
+            node.fleet.borrow_mut().machines = machines;
+            mark_leaving(&node);
+        }
+        sleep(LIST_PAUSE).await;
+    }
+}
+
+/// Reads the load of every engine for as long as the process lives.
+pub async fn run_load_reports(node: Rc<Node>) {
+    loop {
+        let engines: Vec<String> = {
+            let fleet = node.fleet.borrow();
+            let engines = fleet.machines.iter().filter(|item| item.kind == MachineKind::Engine);
+            engines.map(|machine| machine.address.clone()).collect()
+        };
+        let reads = engines.into_iter().map(|address| read_load(node.clone(), address));
+        futures_util::future::join_all(reads).await;
+        mark_leaving(&node);
+        sleep(LOAD_PAUSE).await;
+    }
+}
+
+async fn read_load(node: Rc<Node>, address: String) {
+    let url = format!("http://{address}/v1/load");
+    if let Ok(load) = node.client.get_json::<EngineLoad>(&url, TIMEOUT).await {
+        node.fleet.borrow_mut().loads.insert(address, (Instant::now(), load));
+    }
+}
+
+/// Spreads the word of engines that leave. The mark sticks to the engine's
+/// incarnation, however the lagging list wavers.
+fn mark_leaving(node: &Node) {
+    let leaving: Vec<LeavingMachine> = {
+        let fleet = node.fleet.borrow();
+        let engines = fleet.machines.iter().filter(|item| item.kind == MachineKind::Engine);
+        engines
+            .filter_map(|machine| {
+                let (_, load) = fleet.loads.get(&machine.address)?;
+                let goes = machine.leaving || load.leaving;
+                goes.then(|| LeavingMachine {
+                    address: machine.address.clone(),
+                    incarnation: load.incarnation,
+                })
+            })
+            .collect()
+    };
+    for machine in leaving {
+        node.announce(Fact::Leaving(machine));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/log_client.rs
@@ -0,0 +1,67 @@
+//! Reading and appending streams of the platform's log.
+
+use crate::node::Node;
+use fieldhook_http::SendError;
+use fieldhook_model::platform::{Appended, LogPage};
+use ntex::http::Method;
+use std::time::{Duration, Instant};
+
+const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
+const READ_MARGIN: Duration = Duration::from_secs(3);
+
+fn note_contact<T>(node: &Node, result: &Result<T, SendError>) {
+    if result.is_ok() {
+        node.log_contact.set(Some(Instant::now()));
+    }
+}
+
+/// Appends a record and returns its offset.
+///
+/// # Errors
+/// No answer: the record may stand in the stream or not.
+pub async fn append(node: &Node, stream: &str, data: String) -> Result<u64, SendError> {
+    let url = format!("http://{}/v1/streams/{stream}", node.settings.platform.log);
+    let reply =
+        node.client.fetch(Method::POST, &url, &[], data.into_bytes(), APPEND_TIMEOUT).await?;
+    let appended = serde_json::from_str::<Appended>(&reply.body)
+        .map(|appended| appended.offset)
+        .map_err(|_| SendError::Status { status: reply.status, body: reply.body });
+    note_contact(node, &appended);
+    appended
+}
+
+/// Reads records from an offset on, waiting for some if there are none.
+///
+/// # Errors
+/// No answer.
+pub async fn read(
+    node: &Node,
+    stream: &str,
+    from: u64,
+    wait_ms: u64,
+) -> Result<LogPage, SendError> {
+    let log = &node.settings.platform.log;
+    let url = format!("http://{log}/v1/streams/{stream}?from={from}&wait_ms={wait_ms}");
+    let timeout = Duration::from_millis(wait_ms) + READ_MARGIN;
+    let page = node.client.get_json(&url, timeout).await;
+    note_contact(node, &page);
+    page
+}
+
+/// Reads a stream from an offset to its present end.
+///
+/// # Errors
+/// No answer.
+pub async fn read_to_end(node: &Node, stream: &str, from: u64) -> Result<Vec<String>, SendError> {
+    let mut records = Vec::new();
+    let mut next = from;
+    loop {
+        let page = read(node, stream, next, 0).await?;
+        next += page.records.len() as u64;
+        let at_end = next >= page.end || page.records.is_empty();
+        records.extend(page.records.into_iter().map(|record| record.data));
+        if at_end {
+            return Ok(records);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sequencer/admission.rs
@@ -0,0 +1,126 @@
+//! Admitting a call: exactly once into the program's order, or refused.
+
+use crate::node::Node;
+use crate::sequencer::attempt::start_call;
+use crate::sequencer::follow::follow;
+use crate::sequencer::message::CallMessage;
+use crate::sequencer::place::place;
+use crate::shard::{ShardHost, Unsettled, propose};
+use fieldhook_model::address::ReplicaId;
+use fieldhook_model::api::StreamEvent;
+use fieldhook_model::error::{CallError, Executed};
+use fieldhook_program::{Admission, Begin, Command, Reply};
+use ntex::time::{Millis, timeout};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// How often a waiting call looks again whether it still should wait.
+const WAIT_CHECK: Millis = Millis(200);
+
+/// Why a call is not followed here.
+enum Stop {
+    /// Refused; the refusal may still have to be recorded.
+    Refused(CallError),
+    /// Ask the leader.
+    NotLeader(Option<ReplicaId>),
+}
+
+impl From<Unsettled> for Stop {
+    fn from(unsettled: Unsettled) -> Self {
+        match unsettled {
+            Unsettled::NotLeader(leader) => Self::NotLeader(leader),
+            Unsettled::Lost => Self::NotLeader(None),
+        }
+    }
+}
+
+/// Serves a call as leader; the events end with a closing one.
+pub async fn serve_call(node: Rc<Node>, call: CallMessage, out: mpsc::Sender<StreamEvent>) {
+    let Some(host) = node.shard(call.program.shard) else {
+        let _ = out.send(StreamEvent::NotLeader(None)).await;
+        return;
+    };
+    let closing = match admit(&node, &host, &call, &out).await {
+        Ok(()) => return follow(&node, &host, &call, &out).await,
+        Err(Stop::NotLeader(leader)) => StreamEvent::NotLeader(leader),
+        Err(Stop::Refused(error)) => match settle_refusal(&node, &host, &call, error).await {
+            Ok(event) => event,
+            Err(()) => return follow(&node, &host, &call, &out).await,
+        },
+    };
+    let _ = out.send(closing).await;
+}
+
+/// Waits for the call's turn and records its intent.
+async fn admit(
+    node: &Rc<Node>,
+    host: &Rc<ShardHost>,
+    call: &CallMessage,
+    out: &mpsc::Sender<StreamEvent>,
+) -> Result<(), Stop> {
+    loop {
+        if !host.leads() {
+            return Err(Stop::NotLeader(host.leader()));
+        }
+        let ended = host.call_ended.notified();
+        let admission =
+            host.state.borrow().admit(call.program, call.call_number, &call.request_key);
+        match admission.map_err(Stop::Refused)? {
+            Admission::Recorded => return Ok(()),
+            Admission::AfterRunning => {
+                let _ = timeout(WAIT_CHECK, ended).await;
+                // Says that this leader lives; fails once the reader is gone.
+                if out.send(StreamEvent::KeepAlive).await.is_err() {
+                    return Err(Stop::NotLeader(None));
+                }
+            }
+            Admission::Next if host.holding.get() => return Err(Stop::NotLeader(None)),
+            Admission::Next => return begin(node, host, call).await,
+        }
+    }
+}
+
+async fn begin(node: &Rc<Node>, host: &Rc<ShardHost>, call: &CallMessage) -> Result<(), Stop> {
+    let target = place(node, host, call.program, &call.spec, &[]).map_err(Stop::Refused)?;
+    let command = Command::Begin(Begin {
+        program: call.program,
+        call_number: call.call_number,
+        request_key: call.request_key.clone(),
+        spec: call.spec.clone(),
+        repeatable: call.repeatable,
+        target: target.address,
+    });
+    match propose(node, host, command).await? {
+        Reply::Dispatch(attempt) => {
+            start_call(node, host, call.program, call.call_number, attempt, target.priority);
+            Ok(())
+        }
+        Reply::Refused(error) => Err(Stop::Refused(error)),
+        Reply::Known | Reply::Done | Reply::Stale => Ok(()),
+    }
+}
+
+/// Makes sure that a refused call never runs. If another copy of the message
+/// may be under way, only a recorded refusal of its key does that. `Err` says
+/// that the call is recorded after all.
+async fn settle_refusal(
+    node: &Rc<Node>,
+    host: &Rc<ShardHost>,
+    call: &CallMessage,
+    error: CallError,
+) -> Result<StreamEvent, ()> {
+    if !call.copied || error.executed != Executed::No {
+        return Ok(StreamEvent::Failed(error));
+    }
+    let command = Command::RefuseKey {
+        program: call.program,
+        call_number: call.call_number,
+        request_key: call.request_key.clone(),
+    };
+    match propose(node, host, command).await {
+        Ok(Reply::Known) => Err(()),
+        Ok(_) => Ok(StreamEvent::Failed(error)),
+        Err(Unsettled::NotLeader(leader)) => Ok(StreamEvent::NotLeader(leader)),
+        Err(Unsettled::Lost) => Ok(StreamEvent::NotLeader(None)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sequencer/attempt.rs
@@ -0,0 +1,283 @@
+//! Running a recorded call: attempt by attempt until it has an outcome.
+
+use crate::node::Node;
+use crate::sequencer::model_attempt::{self, Start};
+use crate::sequencer::place::place;
+use crate::sequencer::server_attempt;
+use crate::shard::{LiveCall, ShardHost, propose};
+use fieldhook_model::api::{Answer, CallSpec, StreamEvent, Usage};
+use fieldhook_model::config::DEFAULT_PRIORITY;
+use fieldhook_model::error::{CallError, ErrorKind, Executed};
+use fieldhook_model::ids::ProgramId;
+use fieldhook_program::{
+    Attempt, AttemptCost, Command, Finish, NextAttempt, Outcome, Phase, Reply,
+};
+use ntex::time::{Millis, sleep};
+use std::rc::Rc;
+
+const PLACE_RETRY: Millis = Millis(100);
+const PLACE_TRIES: u32 = 20;
+const FAILED_RETRY_MS: u64 = 1_000;
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// With an answer.
+    Answered {
+        /// Status of the server; 200 for engines.
+        status: u16,
+        /// The whole text.
+        content: String,
+        /// Its cost.
+        usage: Usage,
+    },
+    /// It surely did not run.
+    NotRun,
+    /// It may have run; what was delivered so far.
+    Lost,
+    /// A request that is not repeatable may have run, and nobody can say.
+    Unknown,
+    /// This replica no longer leads: the next leader goes on.
+    Deposed,
+}
+
+/// What every attempt of one call needs.
+pub struct RunningCall {
+    /// The daemon.
+    pub node: Rc<Node>,
+    /// The replica that leads.
+    pub host: Rc<ShardHost>,
+    /// What readers follow.
+    pub live: Rc<LiveCall>,
+    /// The program.
+    pub program: ProgramId,
+    /// Place in its order.
+    pub number: u64,
+    /// The caller's key.
+    pub request_key: String,
+    /// What is asked.
+    pub spec: CallSpec,
+    /// Whether it may run again.
+    pub repeatable: bool,
+    /// Priority of the work.
+    pub priority: u8,
+}
+
+impl RunningCall {
+    /// Whether this replica may still act for the call.
+    pub fn may_act(&self) -> bool {
+        self.host.leads() && self.host.live_call(self.program, self.number).is_some()
+    }
+}
+
+/// Starts a call whose intent has just been recorded.
+pub fn start_call(
+    node: &Rc<Node>,
+    host: &Rc<ShardHost>,
+    program: ProgramId,
+    number: u64,
+    attempt: Attempt,
+    priority: u8,
+) {
+    if let Some(call) = running_call(node, host, program, number, priority) {
+        ntex::rt::spawn(run(call, attempt, Start::Fresh));
+    }
+}
+
+/// Goes on with the calls that a former leader left running.
+pub fn take_over(node: &Rc<Node>, host: &Rc<ShardHost>) {
+    let left: Vec<(ProgramId, u64, Attempt)> = {
+        let state = host.state.borrow();
+        let open = state.programs.iter().filter(|(_, program)| program.phase == Phase::Open);
+        open.filter_map(|(id, program)| {
+            let number = program.running_call()?;
+            let attempt = program.call(number)?.attempt.clone();
+            Some((*id, number, attempt))
+        })
+        .collect()
+    };
+    for (program, number, attempt) in left {
+        if let Some(call) = running_call(node, host, program, number, DEFAULT_PRIORITY) {
+            ntex::rt::spawn(run(call, attempt, Start::TakeOver));
+        }
+    }
+}
+
+fn running_call(
+    node: &Rc<Node>,
+    host: &Rc<ShardHost>,
+    program: ProgramId,
+    number: u64,
+    priority: u8,
+) -> Option<RunningCall> {
+    let record = host.state.borrow().programs.get(&program)?.call(number)?.clone();
+    Some(RunningCall {
+        node: node.clone(),
+        host: host.clone(),
+        live: host.start_live(program, number),
+        program,
+        number,
+        request_key: record.request_key,
+        spec: record.spec,
+        repeatable: record.repeatable,
+        priority,
+    })
+}
+
+async fn run(call: RunningCall, mut attempt: Attempt, mut start: Start) {
+    let mut avoid: Vec<String> = Vec::new();
+    loop {
+        call.node.fleet.borrow_mut().assign(&attempt.target);
+        let end = run_attempt(&call, &attempt, start).await;
+        call.node.fleet.borrow_mut().unassign(&attempt.target);
+        let cost = match end {
+            AttemptEnd::Answered { status, content, usage } => {
+                let answer = Answer {
+                    call_number: call.number,
+                    content,
+                    status,
+                    served_by: attempt.target.clone(),
+                    attempts: attempt.number,
+                    usage,
+                };
+                return conclude(&call, &attempt, Outcome::Answered(answer)).await;
+            }
+            AttemptEnd::Unknown => {
+                return conclude(&call, &attempt, Outcome::Failed(unknown_outcome())).await;
+            }
+            AttemptEnd::Deposed => return call.live.wake(),
+            AttemptEnd::NotRun => AttemptCost::NotRun,
+            AttemptEnd::Lost => AttemptCost::Full,
+        };
+        call.node.fleet.borrow_mut().note_failure(&attempt.target);
+        avoid.push(attempt.target.clone());
+        match next_attempt(&call, &attempt, cost, &avoid).await {
+            Some(next) => attempt = next,
+            None => return,
+        }
+        start = Start::Fresh;
+    }
+}
+
+async fn run_attempt(call: &RunningCall, attempt: &Attempt, start: Start) -> AttemptEnd {
+    match &call.spec {
+        CallSpec::Model(model) => model_attempt::run(call, model, attempt, start).await,
+        CallSpec::Server(server) => server_attempt::run(call, server, attempt, start).await,
+    }
+}
+
+fn unknown_outcome() -> CallError {
+    CallError::not_run(
+        ErrorKind::OutcomeUnknown,
+        "the server did not answer and offers no look-up; check there whether it ran",
+    )
+    .executed(Executed::Unknown)
+}
+
+/// Records the next attempt and returns it, or concludes the call.
+async fn next_attempt(
+    call: &RunningCall,
+    given_up: &Attempt,
+    cost: AttemptCost,
+    avoid: &[String],
+) -> Option<Attempt> {
+    if given_up.number >= call.node.settings.limits.attempts {
+        fail(call, given_up, cost).await;
+        return None;
+    }
+    let Some(target) = find_target(call, avoid).await else {
+        fail(call, given_up, cost).await;
+        return None;
+    };
+    call.node.metrics.further_attempts.inc();
+    let prefix = delivered(call, given_up);
+    let command = Command::NextAttempt(NextAttempt {
+        program: call.program,
+        call_number: call.number,
+        given_up: given_up.number,
+        cost,
+        target,
+        prefix,
+    });
+    match propose(&call.node, &call.host, command).await {
+        Ok(Reply::Dispatch(attempt)) => Some(attempt),
+        Ok(Reply::Refused(error)) => {
+            close(call, StreamEvent::Failed(error));
+            None
+        }
+        Ok(_) => {
+            // The program ended meanwhile; readers find the record.
+            call.host.end_live(call.program, call.number);
+            call.live.wake();
+            None
+        }
+        Err(_) => {
+            call.live.wake();
+            None
+        }
+    }
+}
+
+/// Text that readers may have: what this leader delivered, or what a gateway
+/// brought along from a former one.
+fn delivered(call: &RunningCall, given_up: &Attempt) -> String {
+    let own = call.live.text().clone();
+    let seen = call.live.seen().unwrap_or_default();
+    let longest = if seen.len() > own.len() { seen } else { own };
+    if longest.len() > given_up.prefix.len() { longest } else { given_up.prefix.clone() }
+}
+
+async fn find_target(call: &RunningCall, avoid: &[String]) -> Option<String> {
+    for _ in 0..PLACE_TRIES {
+        let fresh = place(&call.node, &call.host, call.program, &call.spec, avoid);
+        let any = fresh.or_else(|_| place(&call.node, &call.host, call.program, &call.spec, &[]));
+        if let Ok(target) = any {
+            return Some(target.address);
+        }
+        if !call.may_act() {
+            return None;
+        }
+        sleep(PLACE_RETRY).await;
+    }
+    None
+}
+
+async fn fail(call: &RunningCall, attempt: &Attempt, cost: AttemptCost) {
+    let executed = match cost {
+        AttemptCost::NotRun if attempt.number == 1 => Executed::No,
+        _ => Executed::Unknown,
+    };
+    let error = CallError::not_run(
+        ErrorKind::TargetFailed,
+        "issue the next call number with the same messages; engines or servers failed",
+    );
+    let error = error.executed(executed).retry_after(FAILED_RETRY_MS);
+    conclude(call, attempt, Outcome::Failed(error)).await;
+}
+
+/// Records the outcome; only then do readers get it.
+async fn conclude(call: &RunningCall, attempt: &Attempt, outcome: Outcome) {
+    let event = match &outcome {
+        Outcome::Answered(answer) => StreamEvent::Done(answer.clone()),
+        Outcome::Failed(error) => StreamEvent::Failed(error.clone()),
+    };
+    let command = Command::Finish(Finish {
+        program: call.program,
+        call_number: call.number,
+        attempt: attempt.number,
+        outcome,
+    });
+    match propose(&call.node, &call.host, command).await {
+        Ok(Reply::Done) => close(call, event),
+        Ok(_) => {
+            call.host.end_live(call.program, call.number);
+            call.live.wake();
+        }
+        Err(_) => call.live.wake(),
+    }
+}
+
+fn close(call: &RunningCall, event: StreamEvent) {
+    call.live.finish(event);
+    call.host.end_live(call.program, call.number);
+}
--- /dev/null
+++ b/crates/daemon/src/sequencer/model_attempt.rs
@@ -0,0 +1,181 @@
+//! One attempt of a model call: generate, resume after a broken connection,
+//! or take over the stream that a former leader started.
+
+use crate::sequencer::attempt::{AttemptEnd, RunningCall};
+use fieldhook_http::{SendError, SseDecoder};
+use fieldhook_model::api::{ModelCall, Usage};
+use fieldhook_model::platform::{Generate, GenerateEvent};
+use fieldhook_program::Attempt;
+use futures_util::StreamExt;
+use ntex::client::ClientResponse;
+use ntex::http::Method;
+use ntex::time::{Millis, sleep, timeout};
+use std::time::Duration;
+
+const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that gateways of a lost leader get to bring along what they delivered.
+const SEEN_WAIT: Millis = Millis(1_000);
+const SEEN_CHECK: Millis = Millis(20);
+
+/// How an attempt begins here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// It has not been dispatched.
+    Fresh,
+    /// A former leader may have dispatched it.
+    TakeOver,
+}
+
+enum Reading {
+    Complete(Usage),
+    Broken,
+}
+
+/// Runs the attempt.
+pub async fn run(
+    call: &RunningCall,
+    model: &ModelCall,
+    attempt: &Attempt,
+    start: Start,
+) -> AttemptEnd {
+    let opened = match start {
+        Start::Fresh => generate(call, model, attempt).await,
+        Start::TakeOver => take_over(call, attempt).await,
+    };
+    let mut response = match opened {
+        Ok(response) => response,
+        Err(end) => return end,
+    };
+    if start == Start::Fresh || call.live.lineage() == 0 {
+        call.live.start(attempt.lineage, &attempt.prefix);
+    }
+    loop {
+        match read(call, &mut response).await {
+            Reading::Complete(usage) => {
+                let content = call.live.text().clone();
+                return AttemptEnd::Answered { status: 200, content, usage };
+            }
+            Reading::Broken => match resume(call, attempt).await {
+                Ok(resumed) => response = resumed,
+                Err(end) => return end,
+            },
+        }
+    }
+}
+
+fn stream_name(call: &RunningCall, attempt: &Attempt) -> String {
+    format!("{}.{}.{}", call.program, call.number, attempt.number)
+}
+
+fn words(text: &str) -> u32 {
+    text.split_whitespace().count() as u32
+}
+
+async fn generate(
+    call: &RunningCall,
+    model: &ModelCall,
+    attempt: &Attempt,
+) -> Result<ClientResponse, AttemptEnd> {
+    // A word is at least a token, so the rest is never cut short by this.
+    let remaining = model.max_tokens.saturating_sub(words(&attempt.prefix));
+    if remaining == 0 {
+        call.live.start(attempt.lineage, &attempt.prefix);
+        let content = attempt.prefix.clone();
+        return Err(AttemptEnd::Answered { status: 200, content, usage: Usage::default() });
+    }
+    let messages = call.host.state.borrow().prompt(call.program, call.number);
+    let request = Generate {
+        stream: stream_name(call, attempt),
+        program: call.program.to_string(),
+        model: model.model.clone(),
+        messages: messages.unwrap_or_default(),
+        max_tokens: remaining,
+        priority: call.priority,
+        continues: !attempt.prefix.is_empty(),
+    };
+    let body = serde_json::to_vec(&request).unwrap_or_default();
+    // The last look before the request leaves: a frozen leader wakes here.
+    if !call.may_act() {
+        return Err(AttemptEnd::Deposed);
+    }
+    let url = format!("http://{}/v1/generate", attempt.target);
+    let headers = [("content-type", "application/json")];
+    let limit = call.node.settings.limits.first_token();
+    match call.node.client.open(Method::POST, &url, &headers, body, limit).await {
+        Ok(response) if response.status().is_success() => Ok(response),
+        Ok(_) | Err(SendError::NotSent(_) | SendError::Status { .. }) => Err(AttemptEnd::NotRun),
+        Err(SendError::Unknown(_)) => {
+            cancel(call, attempt);
+            Err(AttemptEnd::Lost)
+        }
+    }
+}
+
+/// Finds the stream of a former leader. Where the engine has lost it, gateways
+/// get a moment to say what they have delivered, so that the next attempt can
+/// continue that.
+async fn take_over(call: &RunningCall, attempt: &Attempt) -> Result<ClientResponse, AttemptEnd> {
+    match open_stream(call, attempt, 0).await {
+        Some(response) => Ok(response),
+        None => {
+            let mut waited = Millis(0);
+            while call.live.seen().is_none() && waited.0 < SEEN_WAIT.0 {
+                sleep(SEEN_CHECK).await;
+                waited = Millis(waited.0 + SEEN_CHECK.0);
+            }
+            if call.may_act() { Err(AttemptEnd::Lost) } else { Err(AttemptEnd::Deposed) }
+        }
+    }
+}
+
+async fn resume(call: &RunningCall, attempt: &Attempt) -> Result<ClientResponse, AttemptEnd> {
+    if !call.may_act() {
+        return Err(AttemptEnd::Deposed);
+    }
+    let from = call.live.text().len() - attempt.prefix.len();
+    match open_stream(call, attempt, from).await {
+        Some(response) => Ok(response),
+        None => {
+            cancel(call, attempt);
+            Err(AttemptEnd::Lost)
+        }
+    }
+}
+
+async fn open_stream(call: &RunningCall, attempt: &Attempt, from: usize) -> Option<ClientResponse> {
+    let stream = stream_name(call, attempt);
+    let url = format!("http://{}/v1/streams/{stream}?from={from}", attempt.target);
+    let client = &call.node.client;
+    let response = client.open(Method::GET, &url, &[], Vec::new(), RESUME_TIMEOUT).await.ok()?;
+    response.status().is_success().then_some(response)
+}
+
+async fn read(call: &RunningCall, response: &mut ClientResponse) -> Reading {
+    let limits = &call.node.settings.limits;
+    let mut decoder = SseDecoder::default();
+    let mut limit = limits.first_token();
+    loop {
+        let Ok(Some(Ok(chunk))) = timeout(limit, response.next()).await else {
+            return Reading::Broken;
+        };
+        for event in decoder.push(&chunk) {
+            match serde_json::from_str(&event.data) {
+                Ok(GenerateEvent::Text(text)) => call.live.push(&text),
+                Ok(GenerateEvent::Done(usage)) => return Reading::Complete(usage),
+                Err(_) => return Reading::Broken,
+            }
+        }
+        limit = limits.stall();
+    }
+}
+
+/// Frees the engine's place for a stream that is given up. If this is lost the
+/// stream runs to its end there, and the release at the program's end frees it.
+fn cancel(call: &RunningCall, attempt: &Attempt) {
+    let client = call.node.client.clone();
+    let url = format!("http://{}/v1/streams/{}", attempt.target, stream_name(call, attempt));
+    ntex::rt::spawn(async move {
+        let _ = client.fetch(Method::DELETE, &url, &[], Vec::new(), CANCEL_TIMEOUT).await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/sequencer/place.rs
@@ -0,0 +1,109 @@
+//! Choosing an engine or a server for an attempt.
+
+use crate::node::Node;
+use crate::platform::fleet::{engine_views, servers_for};
+use crate::shard::ShardHost;
+use fieldhook_model::api::{CallSpec, ModelCall, ServerCall};
+use fieldhook_model::error::{CallError, ErrorKind};
+use fieldhook_model::ids::ProgramId;
+use fieldhook_model::labels::Labels;
+use fieldhook_placement::{Refusal, Work, choose, judge};
+
+/// When to come back if nothing can serve a call now.
+const NO_TARGET_RETRY_MS: u64 = 1_000;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// IP and port.
+    pub address: String,
+    /// Priority of the work.
+    pub priority: u8,
+}
+
+fn program_labels(host: &ShardHost, program: ProgramId) -> Labels {
+    let state = host.state.borrow();
+    let Some(program) = state.programs.get(&program) else { return Labels::new() };
+    let mut labels = program.labels.clone();
+    labels.insert("tenant".to_owned(), program.tenant.clone());
+    labels
+}
+
+/// Chooses where an attempt of a call goes.
+///
+/// # Errors
+/// Nothing may or can take it now; it has not run.
+pub fn place(
+    node: &Node,
+    host: &ShardHost,
+    program: ProgramId,
+    spec: &CallSpec,
+    avoid: &[String],
+) -> Result<Target, CallError> {
+    match spec {
+        CallSpec::Model(model) => place_model(node, host, program, model, avoid),
+        CallSpec::Server(server) => place_server(node, host, program, server, avoid),
+    }
+}
+
+fn place_model(
+    node: &Node,
+    host: &ShardHost,
+    program: ProgramId,
+    model: &ModelCall,
+    avoid: &[String],
+) -> Result<Target, CallError> {
+    let work = {
+        let labels = program_labels(host, program);
+        let state = host.state.borrow();
+        let record = state.programs.get(&program);
+        let known = record.and_then(|record| record.counted.as_ref());
+        let new_bytes: usize = model.messages.iter().map(|message| message.content.len()).sum();
+        Work {
+            labels,
+            model: model.model.clone(),
+            prompt_tokens: known.map_or(0, |known| known.tokens) + new_bytes as u64 / 4,
+            new_tokens: u64::from(model.max_tokens),
+            held: record.map(|record| record.held_by.clone()).unwrap_or_default(),
+            avoid: avoid.to_vec(),
+        }
+    };
+    let config = node.config.borrow();
+    let choice = choose(&config.document, &engine_views(node), &work);
+    match choice {
+        Ok(choice) => Ok(Target { address: choice.address, priority: choice.priority }),
+        Err(Refusal::NoEngine) => Err(CallError::not_run(
+            ErrorKind::NoTarget,
+            format!("no live engine allowed by the rules has model {:?}", model.model),
+        )
+        .retry_after(NO_TARGET_RETRY_MS)),
+        Err(Refusal::Overloaded(wait_ms)) => Err(CallError::not_run(
+            ErrorKind::Overloaded,
+            "come back after retry_after_ms; all allowed engines have long queues",
+        )
+        .retry_after(wait_ms)),
+    }
+}
+
+fn place_server(
+    node: &Node,
+    host: &ShardHost,
+    program: ProgramId,
+    server: &ServerCall,
+    avoid: &[String],
+) -> Result<Target, CallError> {
+    let labels = program_labels(host, program);
+    let config = node.config.borrow();
+    for machine in servers_for(node, &server.service) {
+        let own = config.document.machine_labels(&machine.name, &machine.zone, &machine.labels);
+        let verdict = judge(&config.document, &labels, &own);
+        if verdict.allowed && !avoid.contains(&machine.address) {
+            return Ok(Target { address: machine.address, priority: verdict.priority });
+        }
+    }
+    Err(CallError::not_run(
+        ErrorKind::NoTarget,
+        format!("no live server allowed by the rules offers service {:?}", server.service),
+    )
+    .retry_after(NO_TARGET_RETRY_MS))
+}
--- /dev/null
+++ b/crates/daemon/src/server.rs
@@ -0,0 +1,132 @@
+//! Routes of the daemon.
+
+use crate::gateway::{delete_program, post_call, post_program, show_program};
+use crate::node::{Node, Phase};
+use crate::operator;
+use crate::platform::recovery::survivor;
+use crate::sequencer::{CallMessage, CommandMessage, serve_call, serve_command};
+use crate::transport::{Batch, exchange_batch};
+use fieldhook_http::text;
+use fieldhook_membership::Fact;
+use fieldhook_model::ids::ShardId;
+use futures_util::stream;
+use nanoserde::{DeBin, SerBin};
+use ntex::util::Bytes;
+use ntex::web::{self, HttpResponse, ServiceConfig, types};
+use std::io;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// Largest message between daemons; snapshots are the large ones.
+const INTERNAL_BODY_LIMIT: usize = 512 << 20;
+const EVENT_BACKLOG: usize = 64;
+
+/// A full exchange of facts, skipped if both sides have the same.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+pub struct FactExchange {
+    /// Digest of the sender's facts.
+    pub digest: u64,
+    /// The sender's facts; empty if the digests agree.
+    pub facts: Vec<Fact>,
+}
+
+/// Adds all routes.
+pub fn configure(config: &mut ServiceConfig, node: Rc<Node>) {
+    config
+        .state(node)
+        .state(types::PayloadConfig::new(INTERNAL_BODY_LIMIT))
+        .route("/v1/programs", web::post().to(post_program))
+        .service(
+            web::resource("/v1/programs/{id}")
+                .route(web::get().to(show_program))
+                .route(web::delete().to(delete_program)),
+        )
+        .route("/v1/programs/{id}/calls", web::post().to(post_call))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz))
+        .route("/metrics", web::get().to(metrics))
+        .route("/internal/consensus", web::post().to(internal_consensus))
+        .route("/internal/call", web::post().to(internal_call))
+        .route("/internal/command", web::post().to(internal_command))
+        .route("/internal/facts", web::post().to(internal_facts))
+        .route("/internal/config", web::post().to(internal_config))
+        .route("/internal/survivor", web::post().to(internal_survivor));
+    operator::configure(config);
+}
+
+async fn healthz() -> HttpResponse {
+    text(200, "ok\n")
+}
+
+async fn readyz(node: types::State<Rc<Node>>) -> HttpResponse {
+    match node.phase() {
+        Phase::Serving if node.may_admit() => text(200, "ready\n"),
+        Phase::Serving => text(503, "cut off from the log and most peers\n"),
+        Phase::Starting => text(503, "starting\n"),
+        Phase::Draining => text(503, "stopping\n"),
+    }
+}
+
+async fn metrics(node: types::State<Rc<Node>>) -> HttpResponse {
+    text(200, node.metrics.render())
+}
+
+fn binary<T: SerBin>(value: &T) -> HttpResponse {
+    HttpResponse::Ok().body(value.serialize_bin())
+}
+
+fn undecodable() -> HttpResponse {
+    text(400, "does not decode; run the same version on all daemons")
+}
+
+async fn internal_consensus(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
+    match Batch::deserialize_bin(&body) {
+        Ok(batch) => binary(&exchange_batch(&node, batch)),
+        Err(_) => undecodable(),
+    }
+}
+
+async fn internal_call(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
+    let Ok(call) = CallMessage::deserialize_bin(&body) else { return undecodable() };
+    let (out, events) = mpsc::channel(EVENT_BACKLOG);
+    ntex::rt::spawn(serve_call((*node).clone(), call, out));
+    let frames = stream::unfold(events, |mut events| async move {
+        let event = events.recv().await?;
+        let frame = crate::gateway::encode_frame(&event);
+        Some((Ok::<_, io::Error>(Bytes::from(frame)), events))
+    });
+    HttpResponse::Ok().streaming(Box::pin(frames))
+}
+
+async fn internal_command(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
+    match CommandMessage::deserialize_bin(&body) {
+        Ok(message) => binary(&serve_command(&node, message).await),
+        Err(_) => undecodable(),
+    }
+}
+
+async fn internal_facts(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
+    let Ok(exchange) = FactExchange::deserialize_bin(&body) else { return undecodable() };
+    let own = {
+        let detector = node.detector.borrow();
+        let digest = detector.table().digest();
+        let facts =
+            if digest == exchange.digest { Vec::new() } else { detector.table().all() };
+        FactExchange { digest, facts }
+    };
+    for fact in exchange.facts {
+        node.announce(fact);
+    }
+    binary(&own)
+}
+
+async fn internal_config(node: types::State<Rc<Node>>) -> HttpResponse {
+    binary(&*node.config.borrow())
+}
+
+async fn internal_survivor(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
+    match ShardId::deserialize_bin(&body) {
+        Ok(shard) => binary(&survivor(&node, shard)),
+        Err(_) => undecodable(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,284 @@
+//! Settings of a daemon: a TOML file, overridden by flags, checked at start.
+
+mod error;
+mod flags;
+
+pub use error::SettingsError;
+pub use flags::Flags;
+
+use fieldhook_model::address::Address;
+use serde::Deserialize;
+use std::time::Duration;
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// IP and port of the append-only log.
+    pub log: String,
+    /// IP and port of the machine list.
+    pub machines: String,
+}
+
+/// Timing of the groups, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ConsensusSettings {
+    /// Time between heartbeats.
+    pub heartbeat_ms: u64,
+    /// Shortest silence after which a new leader is elected.
+    pub election_ms: u64,
+    /// Clock drift allowed within a lease.
+    pub drift_ms: u64,
+}
+
+impl Default for ConsensusSettings {
+    fn default() -> Self {
+        let core = fieldhook_consensus::Settings::default();
+        Self {
+            heartbeat_ms: core.heartbeat_ms,
+            election_ms: core.election_ms,
+            drift_ms: core.drift_ms,
+        }
+    }
+}
+
+/// Timing of the failure detector, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipSettings {
+    /// Time between probes.
+    pub probe_ms: u64,
+    /// Time to wait for a direct answer.
+    pub answer_ms: u64,
+    /// Time that a suspected member has to object.
+    pub suspicion_ms: u64,
+    /// Silence after which a member's replicas are replaced elsewhere.
+    pub replace_after_ms: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        let core = fieldhook_membership::Settings::default();
+        Self {
+            probe_ms: core.probe_ms,
+            answer_ms: core.answer_ms,
+            suspicion_ms: core.suspicion_ms,
+            replace_after_ms: 10_000,
+        }
+    }
+}
+
+/// Limits of what callers may ask and how long things may take.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Calls of a program that states no limit.
+    pub max_turns: u32,
+    /// Longest time for a server request, in milliseconds.
+    pub server_timeout_ms: u64,
+    /// Longest time until an engine's first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Longest pause between an engine's tokens, in milliseconds.
+    pub stall_ms: u64,
+    /// Dispatches of one call.
+    pub attempts: u32,
+    /// Time without a leader after which a call is given up, in milliseconds.
+    pub give_up_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 << 20,
+            max_turns: 200,
+            server_timeout_ms: 10_000,
+            first_token_ms: 30_000,
+            stall_ms: 3_000,
+            attempts: 4,
+            give_up_ms: 8_000,
+        }
+    }
+}
+
+/// All settings of a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// IP and port to listen on: HTTP over TCP, membership over UDP.
+    pub address: String,
+    /// Zone of this machine.
+    pub zone: String,
+    /// Daemons to ask first; this one may be among them.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// Number of shards; the same on every daemon, never changed.
+    #[serde(default = "default_shards")]
+    pub shards: u16,
+    /// Replicas of each shard, 3 or 5.
+    #[serde(default = "default_replicas")]
+    pub replicas: usize,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Timing of the groups.
+    #[serde(default)]
+    pub consensus: ConsensusSettings,
+    /// Timing of the failure detector.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Limits.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+fn default_shards() -> u16 {
+    16
+}
+
+fn default_replicas() -> usize {
+    3
+}
+
+impl Settings {
+    /// Checks every value.
+    ///
+    /// # Errors
+    /// The first value that is not allowed.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        check_address("address", &self.address)?;
+        check_address("platform.log", &self.platform.log)?;
+        check_address("platform.machines", &self.platform.machines)?;
+        for seed in &self.seeds {
+            check_address("seeds", seed)?;
+        }
+        check("zone", &self.zone, !self.zone.is_empty(), "a name", "set the machine's zone")?;
+        check(
+            "shards",
+            self.shards,
+            (1..=4096).contains(&self.shards),
+            "1 to 4096",
+            "use the same number on every daemon",
+        )?;
+        check(
+            "replicas",
+            self.replicas,
+            matches!(self.replicas, 1 | 3 | 5),
+            "1, 3 or 5",
+            "use 3, or 5 to bear the loss of two machines at once",
+        )?;
+        self.check_limits()?;
+        let consensus = self.consensus_core();
+        consensus.validate().map_err(|error| SettingsError::Relation(format!("consensus: {error}")))?;
+        let membership = self.membership_core();
+        membership
+            .validate()
+            .map_err(|error| SettingsError::Relation(format!("membership: {error}")))
+    }
+
+    fn check_limits(&self) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        check(
+            "limits.body_bytes",
+            limits.body_bytes,
+            (1024..=256 << 20).contains(&limits.body_bytes),
+            "1024 to 268435456",
+            "use at least the longest message that callers send",
+        )?;
+        check(
+            "limits.attempts",
+            limits.attempts,
+            (1..=10).contains(&limits.attempts),
+            "1 to 10",
+            "use 4; every further attempt costs budget",
+        )?;
+        check("limits.max_turns", limits.max_turns, limits.max_turns > 0, "1 or more", "use 200")?;
+        check(
+            "limits.stall_ms",
+            limits.stall_ms,
+            limits.stall_ms >= 100,
+            "100 or more",
+            "use several times an engine's step time",
+        )
+    }
+
+    /// Timing for the consensus core.
+    pub fn consensus_core(&self) -> fieldhook_consensus::Settings {
+        fieldhook_consensus::Settings {
+            heartbeat_ms: self.consensus.heartbeat_ms,
+            election_ms: self.consensus.election_ms,
+            drift_ms: self.consensus.drift_ms,
+            ..fieldhook_consensus::Settings::default()
+        }
+    }
+
+    /// Timing for the membership core.
+    pub fn membership_core(&self) -> fieldhook_membership::Settings {
+        fieldhook_membership::Settings {
+            probe_ms: self.membership.probe_ms,
+            answer_ms: self.membership.answer_ms,
+            suspicion_ms: self.membership.suspicion_ms,
+            ..fieldhook_membership::Settings::default()
+        }
+    }
+
+    /// The listening address in its checked form.
+    ///
+    /// # Errors
+    /// Not an IPv4 address with a port.
+    pub fn own_address(&self) -> Result<Address, SettingsError> {
+        parse_address("address", &self.address)
+    }
+
+    /// The seeds in their checked form.
+    ///
+    /// # Errors
+    /// One is not an IPv4 address with a port.
+    pub fn seed_addresses(&self) -> Result<Vec<Address>, SettingsError> {
+        self.seeds.iter().map(|seed| parse_address("seeds", seed)).collect()
+    }
+}
+
+impl LimitSettings {
+    /// Longest time for a server request.
+    pub fn server_timeout(&self) -> Duration {
+        Duration::from_millis(self.server_timeout_ms)
+    }
+
+    /// Longest time until the first token.
+    pub fn first_token(&self) -> Duration {
+        Duration::from_millis(self.first_token_ms)
+    }
+
+    /// Longest pause between tokens.
+    pub fn stall(&self) -> Duration {
+        Duration::from_millis(self.stall_ms)
+    }
+}
+
+fn parse_address(key: &'static str, value: &str) -> Result<Address, SettingsError> {
+    value.parse().map_err(|_| SettingsError::Value {
+        key,
+        value: value.to_owned(),
+        allowed: "an IPv4 address with a port, as 127.0.0.1:7001",
+        remedy: "use the machine's IP number; names are not resolved",
+    })
+}
+
+fn check_address(key: &'static str, value: &str) -> Result<(), SettingsError> {
+    parse_address(key, value).map(|_| ())
+}
+
+fn check<V: ToString>(
+    key: &'static str,
+    value: V,
+    good: bool,
+    allowed: &'static str,
+    remedy: &'static str,
+) -> Result<(), SettingsError> {
+    if good {
+        return Ok(());
+    }
+    Err(SettingsError::Value { key, value: value.to_string(), allowed, remedy })
+}
--- /dev/null
+++ b/crates/daemon/src/transport/datagram.rs
@@ -0,0 +1,88 @@
+//! Datagrams: the failure detector's packets, heartbeats and votes. Each may
+//! be lost, doubled or late; all are written to bear it.
+
+use crate::node::Node;
+use crate::transport::outbox::{Batch, receive_batch};
+use fieldhook_membership::{Outgoing, Packet};
+use fieldhook_model::address::Address;
+use nanoserde::{DeBin, SerBin};
+use ntex::time::{Millis, sleep};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+const LARGEST_DATAGRAM: usize = 65_507;
+/// IP and UDP headers, which count as bytes on the network.
+const HEADER_BYTES: u64 = 28;
+const MEMBERSHIP_TICK: Millis = Millis(50);
+
+/// One datagram between daemons.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum Datagram {
+    /// Of the failure detector.
+    Membership(Packet),
+    /// Small messages of groups.
+    Consensus(Batch),
+}
+
+thread_local! {
+    static SOCKET: RefCell<Option<Rc<UdpSocket>>> = const { RefCell::new(None) };
+}
+
+/// Sends a datagram if the socket takes it at once; else it counts as lost.
+pub fn send_datagram(node: &Node, to: Address, datagram: &Datagram) {
+    let bytes = datagram.serialize_bin();
+    node.metrics.control_bytes.inc_by(bytes.len() as u64 + HEADER_BYTES);
+    SOCKET.with_borrow(|socket| {
+        if let Some(socket) = socket {
+            let _ = socket.try_send_to(&bytes, SocketAddr::V4(to.socket()));
+        }
+    });
+}
+
+/// Binds the socket and starts receiving and ticking.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn run_datagrams(node: Rc<Node>) -> io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(node.id.address.socket()).await?);
+    SOCKET.set(Some(socket.clone()));
+    ntex::rt::spawn(receive_datagrams(node.clone(), socket));
+    ntex::rt::spawn(tick_membership(node));
+    Ok(())
+}
+
+async fn receive_datagrams(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; LARGEST_DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            sleep(Millis(1)).await;
+            continue;
+        };
+        match Datagram::deserialize_bin(&buffer[..length]) {
+            Ok(Datagram::Membership(packet)) => {
+                let outgoing = node.detector.borrow_mut().receive(packet);
+                send_all(&node, outgoing);
+            }
+            Ok(Datagram::Consensus(batch)) => receive_batch(&node, batch),
+            Err(error) => tracing::debug!(%error, "datagram dropped"),
+        }
+    }
+}
+
+async fn tick_membership(node: Rc<Node>) {
+    loop {
+        let outgoing = node.detector.borrow_mut().tick(node.now_ms());
+        send_all(&node, outgoing);
+        node.check_peers();
+        sleep(MEMBERSHIP_TICK).await;
+    }
+}
+
+fn send_all(node: &Node, outgoing: Vec<Outgoing>) {
+    for Outgoing { to, packet } in outgoing {
+        send_datagram(node, to, &Datagram::Membership(packet));
+    }
+}
--- a/crates/emulator/src/engine/core.rs
+++ b/crates/emulator/src/engine/core.rs
@@ -4,7 +4,7 @@
 use crate::engine::cache::PrefixCache;
 use crate::engine::text::{answer_word, block_hashes, count_tokens, prompt_digest};
 use fieldhook_model::api::{Message, Usage};
-use serde::{Deserialize, Serialize};
+use fieldhook_model::platform::Generate;
 
 /// Cost model and limits of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -36,27 +36,6 @@
     }
 }
 
-/// Body of a request to generate.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Generate {
-    /// Names the stream for resuming and cancelling; a second request with the
-    /// same name joins the first.
-    pub stream: String,
-    /// The program whose cache this is.
-    pub program: String,
-    /// Name of the model.
-    pub model: String,
-    /// The whole prompt.
-    pub messages: Vec<Message>,
-    /// Most tokens to generate.
-    pub max_tokens: u32,
-    /// 0 to 100; higher goes first.
-    pub priority: u8,
-    /// Whether the last message is the beginning of the answer.
-    #[serde(default)]
-    pub continues: bool,
-}
-
 #[derive(Debug)]
 struct Sequence {
     request: Generate,
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -7,6 +7,6 @@
 mod text;
 
 pub use cache::PrefixCache;
-pub use core::{EngineCore, EngineSettings, Generate, StepReport};
-pub use service::{CacheEvent, CacheExport, GenerateEvent, Options, Order, run};
+pub use core::{EngineCore, EngineSettings, StepReport};
+pub use service::{CacheEvent, CacheExport, Options, Order, run};
 pub use text::{BLOCK_TOKENS, answer_word, count_tokens, expected_answer, prompt_digest};
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -1,11 +1,11 @@
 //! The engine's HTTP shell: streams, cache, load and orders.
 
-use crate::engine::core::{EngineCore, EngineSettings, Generate, StepReport};
+use crate::engine::core::{EngineCore, EngineSettings, StepReport};
 use crate::faults::Faults;
 use crate::serve::serve;
 use fieldhook_http::{encode_event, event_stream, json, text};
 use fieldhook_model::api::Usage;
-use fieldhook_model::platform::EngineLoad;
+use fieldhook_model::platform::{EngineLoad, Generate, GenerateEvent};
 use futures_util::stream;
 use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
@@ -23,16 +23,6 @@
 /// Cache events that are kept for readers.
 const EVENT_RETENTION: usize = 10_000;
 
-/// Data of one event of a generated stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum GenerateEvent {
-    /// New text.
-    Text(String),
-    /// The stream is complete.
-    Done(Usage),
-}
-
 /// A cache event: blocks of a program came or went.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CacheEvent {
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -5,27 +5,15 @@
 use crate::faults::Faults;
 use crate::serve::serve;
 use fieldhook_http::{json, text};
+use fieldhook_model::platform::{Execution, KEY_HEADER};
 use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
-use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 
-/// Header that carries the request key.
-pub const KEY_HEADER: &str = "x-request-key";
-
-/// What a server knows of one request key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Execution {
-    /// How often it ran.
-    pub count: u32,
-    /// Its answer.
-    pub answer: String,
-}
-
 #[derive(Clone)]
 struct Server {
     work_ms: u32,
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -1,5 +1,6 @@
 //! The caller interface: JSON bodies of `/v1/programs` and its calls.
 
+use crate::address::ReplicaId;
 use crate::error::CallError;
 use crate::labels::Labels;
 use nanoserde::{DeBin, SerBin};
@@ -137,8 +138,7 @@
 }
 
 /// One event between the deciding replica, the gateway and the caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, SerBin, DeBin)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum StreamEvent {
     /// More text, beginning at a byte offset of the whole answer.
     Delta {
@@ -155,6 +155,9 @@
     KeepAlive,
     /// The whole answer. Nothing follows.
     Done(Answer),
+    /// The sender does not lead the shard; who does, as far as it knows. Nothing
+    /// follows.
+    NotLeader(Option<ReplicaId>),
     /// The call failed or was refused. Nothing follows.
     Failed(CallError),
 }
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -56,8 +56,6 @@
     TargetFailed,
     /// The program ended while the call was running.
     Cancelled,
-    /// This replica does not lead the shard (between daemons only).
-    NotLeader,
 }
 
 /// The body of every error answer.
@@ -111,10 +109,7 @@
             ErrorKind::DeadlineExceeded => 408,
             ErrorKind::Overloaded => 429,
             ErrorKind::TargetFailed | ErrorKind::OutcomeUnknown => 502,
-            ErrorKind::NoTarget
-            | ErrorKind::NotReady
-            | ErrorKind::Unavailable
-            | ErrorKind::NotLeader => 503,
+            ErrorKind::NoTarget | ErrorKind::NotReady | ErrorKind::Unavailable => 503,
         }
     }
 }
--- a/crates/model/src/platform.rs
+++ b/crates/model/src/platform.rs
@@ -1,5 +1,6 @@
 //! What the platform publishes: machines, engine load, and log records.
 
+use crate::api::{Message, Usage};
 use crate::labels::Labels;
 use serde::{Deserialize, Serialize};
 
@@ -81,3 +82,46 @@
     /// Offset that the record got.
     pub offset: u64,
 }
+
+/// Body of a request to generate.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Generate {
+    /// Names the stream for resuming and cancelling; a second request with the
+    /// same name joins the first.
+    pub stream: String,
+    /// The program whose cache this is.
+    pub program: String,
+    /// Name of the model.
+    pub model: String,
+    /// The whole prompt.
+    pub messages: Vec<Message>,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// 0 to 100; higher goes first.
+    pub priority: u8,
+    /// Whether the last message is the beginning of the answer.
+    #[serde(default)]
+    pub continues: bool,
+}
+
+/// Data of one event of a generated stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GenerateEvent {
+    /// New text.
+    Text(String),
+    /// The stream is complete.
+    Done(Usage),
+}
+
+/// What a server knows of one request key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// How often it ran.
+    pub count: u32,
+    /// Its answer.
+    pub answer: String,
+}
+
+/// Header that carries the request key to servers.
+pub const KEY_HEADER: &str = "x-request-key";
--- a/crates/program/src/machine.rs
+++ b/crates/program/src/machine.rs
@@ -300,17 +300,15 @@
         }
     }
 
+    /// Whatever made the leader refuse may pass; the key stays refused, or a
+    /// late copy of the request would run after the caller was told it had not.
     fn refuse_key(&mut self, id: ProgramId, number: u64, key: String) -> Reply {
-        match self.admit(id, number, &key) {
-            Ok(Admission::Recorded) => Reply::Known,
-            Ok(Admission::Next | Admission::AfterRunning) => {
-                if let Some(program) = self.programs.get_mut(&id) {
-                    program.refused_keys.insert(key);
-                }
-                Reply::Done
-            }
-            Err(error) => Reply::Refused(error),
+        let Some(program) = self.programs.get_mut(&id) else { return Reply::Stale };
+        if program.call(number).is_some_and(|call| call.request_key == key) {
+            return Reply::Known;
         }
+        program.refused_keys.insert(key);
+        Reply::Done
     }
 
     fn end(&mut self, id: ProgramId, reason: EndReason) -> Reply {
@@ -359,18 +357,21 @@
         Reply::Done
     }
 
+    /// Ended programs whose records may go at a time of the shard's clock.
+    fn forgettable(&self, now_ms: u64) -> impl Iterator<Item = ProgramId> + '_ {
+        let over = self.programs.iter().filter(move |(_, item)| retention_over(item, now_ms));
+        over.map(|(id, _)| *id).filter(|id| !self.has_children(*id))
+    }
+
+    /// Whether `Command::Forget` would drop anything at that time.
+    pub fn is_forget_due(&self, now_ms: u64) -> bool {
+        self.forgettable(now_ms).next().is_some()
+    }
+
     fn forget(&mut self) -> Reply {
-        let clock_ms = self.clock_ms;
-        let over: Vec<ProgramId> = self
-            .programs
-            .iter()
-            .filter(|(_, program)| retention_over(program, clock_ms))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            if !self.has_children(id) {
-                self.programs.remove(&id);
-            }
+        let due: Vec<ProgramId> = self.forgettable(self.clock_ms).collect();
+        for id in due {
+            self.programs.remove(&id);
         }
         Reply::Done
     }
