--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -97,7 +97,10 @@
 
 /// A user's message.
 pub fn user(content: impl Into<String>) -> Message {
-    Message { role: "user".to_owned(), content: content.into() }
+    Message {
+        role: "user".to_owned(),
+        content: content.into(),
+    }
 }
 
 fn open_body(tenant: &str, key: &str, budget: i64) -> OpenProgram {
@@ -160,7 +163,11 @@
                         times: CallTimes::default(),
                     });
                 }
-                Err(error @ SendError::Status { status: 400..=499, .. }) => return Err(error),
+                Err(
+                    error @ SendError::Status {
+                        status: 400..=499, ..
+                    },
+                ) => return Err(error),
                 Err(error) if begun.elapsed() > CALL_TIMEOUT => return Err(error),
                 Err(_) => gateway = (gateway + 1) % gateways.len(),
             }
@@ -171,13 +178,19 @@
     /// Asks a model; the history is kept by the system and, apart from it, here.
     pub async fn ask_model(&mut self, model: &str, content: &str, max_tokens: u32) -> CallEnd {
         let messages = vec![user(content)];
-        let call = ModelCall { model: model.to_owned(), messages: messages.clone(), max_tokens };
+        let call = ModelCall {
+            model: model.to_owned(),
+            messages: messages.clone(),
+            max_tokens,
+        };
         let end = self.call(CallSpec::Model(call), None, true).await;
         if let CallEnd::Answered(answer) = &end {
             self.history.extend(messages);
             self.check_answer(answer, max_tokens);
-            self.history
-                .push(Message { role: "assistant".to_owned(), content: answer.content.clone() });
+            self.history.push(Message {
+                role: "assistant".to_owned(),
+                content: answer.content.clone(),
+            });
         }
         end
     }
@@ -201,7 +214,8 @@
             path: path.to_owned(),
             body: "{}".to_owned(),
         };
-        self.call(CallSpec::Server(call), Some(repeatable), false).await
+        self.call(CallSpec::Server(call), Some(repeatable), false)
+            .await
     }
 
     /// Key of a call number; stable, so that asking again is recognised.
@@ -210,7 +224,12 @@
     }
 
     /// Issues the next call and asks again, elsewhere, until it has an end.
-    pub async fn call(&mut self, spec: CallSpec, repeatable: Option<bool>, stream: bool) -> CallEnd {
+    pub async fn call(
+        &mut self,
+        spec: CallSpec,
+        repeatable: Option<bool>,
+        stream: bool,
+    ) -> CallEnd {
         let number = self.calls + 1;
         let request = CallRequest {
             call_number: number,
@@ -254,14 +273,19 @@
     }
 
     fn url(&self) -> String {
-        format!("http://{}/v1/programs/{}/calls", self.gateways[self.gateway], self.program)
+        format!(
+            "http://{}/v1/programs/{}/calls",
+            self.gateways[self.gateway], self.program
+        )
     }
 
     async fn ask_whole(&self, request: &CallRequest) -> Asked {
         let body = serde_json::to_vec(request).unwrap_or_default();
         let headers = [("content-type", "application/json")];
-        let reply =
-            self.client.fetch(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT).await;
+        let reply = self
+            .client
+            .fetch(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT)
+            .await;
         match reply {
             Ok(reply) if reply.status == 200 => match serde_json::from_str(&reply.body) {
                 Ok(answer) => Asked::End(CallEnd::Answered(answer)),
@@ -284,17 +308,24 @@
         if !last_event.is_empty() {
             headers.push(("last-event-id", &last_event));
         }
-        let opened =
-            self.client.open(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT).await;
+        let opened = self
+            .client
+            .open(Method::POST, &self.url(), &headers, body, CALL_TIMEOUT)
+            .await;
         let mut response = match opened {
             Ok(response) => response,
             Err(error) => return Asked::Again(error.to_string()),
         };
         if !response.status().is_success() {
-            let body = response.body().await.map(|bytes| bytes.to_vec()).unwrap_or_default();
+            let body = response
+                .body()
+                .await
+                .map(|bytes| bytes.to_vec())
+                .unwrap_or_default();
             return refused(&String::from_utf8_lossy(&body));
         }
-        self.read_stream(request, &mut response, reading, begun).await
+        self.read_stream(request, &mut response, reading, begun)
+            .await
     }
 
     async fn read_stream(
@@ -374,7 +405,10 @@
     pub async fn view(&mut self) -> Result<ProgramView, SendError> {
         let mut last = SendError::NotSent("no daemon".to_owned());
         for _ in 0..self.gateways.len() * 4 {
-            let url = format!("http://{}/v1/programs/{}", self.gateways[self.gateway], self.program);
+            let url = format!(
+                "http://{}/v1/programs/{}",
+                self.gateways[self.gateway], self.program
+            );
             match self.client.get_json(&url, OPEN_TIMEOUT).await {
                 Ok(view) => return Ok(view),
                 Err(error) => last = error,
@@ -388,9 +422,14 @@
     /// Ends the program; asks again until it is acknowledged. False if it never was.
     pub async fn end(&mut self) -> bool {
         for _ in 0..self.gateways.len() * 8 {
-            let url = format!("http://{}/v1/programs/{}", self.gateways[self.gateway], self.program);
-            let reply =
-                self.client.fetch(Method::DELETE, &url, &[], Vec::new(), OPEN_TIMEOUT).await;
+            let url = format!(
+                "http://{}/v1/programs/{}",
+                self.gateways[self.gateway], self.program
+            );
+            let reply = self
+                .client
+                .fetch(Method::DELETE, &url, &[], Vec::new(), OPEN_TIMEOUT)
+                .await;
             if reply.is_ok_and(|reply| reply.status == 200) {
                 return true;
             }
@@ -412,7 +451,8 @@
 impl Reading {
     fn take_delta(&mut self, event: &SseEvent) {
         let data: serde_json::Value = serde_json::from_str(&event.data).unwrap_or_default();
-        self.text.push_str(data["text"].as_str().unwrap_or_default());
+        self.text
+            .push_str(data["text"].as_str().unwrap_or_default());
         self.last_event = event.id.clone();
     }
 }
--- a/crates/bench/src/cluster/process.rs
+++ b/crates/bench/src/cluster/process.rs
@@ -24,11 +24,18 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Missing(path) => {
-                write!(formatter, "{} is missing; run `cargo build --workspace`", path.display())
+                write!(
+                    formatter,
+                    "{} is missing; run `cargo build --workspace`",
+                    path.display()
+                )
             }
             Self::Io(error) => write!(formatter, "{error}; check limits and free space"),
             Self::NotReady(what) => {
-                write!(formatter, "{what} was not ready in time; read its log in the run's folder")
+                write!(
+                    formatter,
+                    "{what} was not ready in time; read its log in the run's folder"
+                )
             }
         }
     }
@@ -78,9 +85,17 @@
 fn program_path(name: &str) -> Result<PathBuf, ProcessError> {
     let own = std::env::current_exe()?;
     let folder = own.parent().unwrap_or(Path::new("."));
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let folder = if folder.ends_with("deps") {
+        folder.parent().unwrap_or(folder)
+    } else {
+        folder
+    };
     let path = folder.join(name);
-    if path.exists() { Ok(path) } else { Err(ProcessError::Missing(path)) }
+    if path.exists() {
+        Ok(path)
+    } else {
+        Err(ProcessError::Missing(path))
+    }
 }
 
 impl Process {
@@ -96,7 +111,10 @@
             .stdout(Stdio::null())
             .stderr(file)
             .spawn()?;
-        Ok(Self { child, log: log.to_owned() })
+        Ok(Self {
+            child,
+            log: log.to_owned(),
+        })
     }
 
     /// Process id.
--- a/crates/bench/src/cluster/shape.rs
+++ b/crates/bench/src/cluster/shape.rs
@@ -49,7 +49,9 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        let zones = ["imanta", "purvciems", "tornakalns"].map(str::to_owned).to_vec();
+        let zones = ["imanta", "purvciems", "tornakalns"]
+            .map(str::to_owned)
+            .to_vec();
         let engines = zones
             .iter()
             .map(|zone| EngineShape {
@@ -64,7 +66,10 @@
             shards: 8,
             replicas: 3,
             engines,
-            services: vec![("limits".to_owned(), true), ("instalments".to_owned(), true)],
+            services: vec![
+                ("limits".to_owned(), true),
+                ("instalments".to_owned(), true),
+            ],
             list_lag_ms: 500,
             settings: String::new(),
         }
@@ -132,10 +137,17 @@
         Ok(cluster)
     }
 
-    fn start_stand_in(&mut self, kind: &str, address: &str, more: &[String]) -> Result<(), ProcessError> {
+    fn start_stand_in(
+        &mut self,
+        kind: &str,
+        address: &str,
+        more: &[String],
+    ) -> Result<(), ProcessError> {
         let mut arguments = vec![kind.to_owned(), "--listen".to_owned(), address.to_owned()];
         arguments.extend(more.iter().cloned());
-        let log = self.folder.join(format!("{kind}-{}.log", address.replace(':', "-")));
+        let log = self
+            .folder
+            .join(format!("{kind}-{}.log", address.replace(':', "-")));
         let process = Process::start("fieldhook-emulator", &arguments, &log)?;
         self.stand_ins.insert(address.to_owned(), process);
         Ok(())
@@ -149,15 +161,31 @@
             let address = new_address()?;
             self.start_engine(&address, &engine)?;
             let labels = Labels::from([("model".to_owned(), engine.model)]);
-            self.list(format!("engine-{index}"), address, MachineKind::Engine, engine.zone, labels);
+            self.list(
+                format!("engine-{index}"),
+                address,
+                MachineKind::Engine,
+                engine.zone,
+                labels,
+            );
         }
         for (index, (service, lookup)) in self.shape.services.clone().into_iter().enumerate() {
             let address = new_address()?;
-            let flags = if lookup { Vec::new() } else { vec!["--no-lookup".to_owned()] };
+            let flags = if lookup {
+                Vec::new()
+            } else {
+                vec!["--no-lookup".to_owned()]
+            };
             self.start_stand_in("server", &address, &flags)?;
             let labels = Labels::from([("service".to_owned(), service)]);
             let zone = self.shape.zones[index % self.shape.zones.len()].clone();
-            self.list(format!("server-{index}"), address, MachineKind::Server, zone, labels);
+            self.list(
+                format!("server-{index}"),
+                address,
+                MachineKind::Server,
+                zone,
+                labels,
+            );
         }
         self.publish_list().await
     }
@@ -166,14 +194,32 @@
     ///
     /// # Errors
     /// The stand-in cannot be started.
-    pub fn start_engine(&mut self, address: &str, engine: &EngineShape) -> Result<(), ProcessError> {
+    pub fn start_engine(
+        &mut self,
+        address: &str,
+        engine: &EngineShape,
+    ) -> Result<(), ProcessError> {
         let mut flags = vec!["--model".to_owned(), engine.model.clone()];
         flags.extend(engine.flags.clone());
         self.start_stand_in("engine", address, &flags)
     }
 
-    fn list(&mut self, name: String, address: String, kind: MachineKind, zone: String, labels: Labels) {
-        self.listed.push(Machine { name, address, kind, zone, labels, leaving: false });
+    fn list(
+        &mut self,
+        name: String,
+        address: String,
+        kind: MachineKind,
+        zone: String,
+        labels: Labels,
+    ) {
+        self.listed.push(Machine {
+            name,
+            address,
+            kind,
+            zone,
+            labels,
+            leaving: false,
+        });
     }
 
     /// Tells the machine list what there is; readers see it after its lag.
@@ -185,8 +231,10 @@
         let body = serde_json::to_vec(&self.listed).unwrap_or_default();
         let begun = Instant::now();
         loop {
-            let sent =
-                self.client.fetch(Method::POST, &url, &[], body.clone(), REQUEST_TIMEOUT).await;
+            let sent = self
+                .client
+                .fetch(Method::POST, &url, &[], body.clone(), REQUEST_TIMEOUT)
+                .await;
             if sent.is_ok_and(|reply| reply.status == 200) {
                 return Ok(());
             }
@@ -200,7 +248,11 @@
     fn place_daemons(&mut self) -> Result<(), ProcessError> {
         for index in 0..self.shape.daemons {
             let zone = self.shape.zones[index % self.shape.zones.len()].clone();
-            self.daemons.push(DaemonHandle { address: new_address()?, zone, process: None });
+            self.daemons.push(DaemonHandle {
+                address: new_address()?,
+                zone,
+                process: None,
+            });
         }
         std::fs::write(self.folder.join(SETTINGS_FILE), self.settings_text())?;
         Ok(())
@@ -229,8 +281,11 @@
     }
 
     fn settings_text(&self) -> String {
-        let seeds: Vec<String> =
-            self.daemons.iter().map(|daemon| format!("{:?}", daemon.address)).collect();
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|daemon| format!("{:?}", daemon.address))
+            .collect();
         format!(
             "seeds = [{}]\nshards = {}\nreplicas = {}\n{}\n[platform]\nlog = {:?}\nmachines = {:?}\n",
             seeds.join(", "),
@@ -247,7 +302,11 @@
     /// # Errors
     /// One does not in time.
     pub async fn wait_ready(&self) -> Result<(), ProcessError> {
-        for daemon in self.daemons.iter().filter(|daemon| daemon.process.is_some()) {
+        for daemon in self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.process.is_some())
+        {
             self.wait_daemon_ready(&daemon.address).await?;
         }
         Ok(())
@@ -260,7 +319,11 @@
     pub async fn wait_daemon_ready(&self, address: &str) -> Result<(), ProcessError> {
         let begun = Instant::now();
         while begun.elapsed() < READY_LIMIT {
-            if self.get(address, "/readyz").await.is_some_and(|reply| reply.status == 200) {
+            if self
+                .get(address, "/readyz")
+                .await
+                .is_some_and(|reply| reply.status == 200)
+            {
                 return Ok(());
             }
             ntex::time::sleep(READY_STEP).await;
@@ -271,14 +334,20 @@
     /// Reads a path of any process of the cluster.
     pub async fn get(&self, address: &str, path: &str) -> Option<TextReply> {
         let url = format!("http://{address}{path}");
-        self.client.fetch(Method::GET, &url, &[], Vec::new(), REQUEST_TIMEOUT).await.ok()
+        self.client
+            .fetch(Method::GET, &url, &[], Vec::new(), REQUEST_TIMEOUT)
+            .await
+            .ok()
     }
 
     /// Sets the faults of a stand-in.
     pub async fn set_faults(&self, address: &str, plan: &FaultPlan) {
         let url = format!("http://{address}/control/faults");
         let body = serde_json::to_vec(plan).unwrap_or_default();
-        let _ = self.client.fetch(Method::POST, &url, &[], body, REQUEST_TIMEOUT).await;
+        let _ = self
+            .client
+            .fetch(Method::POST, &url, &[], body, REQUEST_TIMEOUT)
+            .await;
     }
 
     /// Sends a signal to a daemon.
@@ -297,13 +366,22 @@
 
     /// Index of the daemon that leads a shard, as daemons say.
     pub async fn leader_of(&self, shard: u16) -> Option<usize> {
-        for daemon in self.daemons.iter().filter(|daemon| daemon.process.is_some()) {
-            let Some(reply) = self.get(&daemon.address, "/v1/status").await else { continue };
+        for daemon in self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.process.is_some())
+        {
+            let Some(reply) = self.get(&daemon.address, "/v1/status").await else {
+                continue;
+            };
             let status: serde_json::Value = serde_json::from_str(&reply.body).ok()?;
             let shards = status["shards"].as_array()?;
             let route = shards.iter().find(|route| route["shard"] == shard)?;
             let leader = route["leader"].as_str()?;
-            return self.daemons.iter().position(|daemon| daemon.address == leader);
+            return self
+                .daemons
+                .iter()
+                .position(|daemon| daemon.address == leader);
         }
         None
     }
@@ -316,9 +394,16 @@
     /// Addresses of the servers of a service.
     pub fn servers(&self, service: &str) -> Vec<String> {
         let offers = |machine: &&Machine| {
-            machine.labels.get("service").is_some_and(|name| name == service)
+            machine
+                .labels
+                .get("service")
+                .is_some_and(|name| name == service)
         };
-        self.listed.iter().filter(offers).map(|machine| machine.address.clone()).collect()
+        self.listed
+            .iter()
+            .filter(offers)
+            .map(|machine| machine.address.clone())
+            .collect()
     }
 
     fn addresses(&self, kind: MachineKind) -> Vec<String> {
@@ -328,8 +413,14 @@
 
     /// Process ids of everything that runs.
     pub fn process_ids(&self) -> Vec<u32> {
-        let daemons = self.daemons.iter().filter_map(|daemon| daemon.process.as_ref());
-        daemons.chain(self.stand_ins.values()).map(Process::id).collect()
+        let daemons = self
+            .daemons
+            .iter()
+            .filter_map(|daemon| daemon.process.as_ref());
+        daemons
+            .chain(self.stand_ins.values())
+            .map(Process::id)
+            .collect()
     }
 
     /// Leaves everything running.
--- a/crates/bench/src/quickstart.rs
+++ b/crates/bench/src/quickstart.rs
@@ -49,7 +49,10 @@
     };
     let url = format!("http://{}/v1/streams/{CONFIG_STREAM}", cluster.log);
     let body = serde_json::to_vec(&change)?;
-    cluster.client.fetch(Method::POST, &url, &[], body, TIMEOUT).await?;
+    cluster
+        .client
+        .fetch(Method::POST, &url, &[], body, TIMEOUT)
+        .await?;
     for daemon in &cluster.daemons {
         wait_for_version(cluster, &daemon.address, 1).await?;
     }
@@ -75,18 +78,32 @@
 }
 
 async fn converse(cluster: &Cluster) -> Outcome<()> {
-    let gateways: Vec<String> =
-        cluster.daemons.iter().map(|daemon| daemon.address.clone()).collect();
+    let gateways: Vec<String> = cluster
+        .daemons
+        .iter()
+        .map(|daemon| daemon.address.clone())
+        .collect();
     let mut caller =
         Caller::open(&cluster.client, &gateways, "tambak", "checkout-1", BUDGET).await?;
     println!("Program {} is open.\n", caller.program);
-    turn(&mut caller, "May I pay the 900 ringgit phone in instalments?").await?;
+    turn(
+        &mut caller,
+        "May I pay the 900 ringgit phone in instalments?",
+    )
+    .await?;
     let limit = answered(caller.ask_server("limits", "limit/shopper-7", true).await)?;
     println!("tool  limits       {}: {}", limit.served_by, limit.content);
-    turn(&mut caller, "The limit look-up says 1200 ringgit. Which plans are there?").await?;
+    turn(
+        &mut caller,
+        "The limit look-up says 1200 ringgit. Which plans are there?",
+    )
+    .await?;
     turn(&mut caller, "I take three instalments.").await?;
     let plan = answered(caller.ask_server("instalments", "plans", false).await)?;
-    println!("tool  instalments  {}: {} (not repeatable)", plan.served_by, plan.content);
+    println!(
+        "tool  instalments  {}: {} (not repeatable)",
+        plan.served_by, plan.content
+    );
     turn(&mut caller, "The plan is created. Please confirm it.").await?;
     if let Some(violation) = caller.violations.first() {
         return Err(format!("an answer was wrong: {violation}").into());
@@ -127,9 +144,15 @@
 pub async fn executions(cluster: &Cluster, service: &str) -> Outcome<Vec<u64>> {
     let mut counts = Vec::new();
     for server in cluster.servers(service) {
-        let reply = cluster.get(&server, "/v1/executions").await.ok_or("server is silent")?;
+        let reply = cluster
+            .get(&server, "/v1/executions")
+            .await
+            .ok_or("server is silent")?;
         let seen: BTreeMap<String, serde_json::Value> = serde_json::from_str(&reply.body)?;
-        counts.extend(seen.values().filter_map(|execution| execution["count"].as_u64()));
+        counts.extend(
+            seen.values()
+                .filter_map(|execution| execution["count"].as_u64()),
+        );
     }
     Ok(counts)
 }
@@ -154,7 +177,9 @@
 pub async fn held_tokens(cluster: &Cluster, program: &str) -> u64 {
     let mut sum = 0;
     for engine in cluster.engines() {
-        let Some(reply) = cluster.get(&engine, "/v1/programs").await else { continue };
+        let Some(reply) = cluster.get(&engine, "/v1/programs").await else {
+            continue;
+        };
         let held: BTreeMap<String, u64> = serde_json::from_str(&reply.body).unwrap_or_default();
         sum += held.get(program).copied().unwrap_or(0);
     }
@@ -167,7 +192,11 @@
     for daemon in &cluster.daemons {
         println!("  http://{} in zone {}", daemon.address, daemon.zone);
     }
-    println!("Platform log: {}; logs and settings: {}", cluster.log, cluster.folder.display());
+    println!(
+        "Platform log: {}; logs and settings: {}",
+        cluster.log,
+        cluster.folder.display()
+    );
     println!("Talk to it as docs/API.md shows, for instance:");
     println!("  curl -s http://{}/v1/status", cluster.daemons[0].address);
     println!("Stop it with:\n  kill {}", ids.join(" "));
--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,180 @@
+//! The command line.
+
+use gumdrop::Options;
+
+/// fieldhook: the operators' client.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Show this help.
+    pub help: bool,
+    /// Daemon to ask.
+    #[options(meta = "IP:PORT", default = "127.0.0.1:7001")]
+    pub daemon: String,
+    /// Platform log, for publishing and history.
+    #[options(meta = "IP:PORT", default = "127.0.0.1:7100")]
+    pub log: String,
+    /// `table` or `json`.
+    #[options(meta = "FORM", default = "table")]
+    pub output: String,
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// Check, publish and look back on the configuration.
+    Config(ConfigArguments),
+    /// Show daemons, configuration, archive lag and engines.
+    Status(NoArguments),
+    /// Show shards with their leaders and members.
+    Shards(NoArguments),
+    /// List, show and cancel programs.
+    Programs(ProgramsArguments),
+    /// List engines; drain one by publishing configuration.
+    Engines(EnginesArguments),
+    /// Say which rules let which machines serve a program.
+    Explain(ExplainArguments),
+}
+
+/// No arguments.
+#[derive(Debug, Options)]
+pub struct NoArguments {
+    /// Show this help.
+    pub help: bool,
+}
+
+/// Configuration commands.
+#[derive(Debug, Options)]
+pub struct ConfigArguments {
+    /// Show this help.
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<ConfigCommand>,
+}
+
+/// What to do with the configuration.
+#[derive(Debug, Options)]
+pub enum ConfigCommand {
+    /// Check a document without publishing it.
+    Check(FileArguments),
+    /// Publish a document.
+    Publish(PublishArguments),
+    /// Print the document in force.
+    Show(NoArguments),
+    /// List all published changes and what became of them.
+    History(NoArguments),
+    /// Show what a version changed against an earlier one.
+    Diff(DiffArguments),
+}
+
+/// A file.
+#[derive(Debug, Options)]
+pub struct FileArguments {
+    /// Show this help.
+    pub help: bool,
+    /// The document (TOML).
+    #[options(free, required)]
+    pub file: String,
+}
+
+/// Publishing.
+#[derive(Debug, Options)]
+pub struct PublishArguments {
+    /// Show this help.
+    pub help: bool,
+    /// The document (TOML).
+    #[options(free, required)]
+    pub file: String,
+    /// Version that the document was made from; the one in force if absent.
+    #[options(meta = "N")]
+    pub based_on: Option<u64>,
+    /// Who publishes, for the history.
+    #[options(meta = "NAME", default = "operator")]
+    pub author: String,
+    /// Wait until the version is in force on all live daemons.
+    pub wait: bool,
+}
+
+/// Two versions.
+#[derive(Debug, Options)]
+pub struct DiffArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Earlier version; 0 is the empty document.
+    #[options(free, required)]
+    pub from: u64,
+    /// Later version.
+    #[options(free, required)]
+    pub to: u64,
+}
+
+/// Program commands.
+#[derive(Debug, Options)]
+pub struct ProgramsArguments {
+    /// Show this help.
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<ProgramsCommand>,
+}
+
+/// What to do with programs.
+#[derive(Debug, Options)]
+pub enum ProgramsCommand {
+    /// List the programs of all daemons.
+    List(NoArguments),
+    /// Show one program with its conversation.
+    Show(ProgramArguments),
+    /// End one program.
+    Cancel(ProgramArguments),
+}
+
+/// A program.
+#[derive(Debug, Options)]
+pub struct ProgramArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Identifier.
+    #[options(free, required)]
+    pub program: String,
+}
+
+/// A program to explain.
+#[derive(Debug, Options)]
+pub struct ExplainArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Identifier.
+    #[options(free, required)]
+    pub program: String,
+}
+
+/// Engine commands.
+#[derive(Debug, Options)]
+pub struct EnginesArguments {
+    /// Show this help.
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<EnginesCommand>,
+}
+
+/// What to do with engines.
+#[derive(Debug, Options)]
+pub enum EnginesCommand {
+    /// List the engines.
+    List(NoArguments),
+    /// Publish a rule that gives an engine no new work.
+    Drain(EngineArguments),
+    /// Publish the configuration without that rule.
+    Undrain(EngineArguments),
+}
+
+/// An engine.
+#[derive(Debug, Options)]
+pub struct EngineArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Name of the engine's machine.
+    #[options(free, required)]
+    pub name: String,
+}
--- /dev/null
+++ b/crates/cli/src/connection.rs
@@ -0,0 +1,108 @@
+//! Talking to daemons and to the platform's log.
+
+use crate::arguments::Arguments;
+use crate::error::ClientError;
+use crate::output::Form;
+use fieldhook_http::HttpClient;
+use fieldhook_model::operator::{ConfigStatus, Status};
+use fieldhook_model::platform::{LogPage, LogRecord};
+use ntex::http::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Whom to talk to and how to print.
+pub struct Connection {
+    client: HttpClient,
+    daemon: String,
+    log: String,
+    /// Form of the output.
+    pub form: Form,
+}
+
+impl Connection {
+    /// From the command line.
+    pub async fn new(arguments: &Arguments) -> Self {
+        Self {
+            client: HttpClient::new().await,
+            daemon: arguments.daemon.clone(),
+            log: arguments.log.clone(),
+            form: Form::parse(&arguments.output),
+        }
+    }
+
+    /// Reads a path of the named daemon.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
+        self.get_from(&self.daemon, path).await
+    }
+
+    /// Reads a path of any daemon.
+    pub async fn get_from<T: DeserializeOwned>(
+        &self,
+        daemon: &str,
+        path: &str,
+    ) -> Result<T, ClientError> {
+        Ok(self
+            .client
+            .get_json(&format!("http://{daemon}{path}"), TIMEOUT)
+            .await?)
+    }
+
+    /// Deletes a path at the named daemon.
+    pub async fn delete(&self, path: &str) -> Result<(), ClientError> {
+        let url = format!("http://{}{path}", self.daemon);
+        let reply = self
+            .client
+            .fetch(Method::DELETE, &url, &[], Vec::new(), TIMEOUT)
+            .await?;
+        if reply.status == 200 {
+            return Ok(());
+        }
+        Err(ClientError::Refused(reply.body))
+    }
+
+    /// The named daemon's status.
+    pub async fn status(&self) -> Result<Status, ClientError> {
+        self.get("/v1/status").await
+    }
+
+    /// The configuration in force at the named daemon.
+    pub async fn config(&self) -> Result<ConfigStatus, ClientError> {
+        self.get("/v1/config").await
+    }
+
+    /// Appends a record to a stream. Its answer is not needed: the stream says
+    /// what happened.
+    pub async fn append<T: Serialize>(&self, stream: &str, record: &T) -> Result<(), ClientError> {
+        let url = format!("http://{}/v1/streams/{stream}", self.log);
+        let body = serde_json::to_vec(record).unwrap_or_default();
+        let reply = self
+            .client
+            .fetch(Method::POST, &url, &[], body, TIMEOUT)
+            .await?;
+        if reply.status == 200 {
+            return Ok(());
+        }
+        Err(ClientError::Unreachable(format!(
+            "the log answered {}: {}",
+            reply.status, reply.body
+        )))
+    }
+
+    /// Reads a stream from its start to its end.
+    pub async fn read_stream(&self, stream: &str) -> Result<Vec<LogRecord>, ClientError> {
+        let mut records = Vec::new();
+        loop {
+            let from = records.len();
+            let url = format!("http://{}/v1/streams/{stream}?from={from}", self.log);
+            let page: LogPage = self.client.get_json(&url, TIMEOUT).await?;
+            let at_end = page.records.is_empty() || (from + page.records.len()) as u64 >= page.end;
+            records.extend(page.records);
+            if at_end {
+                return Ok(records);
+            }
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,43 @@
-fn main() {}
+//! `fieldhook`: the operators' client. It shows what is, and changes things by
+//! publishing configuration; it never places a request.
+
+mod arguments;
+mod config;
+mod connection;
+mod engines;
+mod error;
+mod output;
+mod programs;
+mod status;
+
+use arguments::{Arguments, Command};
+use error::ClientError;
+use gumdrop::Options;
+use std::process::ExitCode;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match run(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fieldhook: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(arguments: Arguments) -> Result<(), ClientError> {
+    let connection = connection::Connection::new(&arguments).await;
+    match arguments.command {
+        Some(Command::Config(command)) => config::run(&connection, command).await,
+        Some(Command::Status(_)) => status::show_status(&connection).await,
+        Some(Command::Shards(_)) => status::show_shards(&connection).await,
+        Some(Command::Programs(command)) => programs::run(&connection, command).await,
+        Some(Command::Engines(command)) => engines::run(&connection, command).await,
+        Some(Command::Explain(options)) => programs::explain(&connection, &options.program).await,
+        None => Err(ClientError::Usage(
+            "name a command; see fieldhook --help".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/programs.rs
@@ -0,0 +1,112 @@
+//! `programs` and `explain`.
+
+use crate::arguments::{ProgramsArguments, ProgramsCommand};
+use crate::connection::Connection;
+use crate::error::ClientError;
+use crate::output::{Form, print};
+use fieldhook_model::api::ProgramView;
+use fieldhook_model::operator::{Explanation, ProgramLine};
+
+/// Runs a program command.
+pub async fn run(connection: &Connection, arguments: ProgramsArguments) -> Result<(), ClientError> {
+    match arguments.command {
+        Some(ProgramsCommand::List(_)) => list(connection).await,
+        Some(ProgramsCommand::Show(options)) => show(connection, &options.program).await,
+        Some(ProgramsCommand::Cancel(options)) => cancel(connection, &options.program).await,
+        None => Err(ClientError::Usage(
+            "see fieldhook programs --help".to_owned(),
+        )),
+    }
+}
+
+/// Each daemon lists the programs of the shards that it leads.
+async fn list(connection: &Connection) -> Result<(), ClientError> {
+    let mut programs: Vec<ProgramLine> = Vec::new();
+    for daemon in connection.status().await?.daemons {
+        if daemon.state == "alive" {
+            let path = "/v1/operator/programs";
+            programs.extend(
+                connection
+                    .get_from::<Vec<ProgramLine>>(&daemon.address, path)
+                    .await?,
+            );
+        }
+    }
+    let rows: Vec<Vec<String>> = programs.iter().map(program_row).collect();
+    let head = ["PROGRAM", "TENANT", "PHASE", "CALLS", "RUNNING"];
+    print(connection.form, &programs, &head, &rows);
+    Ok(())
+}
+
+fn program_row(line: &ProgramLine) -> Vec<String> {
+    vec![
+        line.program.clone(),
+        line.tenant.clone(),
+        line.phase.clone(),
+        line.calls.to_string(),
+        line.running_call
+            .map(|number| number.to_string())
+            .unwrap_or_default(),
+    ]
+}
+
+async fn show(connection: &Connection, program: &str) -> Result<(), ClientError> {
+    let view: ProgramView = connection.get(&format!("/v1/programs/{program}")).await?;
+    if connection.form == Form::Json {
+        print(Form::Json, &view, &[], &[]);
+        return Ok(());
+    }
+    println!("program  {} ({})", view.program, view.phase);
+    println!("tenant   {}", view.tenant);
+    println!("calls    {}, running: {:?}", view.calls, view.running_call);
+    println!(
+        "budget   {} spent, {} reserved of {}",
+        view.spent, view.reserved, view.budget
+    );
+    println!("held by  {}", view.held_by.join(", "));
+    for message in &view.history {
+        println!("{:>9}  {}", message.role, message.content);
+    }
+    Ok(())
+}
+
+async fn cancel(connection: &Connection, program: &str) -> Result<(), ClientError> {
+    connection
+        .delete(&format!("/v1/operator/programs/{program}"))
+        .await?;
+    println!("{program} has ended");
+    Ok(())
+}
+
+/// Says which rules let which machines serve a program.
+pub async fn explain(connection: &Connection, program: &str) -> Result<(), ClientError> {
+    let machines: Vec<Explanation> = connection
+        .get(&format!("/v1/operator/explain/{program}"))
+        .await?;
+    let rows: Vec<Vec<String>> = machines.iter().map(explanation_row).collect();
+    let head = [
+        "MACHINE",
+        "NAME",
+        "ALLOWED",
+        "AVAILABLE",
+        "PRIORITY",
+        "EXPECTED MS",
+        "HELD",
+        "RULES",
+    ];
+    print(connection.form, &machines, &head, &rows);
+    Ok(())
+}
+
+fn explanation_row(line: &Explanation) -> Vec<String> {
+    vec![
+        line.machine.clone(),
+        line.labels.get("name").cloned().unwrap_or_default(),
+        line.allowed.to_string(),
+        line.available.to_string(),
+        line.priority.to_string(),
+        line.expected_ms.to_string(),
+        line.held_tokens.to_string(),
+        line.rules.join(","),
+    ]
+}
--- a/crates/consensus/tests/group_fuzz.rs
+++ b/crates/consensus/tests/group_fuzz.rs
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn group_agrees_on_one_sequence() {
+fn fuzz_group_agrees_on_one_sequence() {
     let seed = setting("FIELDHOOK_FUZZ_SEED", 7);
     let cases = setting("FIELDHOOK_FUZZ_CASES", 300);
     QuickCheck::new()
--- a/crates/consensus/tests/support/simulation.rs
+++ b/crates/consensus/tests/support/simulation.rs
@@ -402,7 +402,7 @@
             .collect();
         for command in &self.acknowledged {
             assert!(
-                commands.contains(&command.to_le_bytes().to_vec()),
+                commands.contains(command.to_le_bytes().as_slice()),
                 "lost command {command}"
             );
         }
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -22,7 +22,10 @@
     tracing::info!("planned stop begins");
     node.set_phase(Phase::Draining);
     let begun = Instant::now();
-    let handovers = node.hosts().into_iter().map(|host| hand_over(node.clone(), host));
+    let handovers = node
+        .hosts()
+        .into_iter()
+        .map(|host| hand_over(node.clone(), host));
     futures_util::future::join_all(handovers).await;
     while node.metrics.in_flight.get() > 0 && begun.elapsed() < STOP_LIMIT {
         sleep(CHECK).await;
@@ -51,7 +54,10 @@
     let state = host.state.borrow();
     let running = host.live.borrow();
     running.keys().any(|(program, number)| {
-        let record = state.programs.get(program).and_then(|program| program.call(*number));
+        let record = state
+            .programs
+            .get(program)
+            .and_then(|program| program.call(*number));
         record.is_some_and(|call| !call.repeatable && call.state == CallState::Running)
     })
 }
@@ -67,7 +73,10 @@
             })
         };
         let voters = core.members().voters.iter();
-        voters.filter(|id| **id != node.id && core.is_caught_up(**id)).find(|id| is_alive(id)).copied()
+        voters
+            .filter(|id| **id != node.id && core.is_caught_up(**id))
+            .find(|id| is_alive(id))
+            .copied()
     };
     let Some(successor) = successor else { return };
     let started = host.core.borrow_mut().transfer(successor);
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -109,12 +109,12 @@
         return Err(invalid("call numbers start at 1"));
     }
     match &body.call {
-        CallSpec::Model(model) if model.max_tokens == 0 || model.messages.is_empty() => {
-            Err(invalid("send at least one message and a max_tokens of at least 1"))
-        }
-        CallSpec::Model(_) if !body.is_repeatable() => {
-            Err(invalid("leave repeatable out of model calls; they change nothing outside"))
-        }
+        CallSpec::Model(model) if model.max_tokens == 0 || model.messages.is_empty() => Err(
+            invalid("send at least one message and a max_tokens of at least 1"),
+        ),
+        CallSpec::Model(_) if !body.is_repeatable() => Err(invalid(
+            "leave repeatable out of model calls; they change nothing outside",
+        )),
         _ => Ok(()),
     }
 }
@@ -125,7 +125,10 @@
 
 fn parse_event_id(text: &str) -> Result<Position, CallError> {
     let parsed = text.split_once(':').and_then(|(lineage, offset)| {
-        Some(Position { lineage: lineage.parse().ok()?, offset: offset.parse().ok()? })
+        Some(Position {
+            lineage: lineage.parse().ok()?,
+            offset: offset.parse().ok()?,
+        })
     });
     parsed.ok_or_else(|| invalid("send the id of the last event received as Last-Event-ID"))
 }
@@ -158,9 +161,17 @@
 
 fn encode(event: StreamEvent) -> String {
     match event {
-        StreamEvent::Delta { lineage, offset, text } => {
+        StreamEvent::Delta {
+            lineage,
+            offset,
+            text,
+        } => {
             let offset = offset + text.len() as u64;
-            encode_event(&event_id(Position { lineage, offset }), "delta", &DeltaData { text })
+            encode_event(
+                &event_id(Position { lineage, offset }),
+                "delta",
+                &DeltaData { text },
+            )
         }
         StreamEvent::Reset => encode_event("0:0", "reset", &EmptyData {}),
         StreamEvent::Done(answer) => encode_event("", "done", &answer),
@@ -171,6 +182,9 @@
 }
 
 fn lost() -> CallError {
-    CallError::not_run(ErrorKind::Unavailable, "ask again under the same request key")
-        .executed(Executed::Unknown)
+    CallError::not_run(
+        ErrorKind::Unavailable,
+        "ask again under the same request key",
+    )
+    .executed(Executed::Unknown)
 }
--- a/crates/daemon/src/gateway/commands.rs
+++ b/crates/daemon/src/gateway/commands.rs
@@ -47,7 +47,11 @@
         node.metrics.leader_retries.inc();
         sleep(RETRY_PAUSE).await;
     }
-    let executed = if sent { Executed::Unknown } else { Executed::No };
+    let executed = if sent {
+        Executed::Unknown
+    } else {
+        Executed::No
+    };
     Err(CallError::not_run(
         ErrorKind::Unavailable,
         "ask again; the program's shard has no leader now",
--- a/crates/daemon/src/gateway/input.rs
+++ b/crates/daemon/src/gateway/input.rs
@@ -68,12 +68,14 @@
 /// Not one of this installation's identifiers.
 pub fn parse_program(node: &Node, text: &str) -> Result<ProgramId, CallError> {
     let parsed = text.parse::<ProgramId>().ok();
-    parsed.filter(|id| id.shard < node.settings.shards).ok_or_else(|| {
-        CallError::not_run(
-            ErrorKind::ProgramUnknown,
-            "use the identifier that POST /v1/programs returned",
-        )
-    })
+    parsed
+        .filter(|id| id.shard < node.settings.shards)
+        .ok_or_else(|| {
+            CallError::not_run(
+                ErrorKind::ProgramUnknown,
+                "use the identifier that POST /v1/programs returned",
+            )
+        })
 }
 
 /// Checks a request key.
--- a/crates/daemon/src/gateway/programs.rs
+++ b/crates/daemon/src/gateway/programs.rs
@@ -1,7 +1,9 @@
 //! Routes to open, show and end programs.
 
 use crate::gateway::commands::ask_leader;
-use crate::gateway::input::{check_admission, check_key, failure, invalid, parse_program, read_json};
+use crate::gateway::input::{
+    check_admission, check_key, failure, invalid, parse_program, read_json,
+};
 use crate::node::Node;
 use crate::sequencer::CommandMessage;
 use fieldhook_http::json;
@@ -23,13 +25,15 @@
 }
 
 /// `POST /v1/programs`.
-pub async fn post_program(
-    node: types::State<Rc<Node>>,
-    payload: types::Payload,
-) -> HttpResponse {
+pub async fn post_program(node: types::State<Rc<Node>>, payload: types::Payload) -> HttpResponse {
     node.metrics.requests.inc();
     match open_program(&node, payload).await {
-        Ok(program) => json(201, &ProgramOpened { program: program.to_string() }),
+        Ok(program) => json(
+            201,
+            &ProgramOpened {
+                program: program.to_string(),
+            },
+        ),
         Err(error) => failure(&node, &error),
     }
 }
@@ -50,7 +54,9 @@
     }
     let budget = u64::try_from(request.budget).map_err(|_| invalid("use a budget of 0 or more"))?;
     if !(1..=LONGEST_DEADLINE_MS).contains(&request.deadline_ms) {
-        return Err(invalid(format!("use a deadline_ms of 1 to {LONGEST_DEADLINE_MS}")));
+        return Err(invalid(format!(
+            "use a deadline_ms of 1 to {LONGEST_DEADLINE_MS}"
+        )));
     }
     let parent = match &request.parent {
         Some(text) => Some(parse_program(node, text)?),
@@ -72,10 +78,7 @@
 }
 
 /// `GET /v1/programs/{id}`.
-pub async fn show_program(
-    node: types::State<Rc<Node>>,
-    id: types::Path<String>,
-) -> HttpResponse {
+pub async fn show_program(node: types::State<Rc<Node>>, id: types::Path<String>) -> HttpResponse {
     let asked = match parse_program(&node, &id) {
         Ok(program) => ask_leader(&node, CommandMessage::View(program)).await,
         Err(error) => Err(error),
@@ -87,20 +90,26 @@
 }
 
 /// `DELETE /v1/programs/{id}`.
-pub async fn delete_program(
-    node: types::State<Rc<Node>>,
-    id: types::Path<String>,
-) -> HttpResponse {
+pub async fn delete_program(node: types::State<Rc<Node>>, id: types::Path<String>) -> HttpResponse {
     node.metrics.requests.inc();
     let asked = match parse_program(&node, &id) {
         Ok(program) => {
-            let message = CommandMessage::End { program, reason: EndReason::Caller };
+            let message = CommandMessage::End {
+                program,
+                reason: EndReason::Caller,
+            };
             ask_leader(&node, message).await
         }
         Err(error) => Err(error),
     };
     match asked {
-        Ok(_) => json(200, &ProgramEnded { program: id.into_inner(), phase: "ended" }),
+        Ok(_) => json(
+            200,
+            &ProgramEnded {
+                program: id.into_inner(),
+                phase: "ended",
+            },
+        ),
         Err(error) => failure(&node, &error),
     }
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -41,8 +41,14 @@
 /// Relays a call until its closing event or until the reader is gone.
 pub async fn relay(node: Rc<Node>, call: CallMessage, out: mpsc::Sender<StreamEvent>) {
     let search = LeaderSearch::new(node.clone(), call.program.shard);
-    let mut relay =
-        Relay { node, call, out, search, last_contact: Instant::now(), sent_before: false };
+    let mut relay = Relay {
+        node,
+        call,
+        out,
+        search,
+        last_contact: Instant::now(),
+        sent_before: false,
+    };
     relay.run().await;
 }
 
@@ -65,7 +71,9 @@
     }
 
     async fn ask_once(&mut self) -> Followed {
-        let Some(leader) = self.search.next() else { return Followed::AskAgain };
+        let Some(leader) = self.search.next() else {
+            return Followed::AskAgain;
+        };
         self.call.copied = self.sent_before;
         match EventSource::open(&self.node, leader, &self.call).await {
             Ok(source) => self.follow(source).await,
@@ -109,7 +117,11 @@
     /// Keeps what the reader has, for the next leader to go on from.
     fn note(&mut self, event: &StreamEvent) {
         match event {
-            StreamEvent::Delta { lineage, offset, text } => {
+            StreamEvent::Delta {
+                lineage,
+                offset,
+                text,
+            } => {
                 if *offset == 0 {
                     self.call.seen = Some(String::new());
                 }
@@ -117,7 +129,10 @@
                     seen.push_str(text);
                 }
                 let offset = offset + text.len() as u64;
-                self.call.position = Position { lineage: *lineage, offset };
+                self.call.position = Position {
+                    lineage: *lineage,
+                    offset,
+                };
             }
             StreamEvent::Reset => {
                 self.call.seen = None;
@@ -132,7 +147,11 @@
             ErrorKind::Unavailable,
             "ask again under the same request key; the program's shard has no leader now",
         );
-        let executed = if self.sent_before { Executed::Unknown } else { Executed::No };
+        let executed = if self.sent_before {
+            Executed::Unknown
+        } else {
+            Executed::No
+        };
         error.executed(executed).retry_after(GIVE_UP_RETRY_MS)
     }
 }
--- a/crates/daemon/src/gateway/routing.rs
+++ b/crates/daemon/src/gateway/routing.rs
@@ -17,7 +17,12 @@
 impl LeaderSearch {
     /// Starts from what this daemon knows.
     pub fn new(node: Rc<Node>, shard: ShardId) -> Self {
-        Self { node, shard, hint: None, turn: 0 }
+        Self {
+            node,
+            shard,
+            hint: None,
+            turn: 0,
+        }
     }
 
     /// Whom to ask next: this daemon if it leads, a hint, the known leader, or
@@ -38,13 +43,17 @@
     /// Takes the word of someone who said that another leads.
     pub fn take_hint(&mut self, leader: Option<ReplicaId>) {
         let own = self.node.id.address;
-        self.hint = leader.map(|leader| leader.address).filter(|address| *address != own);
+        self.hint = leader
+            .map(|leader| leader.address)
+            .filter(|address| *address != own);
     }
 
     fn candidates(&self) -> Vec<Address> {
         let detector = self.node.detector.borrow();
         let table = detector.table();
-        let Some(route) = table.route(self.shard) else { return Vec::new() };
+        let Some(route) = table.route(self.shard) else {
+            return Vec::new();
+        };
         let is_up = |id: &ReplicaId| {
             let member = table.member(id.address);
             member.is_some_and(|member| member.id == *id && member.state < MemberState::Dead)
@@ -56,6 +65,9 @@
             live.retain(|id| *id != known);
             live.insert(0, known);
         }
-        live.into_iter().map(|id| id.address).filter(|item| *item != self.node.id.address).collect()
+        live.into_iter()
+            .map(|id| id.address)
+            .filter(|item| *item != self.node.id.address)
+            .collect()
     }
 }
--- a/crates/daemon/src/gateway/source.rs
+++ b/crates/daemon/src/gateway/source.rs
@@ -59,11 +59,17 @@
         }
         let url = node.url(leader, "/internal/call");
         let body = call.serialize_bin();
-        let response = node.client.open(Method::POST, &url, &[], body, SILENCE).await?;
+        let response = node
+            .client
+            .open(Method::POST, &url, &[], body, SILENCE)
+            .await?;
         if !response.status().is_success() {
             return Err(SendError::Unknown(format!("status {}", response.status())));
         }
-        Ok(Self::Remote(Box::new(FrameReader { response, pending: Vec::new() })))
+        Ok(Self::Remote(Box::new(FrameReader {
+            response,
+            pending: Vec::new(),
+        })))
     }
 
     /// The next event; nothing if the leader is lost or silent.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -57,7 +57,10 @@
     match serve(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
-            tracing::error!(cause, "cannot serve; check that the address is free and is this machine's");
+            tracing::error!(
+                cause,
+                "cannot serve; check that the address is free and is this machine's"
+            );
             ExitCode::from(CANNOT_SERVE)
         }
     }
@@ -136,12 +139,24 @@
 async fn exchange_facts(node: Rc<Node>) {
     loop {
         let starting = node.phase() == Phase::Starting;
-        sleep(if starting { FIRST_EXCHANGE_PAUSE } else { EXCHANGE_PAUSE }).await;
+        sleep(if starting {
+            FIRST_EXCHANGE_PAUSE
+        } else {
+            EXCHANGE_PAUSE
+        })
+        .await;
         let peers: Vec<_> = {
             let detector = node.detector.borrow();
-            detector.table().live().map(|member| member.id).filter(|id| *id != node.id).collect()
+            detector
+                .table()
+                .live()
+                .map(|member| member.id)
+                .filter(|id| *id != node.id)
+                .collect()
+        };
+        let Some(peer) = fastrand::choice(&peers) else {
+            continue;
         };
-        let Some(peer) = fastrand::choice(&peers) else { continue };
         let mine = FactExchange {
             digest: node.detector.borrow().table().digest(),
             facts: Vec::new(),
@@ -158,9 +173,10 @@
 }
 
 async fn stop_on_signal(node: Rc<Node>, drained: oneshot::Sender<()>) {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
         return;
     };
     tokio::select! {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,7 +52,11 @@
         Self {
             requests: counter(r, "fieldhook_requests_total", "Requests from callers"),
             in_flight: gauge(r, "fieldhook_in_flight", "Requests under way for callers"),
-            errors: counter(r, "fieldhook_errors_total", "Answers that ended in an error"),
+            errors: counter(
+                r,
+                "fieldhook_errors_total",
+                "Answers that ended in an error",
+            ),
             leader_retries: counter(r, "fieldhook_leader_retries_total", "Calls asked again"),
             further_attempts: counter(
                 r,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,7 +1,6 @@
 //! The daemon's shared state, on one thread.
 
 use crate::metrics::Metrics;
-use fieldhook_model::claims::ClaimTable;
 use crate::platform::fleet::Fleet;
 use crate::settings::Settings;
 use crate::shard::ShardHost;
@@ -9,6 +8,7 @@
 use fieldhook_http::HttpClient;
 use fieldhook_membership::{Detector, Fact};
 use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::claims::ClaimTable;
 use fieldhook_model::config_log::ConfigState;
 use fieldhook_model::ids::ShardId;
 use std::cell::{Cell, RefCell};
@@ -65,12 +65,21 @@
 
 impl Node {
     /// The state of a new process.
-    pub fn new(settings: Settings, address: Address, seeds: Vec<Address>, client: HttpClient) -> Self {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let id = ReplicaId { address, incarnation: since_epoch.as_millis() as u64 };
+    pub fn new(
+        settings: Settings,
+        address: Address,
+        seeds: Vec<Address>,
+        client: HttpClient,
+    ) -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let id = ReplicaId {
+            address,
+            incarnation: since_epoch.as_millis() as u64,
+        };
         let seed = fastrand::u64(..);
-        let detector =
-            Detector::new(id, &settings.zone, seeds, settings.membership_core(), seed);
+        let detector = Detector::new(id, &settings.zone, seeds, settings.membership_core(), seed);
         Self {
             id,
             client,
@@ -126,8 +135,10 @@
     /// touch with the log or with most peers, from whom it would have heard of
     /// a newer configuration.
     pub fn may_admit(&self) -> bool {
-        let log_recent =
-            self.log_contact.get().is_some_and(|contact| contact.elapsed() < ISOLATION_LIMIT);
+        let log_recent = self
+            .log_contact
+            .get()
+            .is_some_and(|contact| contact.elapsed() < ISOLATION_LIMIT);
         let peers_recent = self.peer_contact.get().elapsed() < ISOLATION_LIMIT;
         self.phase() == Phase::Serving && (log_recent || peers_recent)
     }
@@ -135,9 +146,10 @@
     /// Notes whether most known daemons are held alive.
     pub fn check_peers(&self) {
         let detector = self.detector.borrow();
-        let known = detector.table().members().filter(|member| {
-            member.state != fieldhook_membership::MemberState::Left
-        });
+        let known = detector
+            .table()
+            .members()
+            .filter(|member| member.state != fieldhook_membership::MemberState::Left);
         let live = detector.table().live().count();
         if live * 2 > known.count() {
             self.peer_contact.set(Instant::now());
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,93 +1,35 @@
 //! Routes for the operators' client. They show; they place nothing.
 
+use crate::gateway::{ask_leader, failure, parse_program};
 use crate::node::Node;
 use crate::platform::fleet::engine_views;
+use crate::sequencer::CommandMessage;
 use fieldhook_http::json;
 use fieldhook_membership::MemberState;
+use fieldhook_model::api::ProgramView;
+use fieldhook_model::error::CallError;
+use fieldhook_model::operator::{
+    ConfigStatus, DaemonStatus, EngineStatus, Explanation, ProgramLine, ShardStatus, Status,
+};
+use fieldhook_placement::{EngineView, estimate, judge};
+use fieldhook_program::EndReason;
 use ntex::web::{self, HttpResponse, ServiceConfig, types};
-use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
-/// One daemon, as another sees it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct DaemonStatus {
-    /// IP and port.
-    pub address: String,
-    /// Zone.
-    pub zone: String,
-    /// `alive`, `suspect`, `dead` or `left`.
-    pub state: String,
-}
-
-/// One shard, as this daemon knows it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ShardStatus {
-    /// The shard.
-    pub shard: u16,
-    /// Epoch of its group.
-    pub epoch: u64,
-    /// Term of its leader.
-    pub term: u64,
-    /// Its leader.
-    pub leader: String,
-    /// Its members.
-    pub members: Vec<String>,
-}
-
-/// One engine, as this daemon sees it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct EngineStatus {
-    /// IP and port.
-    pub address: String,
-    /// Its labels.
-    pub labels: std::collections::BTreeMap<String, String>,
-    /// Sequences in its batch.
-    pub running: u32,
-    /// Sequences in its queue.
-    pub waiting: u32,
-    /// Cached tokens.
-    pub cached_tokens: u64,
-    /// Whether it answered lately.
-    pub reachable: bool,
-    /// Whether it gets no new work.
-    pub leaving: bool,
-}
-
-/// Answer to `GET /v1/status`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Status {
-    /// The daemon that answers.
-    pub address: String,
-    /// Version of the configuration in force there.
-    pub config_version: u64,
-    /// Committed commands that the platform's log does not have yet.
-    pub archive_lag: i64,
-    /// All daemons.
-    pub daemons: Vec<DaemonStatus>,
-    /// All shards.
-    pub shards: Vec<ShardStatus>,
-    /// All engines.
-    pub engines: Vec<EngineStatus>,
-}
-
-/// Answer to `GET /v1/config`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ConfigStatus {
-    /// Version in force.
-    pub version: u64,
-    /// Key of the change that made it.
-    pub change_key: String,
-    /// Offset after the last folded record of the log.
-    pub next_offset: u64,
-    /// The document.
-    pub document: String,
-}
+/// Tokens of the answer that an explanation reckons with.
+const TYPICAL_ANSWER_TOKENS: u64 = 64;
 
 /// Adds the routes.
 pub fn configure(config: &mut ServiceConfig) {
     config
         .route("/v1/status", web::get().to(show_status))
-        .route("/v1/config", web::get().to(show_config));
+        .route("/v1/config", web::get().to(show_config))
+        .route("/v1/operator/programs", web::get().to(list_programs))
+        .route(
+            "/v1/operator/programs/{id}",
+            web::delete().to(cancel_program),
+        )
+        .route("/v1/operator/explain/{id}", web::get().to(explain_program));
 }
 
 async fn show_config(node: types::State<Rc<Node>>) -> HttpResponse {
@@ -147,7 +89,11 @@
             epoch: route.epoch,
             term: route.term,
             leader: route.leader.address.to_string(),
-            members: route.members.iter().map(|id| id.address.to_string()).collect(),
+            members: route
+                .members
+                .iter()
+                .map(|id| id.address.to_string())
+                .collect(),
         })
         .collect()
 }
@@ -166,3 +112,88 @@
         })
         .collect()
 }
+
+/// Programs of the shards led here.
+async fn list_programs(node: types::State<Rc<Node>>) -> HttpResponse {
+    let mut lines = Vec::new();
+    for host in node.hosts().into_iter().filter(|host| host.leads()) {
+        let state = host.state.borrow();
+        lines.extend(state.programs.iter().map(|(id, program)| ProgramLine {
+            program: id.to_string(),
+            tenant: program.tenant.clone(),
+            phase: if program.is_open() { "open" } else { "ended" }.to_owned(),
+            calls: program.calls.len() as u64,
+            running_call: program.running_call(),
+        }));
+    }
+    json(200, &lines)
+}
+
+async fn cancel_program(node: types::State<Rc<Node>>, id: types::Path<String>) -> HttpResponse {
+    let ended = match parse_program(&node, &id) {
+        Ok(program) => {
+            let message = CommandMessage::End {
+                program,
+                reason: EndReason::Operator,
+            };
+            ask_leader(&node, message).await
+        }
+        Err(error) => Err(error),
+    };
+    match ended {
+        Ok(_) => json(200, &"ended"),
+        Err(error) => failure(&node, &error),
+    }
+}
+
+async fn explain_program(node: types::State<Rc<Node>>, id: types::Path<String>) -> HttpResponse {
+    match find_program(&node, &id).await {
+        Ok(view) => json(200, &explain(&node, &view)),
+        Err(error) => failure(&node, &error),
+    }
+}
+
+async fn find_program(node: &Rc<Node>, id: &str) -> Result<ProgramView, CallError> {
+    let program = parse_program(node, id)?;
+    let view = ask_leader(node, CommandMessage::View(program)).await?;
+    view.ok_or_else(|| {
+        CallError::not_run(
+            fieldhook_model::error::ErrorKind::ProgramUnknown,
+            "open the program first",
+        )
+    })
+}
+
+fn explain(node: &Node, program: &ProgramView) -> Vec<Explanation> {
+    let mut labels = program.labels.clone();
+    labels.insert("tenant".to_owned(), program.tenant.clone());
+    let config = node.config.borrow();
+    let bytes: usize = program
+        .history
+        .iter()
+        .map(|message| message.content.len())
+        .sum();
+    let explain_engine = |engine: EngineView| {
+        let verdict = judge(&config.document, &labels, &engine.labels);
+        let holds = program.held_by.contains(&engine.address);
+        let held = if holds { bytes as u64 / 4 } else { 0 };
+        let missing = bytes as u64 / 4 - held;
+        let expected = estimate(
+            &engine.load,
+            engine.assigned,
+            missing,
+            TYPICAL_ANSWER_TOKENS,
+        );
+        Explanation {
+            allowed: verdict.allowed,
+            rules: verdict.matched,
+            priority: verdict.priority,
+            available: engine.reachable && !engine.leaving && !engine.load.leaving,
+            expected_ms: expected.total_us() / 1_000,
+            held_tokens: held,
+            machine: engine.address,
+            labels: engine.labels,
+        }
+    };
+    engine_views(node).into_iter().map(explain_engine).collect()
+}
--- a/crates/daemon/src/platform/archive.rs
+++ b/crates/daemon/src/platform/archive.rs
@@ -85,7 +85,11 @@
 impl ArchiveQueue {
     /// Begins with a new leadership.
     pub fn begin(&mut self) {
-        *self = Self { active: true, snapshot_due: true, ..Self::default() };
+        *self = Self {
+            active: true,
+            snapshot_due: true,
+            ..Self::default()
+        };
     }
 
     /// Ends with the leadership.
@@ -123,7 +127,11 @@
     }
 
     fn drop_until(&mut self, index: u64) {
-        while self.waiting.front().is_some_and(|(first, _)| *first <= index) {
+        while self
+            .waiting
+            .front()
+            .is_some_and(|(first, _)| *first <= index)
+        {
             if let Some((_, command)) = self.waiting.pop_front() {
                 self.waiting_bytes -= command.len();
             }
@@ -136,7 +144,8 @@
 pub async fn run_archive(node: Rc<Node>) {
     loop {
         for host in node.hosts() {
-            if host.leads() && host.archive.borrow().lag() > 0 && !archive_some(&node, &host).await {
+            if host.leads() && host.archive.borrow().lag() > 0 && !archive_some(&node, &host).await
+            {
                 sleep(RETRY).await;
                 break;
             }
@@ -157,12 +166,24 @@
     let index = host.applied();
     let state = STANDARD.encode(host.state.borrow().serialize_bin());
     let content = ArchiveContent::Snapshot(state);
-    let record = ArchiveRecord { epoch: host.epoch, from: 1, to: index, content };
+    let record = ArchiveRecord {
+        epoch: host.epoch,
+        from: 1,
+        to: index,
+        content,
+    };
     let Some(offset) = write(node, &archive_stream(host.shard), &record).await else {
         return false;
     };
-    let pointer = SnapshotPointer { epoch: host.epoch, index, offset };
-    if write(node, &pointer_stream(host.shard), &pointer).await.is_none() {
+    let pointer = SnapshotPointer {
+        epoch: host.epoch,
+        index,
+        offset,
+    };
+    if write(node, &pointer_stream(host.shard), &pointer)
+        .await
+        .is_none()
+    {
         return false;
     }
     host.archive.borrow_mut().snapshot_taken(index);
@@ -173,8 +194,13 @@
     let record = {
         let queue = host.archive.borrow();
         let batch: Vec<&(u64, Vec<u8>)> = queue.waiting.iter().take(BATCH_COMMANDS).collect();
-        let Some((to, _)) = batch.last() else { return true };
-        let commands = batch.iter().map(|(_, command)| STANDARD.encode(command)).collect();
+        let Some((to, _)) = batch.last() else {
+            return true;
+        };
+        let commands = batch
+            .iter()
+            .map(|(_, command)| STANDARD.encode(command))
+            .collect();
         ArchiveRecord {
             epoch: host.epoch,
             from: queue.covered + 1,
@@ -182,7 +208,10 @@
             content: ArchiveContent::Commands(commands),
         }
     };
-    if write(node, &archive_stream(host.shard), &record).await.is_none() {
+    if write(node, &archive_stream(host.shard), &record)
+        .await
+        .is_none()
+    {
         return false;
     }
     host.archive.borrow_mut().drop_until(record.to);
--- a/crates/daemon/src/platform/claims.rs
+++ b/crates/daemon/src/platform/claims.rs
@@ -26,12 +26,18 @@
 const MEMBERS_PAUSE: Millis = Millis(500);
 
 fn claimed(id: ReplicaId) -> ClaimedReplica {
-    ClaimedReplica { address: id.address.to_string(), incarnation: id.incarnation }
+    ClaimedReplica {
+        address: id.address.to_string(),
+        incarnation: id.incarnation,
+    }
 }
 
 fn replica(claimed: &ClaimedReplica) -> Option<ReplicaId> {
     let address = claimed.address.parse().ok()?;
-    Some(ReplicaId { address, incarnation: claimed.incarnation })
+    Some(ReplicaId {
+        address,
+        incarnation: claimed.incarnation,
+    })
 }
 
 /// Follows the claims, forms this daemon's groups, and claims what is free.
@@ -59,12 +65,17 @@
 }
 
 fn take_part(node: &Rc<Node>, shard: ShardId) {
-    let Some(group) = node.claims.borrow().groups.get(&shard).cloned() else { return };
+    let Some(group) = node.claims.borrow().groups.get(&shard).cloned() else {
+        return;
+    };
     let members: Vec<ReplicaId> = group.members.iter().filter_map(replica).collect();
     if members.contains(&node.id) {
         tracing::info!(shard, epoch = group.epoch, "forms group");
         form_group(node, shard, group.epoch, members, group.has_history);
-    } else if node.shard(shard).is_some_and(|host| host.epoch < group.epoch) {
+    } else if node
+        .shard(shard)
+        .is_some_and(|host| host.epoch < group.epoch)
+    {
         crate::shard::retire_host(node, shard);
     }
 }
@@ -98,7 +109,9 @@
 }
 
 fn live_replicas(table: &FactTable) -> Vec<ReplicaId> {
-    let alive = table.members().filter(|member| member.state == MemberState::Alive);
+    let alive = table
+        .members()
+        .filter(|member| member.state == MemberState::Alive);
     alive.map(|member| member.id).collect()
 }
 
@@ -123,21 +136,31 @@
         Some(route) if route.epoch == group.epoch && route.index >= group.index => &route.members,
         _ => &recorded,
     };
-    let gone = members.iter().filter(|id| table.is_surely_gone(**id)).count();
+    let gone = members
+        .iter()
+        .filter(|id| table.is_surely_gone(**id))
+        .count();
     let quorum = members.len() / 2 + 1;
     members.len() - gone < quorum
 }
 
 fn plan_claims(node: &Node, table: &FactTable, free: Vec<(ShardId, u64)>) -> Vec<Claim> {
     let mut by_zone: BTreeMap<&str, Vec<ReplicaId>> = BTreeMap::new();
-    for member in table.members().filter(|member| member.state == MemberState::Alive) {
+    for member in table
+        .members()
+        .filter(|member| member.state == MemberState::Alive)
+    {
         by_zone.entry(&member.zone).or_default().push(member.id);
     }
     let zones: Vec<Vec<ReplicaId>> = by_zone.into_values().collect();
     free.into_iter()
         .map(|(shard, replaces)| {
             let members = spread(&zones, usize::from(shard), node.settings.replicas);
-            Claim { shard, replaces, members: members.into_iter().map(claimed).collect() }
+            Claim {
+                shard,
+                replaces,
+                members: members.into_iter().map(claimed).collect(),
+            }
         })
         .collect()
 }
@@ -187,7 +210,12 @@
             return;
         }
         let index = core.commit_index();
-        MemberRecord { shard: host.shard, epoch: host.epoch, index, members: present }
+        MemberRecord {
+            shard: host.shard,
+            epoch: host.epoch,
+            index,
+            members: present,
+        }
     };
     if let Ok(text) = serde_json::to_string(&ClaimRecord::Members(record)) {
         let _ = log_client::append(node, CLAIMS_STREAM, text).await;
--- a/crates/daemon/src/platform/config_follow.rs
+++ b/crates/daemon/src/platform/config_follow.rs
@@ -66,7 +66,10 @@
             return;
         }
         let url = node.url(peer.address, "/internal/config");
-        let reply = node.client.post_binary::<u64, ConfigState>(&url, &wanted, PEER_TIMEOUT).await;
+        let reply = node
+            .client
+            .post_binary::<u64, ConfigState>(&url, &wanted, PEER_TIMEOUT)
+            .await;
         if let Ok(state) = reply
             && node.config.borrow_mut().adopt(state)
         {
--- a/crates/daemon/src/platform/fleet.rs
+++ b/crates/daemon/src/platform/fleet.rs
@@ -52,16 +52,23 @@
 
     /// Incarnation of an engine by its last report.
     pub fn incarnation(&self, address: &str) -> u64 {
-        self.loads.get(address).map_or(0, |(_, load)| load.incarnation)
+        self.loads
+            .get(address)
+            .map_or(0, |(_, load)| load.incarnation)
     }
 
     fn reachable(&self, address: &str) -> bool {
-        let reported = self.loads.get(address).is_some_and(|(at, _)| at.elapsed() < REPORT_LIMIT);
+        let reported = self
+            .loads
+            .get(address)
+            .is_some_and(|(at, _)| at.elapsed() < REPORT_LIMIT);
         reported && !self.failed_lately(address)
     }
 
     fn failed_lately(&self, address: &str) -> bool {
-        self.failed.get(address).is_some_and(|at| at.elapsed() < FAILURE_PAUSE)
+        self.failed
+            .get(address)
+            .is_some_and(|at| at.elapsed() < FAILURE_PAUSE)
     }
 }
 
@@ -70,15 +77,26 @@
     let fleet = node.fleet.borrow();
     let config = node.config.borrow();
     let detector = node.detector.borrow();
-    let engines = fleet.machines.iter().filter(|machine| machine.kind == MachineKind::Engine);
+    let engines = fleet
+        .machines
+        .iter()
+        .filter(|machine| machine.kind == MachineKind::Engine);
     engines
         .map(|machine| {
-            let load = fleet.loads.get(&machine.address).map(|(_, load)| *load).unwrap_or_default();
+            let load = fleet
+                .loads
+                .get(&machine.address)
+                .map(|(_, load)| *load)
+                .unwrap_or_default();
             let labels = &machine.labels;
-            let marked = detector.table().is_leaving(&machine.address, load.incarnation);
+            let marked = detector
+                .table()
+                .is_leaving(&machine.address, load.incarnation);
             EngineView {
                 address: machine.address.clone(),
-                labels: config.document.machine_labels(&machine.name, &machine.zone, labels),
+                labels: config
+                    .document
+                    .machine_labels(&machine.name, &machine.zone, labels),
                 load,
                 assigned: fleet.assigned.get(&machine.address).copied().unwrap_or(0),
                 leaving: machine.leaving || marked,
@@ -95,7 +113,10 @@
     let offers = |machine: &&Machine| {
         machine.kind == MachineKind::Server
             && !machine.leaving
-            && machine.labels.get("service").is_some_and(|name| name == service)
+            && machine
+                .labels
+                .get("service")
+                .is_some_and(|name| name == service)
     };
     let mut servers: Vec<Machine> = fleet.machines.iter().filter(offers).cloned().collect();
     servers.sort_by_key(|machine| {
@@ -123,10 +144,15 @@
     loop {
         let engines: Vec<String> = {
             let fleet = node.fleet.borrow();
-            let engines = fleet.machines.iter().filter(|item| item.kind == MachineKind::Engine);
+            let engines = fleet
+                .machines
+                .iter()
+                .filter(|item| item.kind == MachineKind::Engine);
             engines.map(|machine| machine.address.clone()).collect()
         };
-        let reads = engines.into_iter().map(|address| read_load(node.clone(), address));
+        let reads = engines
+            .into_iter()
+            .map(|address| read_load(node.clone(), address));
         futures_util::future::join_all(reads).await;
         mark_leaving(&node);
         sleep(LOAD_PAUSE).await;
@@ -136,7 +162,10 @@
 async fn read_load(node: Rc<Node>, address: String) {
     let url = format!("http://{address}/v1/load");
     if let Ok(load) = node.client.get_json::<EngineLoad>(&url, TIMEOUT).await {
-        node.fleet.borrow_mut().loads.insert(address, (Instant::now(), load));
+        node.fleet
+            .borrow_mut()
+            .loads
+            .insert(address, (Instant::now(), load));
     }
 }
 
@@ -145,7 +174,10 @@
 fn mark_leaving(node: &Node) {
     let leaving: Vec<LeavingMachine> = {
         let fleet = node.fleet.borrow();
-        let engines = fleet.machines.iter().filter(|item| item.kind == MachineKind::Engine);
+        let engines = fleet
+            .machines
+            .iter()
+            .filter(|item| item.kind == MachineKind::Engine);
         engines
             .filter_map(|machine| {
                 let (_, load) = fleet.loads.get(&machine.address)?;
--- a/crates/daemon/src/platform/log_client.rs
+++ b/crates/daemon/src/platform/log_client.rs
@@ -21,11 +21,16 @@
 /// No answer: the record may stand in the stream or not.
 pub async fn append(node: &Node, stream: &str, data: String) -> Result<u64, SendError> {
     let url = format!("http://{}/v1/streams/{stream}", node.settings.platform.log);
-    let reply =
-        node.client.fetch(Method::POST, &url, &[], data.into_bytes(), APPEND_TIMEOUT).await?;
+    let reply = node
+        .client
+        .fetch(Method::POST, &url, &[], data.into_bytes(), APPEND_TIMEOUT)
+        .await?;
     let appended = serde_json::from_str::<Appended>(&reply.body)
         .map(|appended| appended.offset)
-        .map_err(|_| SendError::Status { status: reply.status, body: reply.body });
+        .map_err(|_| SendError::Status {
+            status: reply.status,
+            body: reply.body,
+        });
     note_contact(node, &appended);
     appended
 }
--- a/crates/daemon/src/platform/recovery.rs
+++ b/crates/daemon/src/platform/recovery.rs
@@ -73,7 +73,10 @@
         "recovers shard"
     );
     let state = best.state.serialize_bin();
-    if propose(node, host, Command::Restore { state }).await.is_ok() {
+    if propose(node, host, Command::Restore { state })
+        .await
+        .is_ok()
+    {
         take_over(node, host);
     }
 }
@@ -84,10 +87,14 @@
         .iter()
         .filter_map(|text| serde_json::from_str::<SnapshotPointer>(text).ok())
         .max_by_key(|pointer| (pointer.epoch, pointer.index));
-    let Some(newest) = newest else { return Ok(None) };
+    let Some(newest) = newest else {
+        return Ok(None);
+    };
     let texts = log_client::read_to_end(node, &archive_stream(shard), newest.offset).await?;
-    let records: Vec<ArchiveRecord> =
-        texts.iter().filter_map(|text| serde_json::from_str(text).ok()).collect();
+    let records: Vec<ArchiveRecord> = texts
+        .iter()
+        .filter_map(|text| serde_json::from_str(text).ok())
+        .collect();
     Ok(fold_archive(&records))
 }
 
@@ -96,8 +103,10 @@
 pub fn fold_archive(records: &[ArchiveRecord]) -> Option<Recovered> {
     let snapshots = records.iter().filter_map(decode_snapshot);
     let mut recovered = snapshots.max_by_key(|found| (found.epoch, found.index))?;
-    let mut rest: Vec<&ArchiveRecord> =
-        records.iter().filter(|record| record.epoch == recovered.epoch).collect();
+    let mut rest: Vec<&ArchiveRecord> = records
+        .iter()
+        .filter(|record| record.epoch == recovered.epoch)
+        .collect();
     rest.sort_by_key(|record| record.to);
     for record in rest {
         if let ArchiveContent::Commands(commands) = &record.content
@@ -113,10 +122,16 @@
 }
 
 fn decode_snapshot(record: &ArchiveRecord) -> Option<Recovered> {
-    let ArchiveContent::Snapshot(text) = &record.content else { return None };
+    let ArchiveContent::Snapshot(text) = &record.content else {
+        return None;
+    };
     let bytes = STANDARD.decode(text).ok()?;
     let state = ShardState::deserialize_bin(&bytes).ok()?;
-    Some(Recovered { epoch: record.epoch, index: record.to, state })
+    Some(Recovered {
+        epoch: record.epoch,
+        index: record.to,
+        state,
+    })
 }
 
 fn apply_commands(state: &mut ShardState, commands: &[String]) {
@@ -136,8 +151,10 @@
     let mut found: Vec<Recovered> = survivor(node, shard).found.into_iter().collect();
     for peer in peers.into_iter().filter(|peer| *peer != node.id) {
         let url = node.url(peer.address, "/internal/survivor");
-        let reply =
-            node.client.post_binary::<u16, SurvivorReply>(&url, &shard, SURVIVOR_TIMEOUT).await;
+        let reply = node
+            .client
+            .post_binary::<u16, SurvivorReply>(&url, &shard, SURVIVOR_TIMEOUT)
+            .await;
         found.extend(reply.ok().and_then(|reply| reply.found));
     }
     found
@@ -147,7 +164,9 @@
 /// entries that were not known to be committed, since some may have been.
 pub fn survivor(node: &Node, shard: ShardId) -> SurvivorReply {
     let retired = node.retired.borrow().get(&shard).cloned();
-    let Some(host) = retired else { return SurvivorReply::default() };
+    let Some(host) = retired else {
+        return SurvivorReply::default();
+    };
     let mut state = host.state.borrow().clone();
     let core = host.core.borrow();
     for entry in core.uncommitted() {
@@ -158,5 +177,11 @@
         }
     }
     let index = core.last_entry().1;
-    SurvivorReply { found: Some(Recovered { epoch: host.epoch, index, state }) }
+    SurvivorReply {
+        found: Some(Recovered {
+            epoch: host.epoch,
+            index,
+            state,
+        }),
+    }
 }
--- a/crates/daemon/src/sequencer/admission.rs
+++ b/crates/daemon/src/sequencer/admission.rs
@@ -64,7 +64,9 @@
         }
         let ended = host.call_ended.notified();
         let admission =
-            host.state.borrow().admit(call.program, call.call_number, &call.request_key);
+            host.state
+                .borrow()
+                .admit(call.program, call.call_number, &call.request_key);
         match admission.map_err(Stop::Refused)? {
             Admission::Recorded => return Ok(()),
             Admission::AfterRunning => {
@@ -92,7 +94,14 @@
     });
     match propose(node, host, command).await? {
         Reply::Dispatch(attempt) => {
-            start_call(node, host, call.program, call.call_number, attempt, target.priority);
+            start_call(
+                node,
+                host,
+                call.program,
+                call.call_number,
+                attempt,
+                target.priority,
+            );
             Ok(())
         }
         Reply::Refused(error) => Err(Stop::Refused(error)),
--- a/crates/daemon/src/sequencer/attempt.rs
+++ b/crates/daemon/src/sequencer/attempt.rs
@@ -88,7 +88,10 @@
 pub fn take_over(node: &Rc<Node>, host: &Rc<ShardHost>) {
     let left: Vec<(ProgramId, u64, Attempt)> = {
         let state = host.state.borrow();
-        let open = state.programs.iter().filter(|(_, program)| program.phase == Phase::Open);
+        let open = state
+            .programs
+            .iter()
+            .filter(|(_, program)| program.phase == Phase::Open);
         open.filter_map(|(id, program)| {
             let number = program.running_call()?;
             let attempt = program.call(number)?.attempt.clone();
@@ -110,7 +113,13 @@
     number: u64,
     priority: u8,
 ) -> Option<RunningCall> {
-    let record = host.state.borrow().programs.get(&program)?.call(number)?.clone();
+    let record = host
+        .state
+        .borrow()
+        .programs
+        .get(&program)?
+        .call(number)?
+        .clone();
     Some(RunningCall {
         node: node.clone(),
         host: host.clone(),
@@ -131,7 +140,11 @@
         let end = run_attempt(&call, &attempt, start).await;
         call.node.fleet.borrow_mut().unassign(&attempt.target);
         let cost = match end {
-            AttemptEnd::Answered { status, content, usage } => {
+            AttemptEnd::Answered {
+                status,
+                content,
+                usage,
+            } => {
                 let answer = Answer {
                     call_number: call.number,
                     content,
@@ -224,7 +237,11 @@
     let own = call.live.text().clone();
     let seen = call.live.seen().unwrap_or_default();
     let longest = if seen.len() > own.len() { seen } else { own };
-    if longest.len() > given_up.prefix.len() { longest } else { given_up.prefix.clone() }
+    if longest.len() > given_up.prefix.len() {
+        longest
+    } else {
+        given_up.prefix.clone()
+    }
 }
 
 async fn find_target(call: &RunningCall, avoid: &[String]) -> Option<String> {
--- a/crates/daemon/src/sequencer/follow.rs
+++ b/crates/daemon/src/sequencer/follow.rs
@@ -48,13 +48,15 @@
 /// Passes on text that a former leader had delivered, for a new attempt to
 /// continue; only text of the recorded lineage may be continued.
 fn offer_seen(host: &ShardHost, call: &CallMessage) {
-    let (Some(seen), Some(live)) =
-        (&call.seen, host.live_call(call.program, call.call_number))
+    let (Some(seen), Some(live)) = (&call.seen, host.live_call(call.program, call.call_number))
     else {
         return;
     };
     let state = host.state.borrow();
-    let record = state.programs.get(&call.program).and_then(|item| item.call(call.call_number));
+    let record = state
+        .programs
+        .get(&call.program)
+        .and_then(|item| item.call(call.call_number));
     if record.is_some_and(|record| record.attempt.lineage == call.position.lineage) {
         live.offer_seen(seen);
     }
@@ -70,7 +72,11 @@
         return Ok(());
     }
     move_to_lineage(position, lineage, out).await?;
-    let fresh = live.text().get(position.offset as usize..).unwrap_or_default().to_owned();
+    let fresh = live
+        .text()
+        .get(position.offset as usize..)
+        .unwrap_or_default()
+        .to_owned();
     send_text(position, fresh, out).await
 }
 
@@ -100,7 +106,11 @@
     }
     let offset = position.offset;
     position.offset += text.len() as u64;
-    let delta = StreamEvent::Delta { lineage: position.lineage, offset, text };
+    let delta = StreamEvent::Delta {
+        lineage: position.lineage,
+        offset,
+        text,
+    };
     out.send(delta).await.map_err(|_| ReaderGone)
 }
 
@@ -115,7 +125,9 @@
     let record = {
         let state = host.state.borrow();
         let program = state.programs.get(&call.program);
-        program.and_then(|program| program.call(call.call_number)).cloned()
+        program
+            .and_then(|program| program.call(call.call_number))
+            .cloned()
     };
     let leads = host.leads();
     let closing = match record {
@@ -125,8 +137,14 @@
                 if move_to_lineage(&mut position, lineage, out).await.is_err() {
                     return;
                 }
-                let rest = answer.content.get(position.offset as usize..).unwrap_or_default();
-                if send_text(&mut position, rest.to_owned(), out).await.is_err() {
+                let rest = answer
+                    .content
+                    .get(position.offset as usize..)
+                    .unwrap_or_default();
+                if send_text(&mut position, rest.to_owned(), out)
+                    .await
+                    .is_err()
+                {
                     return;
                 }
                 StreamEvent::Done(answer)
--- a/crates/daemon/src/sequencer/model_attempt.rs
+++ b/crates/daemon/src/sequencer/model_attempt.rs
@@ -54,7 +54,11 @@
         match read(call, &mut response).await {
             Reading::Complete(usage) => {
                 let content = call.live.text().clone();
-                return AttemptEnd::Answered { status: 200, content, usage };
+                return AttemptEnd::Answered {
+                    status: 200,
+                    content,
+                    usage,
+                };
             }
             Reading::Broken => match resume(call, attempt).await {
                 Ok(resumed) => response = resumed,
@@ -82,7 +86,11 @@
     if remaining == 0 {
         call.live.start(attempt.lineage, &attempt.prefix);
         let content = attempt.prefix.clone();
-        return Err(AttemptEnd::Answered { status: 200, content, usage: Usage::default() });
+        return Err(AttemptEnd::Answered {
+            status: 200,
+            content,
+            usage: Usage::default(),
+        });
     }
     let messages = call.host.state.borrow().prompt(call.program, call.number);
     let request = Generate {
@@ -102,7 +110,12 @@
     let url = format!("http://{}/v1/generate", attempt.target);
     let headers = [("content-type", "application/json")];
     let limit = call.node.settings.limits.first_token();
-    match call.node.client.open(Method::POST, &url, &headers, body, limit).await {
+    match call
+        .node
+        .client
+        .open(Method::POST, &url, &headers, body, limit)
+        .await
+    {
         Ok(response) if response.status().is_success() => Ok(response),
         Ok(_) | Err(SendError::NotSent(_) | SendError::Status { .. }) => Err(AttemptEnd::NotRun),
         Err(SendError::Unknown(_)) => {
@@ -124,7 +137,11 @@
                 sleep(SEEN_CHECK).await;
                 waited = Millis(waited.0 + SEEN_CHECK.0);
             }
-            if call.may_act() { Err(AttemptEnd::Lost) } else { Err(AttemptEnd::Deposed) }
+            if call.may_act() {
+                Err(AttemptEnd::Lost)
+            } else {
+                Err(AttemptEnd::Deposed)
+            }
         }
     }
 }
@@ -147,7 +164,10 @@
     let stream = stream_name(call, attempt);
     let url = format!("http://{}/v1/streams/{stream}?from={from}", attempt.target);
     let client = &call.node.client;
-    let response = client.open(Method::GET, &url, &[], Vec::new(), RESUME_TIMEOUT).await.ok()?;
+    let response = client
+        .open(Method::GET, &url, &[], Vec::new(), RESUME_TIMEOUT)
+        .await
+        .ok()?;
     response.status().is_success().then_some(response)
 }
 
@@ -174,8 +194,14 @@
 /// stream runs to its end there, and the release at the program's end frees it.
 fn cancel(call: &RunningCall, attempt: &Attempt) {
     let client = call.node.client.clone();
-    let url = format!("http://{}/v1/streams/{}", attempt.target, stream_name(call, attempt));
+    let url = format!(
+        "http://{}/v1/streams/{}",
+        attempt.target,
+        stream_name(call, attempt)
+    );
     ntex::rt::spawn(async move {
-        let _ = client.fetch(Method::DELETE, &url, &[], Vec::new(), CANCEL_TIMEOUT).await;
+        let _ = client
+            .fetch(Method::DELETE, &url, &[], Vec::new(), CANCEL_TIMEOUT)
+            .await;
     });
 }
--- a/crates/daemon/src/sequencer/place.rs
+++ b/crates/daemon/src/sequencer/place.rs
@@ -23,7 +23,9 @@
 
 fn program_labels(host: &ShardHost, program: ProgramId) -> Labels {
     let state = host.state.borrow();
-    let Some(program) = state.programs.get(&program) else { return Labels::new() };
+    let Some(program) = state.programs.get(&program) else {
+        return Labels::new();
+    };
     let mut labels = program.labels.clone();
     labels.insert("tenant".to_owned(), program.tenant.clone());
     labels
@@ -58,23 +60,35 @@
         let state = host.state.borrow();
         let record = state.programs.get(&program);
         let known = record.and_then(|record| record.counted.as_ref());
-        let new_bytes: usize = model.messages.iter().map(|message| message.content.len()).sum();
+        let new_bytes: usize = model
+            .messages
+            .iter()
+            .map(|message| message.content.len())
+            .sum();
         Work {
             labels,
             model: model.model.clone(),
             prompt_tokens: known.map_or(0, |known| known.tokens) + new_bytes as u64 / 4,
             new_tokens: u64::from(model.max_tokens),
-            held: record.map(|record| record.held_by.clone()).unwrap_or_default(),
+            held: record
+                .map(|record| record.held_by.clone())
+                .unwrap_or_default(),
             avoid: avoid.to_vec(),
         }
     };
     let config = node.config.borrow();
     let choice = choose(&config.document, &engine_views(node), &work);
     match choice {
-        Ok(choice) => Ok(Target { address: choice.address, priority: choice.priority }),
+        Ok(choice) => Ok(Target {
+            address: choice.address,
+            priority: choice.priority,
+        }),
         Err(Refusal::NoEngine) => Err(CallError::not_run(
             ErrorKind::NoTarget,
-            format!("no live engine allowed by the rules has model {:?}", model.model),
+            format!(
+                "no live engine allowed by the rules has model {:?}",
+                model.model
+            ),
         )
         .retry_after(NO_TARGET_RETRY_MS)),
         Err(Refusal::Overloaded(wait_ms)) => Err(CallError::not_run(
@@ -95,15 +109,23 @@
     let labels = program_labels(host, program);
     let config = node.config.borrow();
     for machine in servers_for(node, &server.service) {
-        let own = config.document.machine_labels(&machine.name, &machine.zone, &machine.labels);
+        let own = config
+            .document
+            .machine_labels(&machine.name, &machine.zone, &machine.labels);
         let verdict = judge(&config.document, &labels, &own);
         if verdict.allowed && !avoid.contains(&machine.address) {
-            return Ok(Target { address: machine.address, priority: verdict.priority });
+            return Ok(Target {
+                address: machine.address,
+                priority: verdict.priority,
+            });
         }
     }
     Err(CallError::not_run(
         ErrorKind::NoTarget,
-        format!("no live server allowed by the rules offers service {:?}", server.service),
+        format!(
+            "no live server allowed by the rules offers service {:?}",
+            server.service
+        ),
     )
     .retry_after(NO_TARGET_RETRY_MS))
 }
--- a/crates/daemon/src/sequencer/server_attempt.rs
+++ b/crates/daemon/src/sequencer/server_attempt.rs
@@ -34,11 +34,23 @@
         return AttemptEnd::Deposed;
     }
     let key = server_key(call);
-    let url = format!("http://{}/call/{}", attempt.target, server.path.trim_start_matches('/'));
-    let headers = [(KEY_HEADER, key.as_str()), ("content-type", "application/json")];
+    let url = format!(
+        "http://{}/call/{}",
+        attempt.target,
+        server.path.trim_start_matches('/')
+    );
+    let headers = [
+        (KEY_HEADER, key.as_str()),
+        ("content-type", "application/json"),
+    ];
     let limit = call.node.settings.limits.server_timeout();
     let body = server.body.clone().into_bytes();
-    match call.node.client.fetch(Method::POST, &url, &headers, body, limit).await {
+    match call
+        .node
+        .client
+        .fetch(Method::POST, &url, &headers, body, limit)
+        .await
+    {
         Ok(reply) => answered(call, reply.status, reply.body),
         Err(SendError::NotSent(_)) => AttemptEnd::NotRun,
         Err(_) => settle_lost(call, attempt).await,
@@ -52,17 +64,32 @@
 
 fn answered(call: &RunningCall, status: u16, content: String) -> AttemptEnd {
     call.live.push(&content);
-    AttemptEnd::Answered { status, content, usage: Usage::default() }
+    AttemptEnd::Answered {
+        status,
+        content,
+        usage: Usage::default(),
+    }
 }
 
 async fn settle_lost(call: &RunningCall, attempt: &Attempt) -> AttemptEnd {
     if call.repeatable {
-        return if call.may_act() { AttemptEnd::Lost } else { AttemptEnd::Deposed };
+        return if call.may_act() {
+            AttemptEnd::Lost
+        } else {
+            AttemptEnd::Deposed
+        };
     }
-    let url = format!("http://{}/v1/executions/{}", attempt.target, server_key(call));
+    let url = format!(
+        "http://{}/v1/executions/{}",
+        attempt.target,
+        server_key(call)
+    );
     for _ in 0..LOOKUP_TRIES {
-        let reply =
-            call.node.client.fetch(Method::GET, &url, &[], Vec::new(), LOOKUP_TIMEOUT).await;
+        let reply = call
+            .node
+            .client
+            .fetch(Method::GET, &url, &[], Vec::new(), LOOKUP_TIMEOUT)
+            .await;
         match reply {
             Ok(reply) if reply.status == 200 => {
                 if let Ok(execution) = serde_json::from_str::<Execution>(&reply.body) {
--- a/crates/daemon/src/sequencer/upkeep.rs
+++ b/crates/daemon/src/sequencer/upkeep.rs
@@ -40,13 +40,17 @@
     let now_ms = host.shard_now_ms();
     let overdue: Vec<ProgramId> = {
         let state = host.state.borrow();
-        let late = state.programs.iter().filter(|(_, program)| {
-            program.is_open() && now_ms >= program.deadline_ms
-        });
+        let late = state
+            .programs
+            .iter()
+            .filter(|(_, program)| program.is_open() && now_ms >= program.deadline_ms);
         late.map(|(id, _)| *id).collect()
     };
     for program in overdue {
-        let command = Command::End { program, reason: EndReason::Deadline };
+        let command = Command::End {
+            program,
+            reason: EndReason::Deadline,
+        };
         let _ = propose(node, host, command).await;
     }
 }
@@ -56,13 +60,20 @@
 fn release_ended(node: &Rc<Node>, host: &Rc<ShardHost>) {
     let owed: Vec<(ProgramId, String)> = {
         let state = host.state.borrow();
-        let ended = state.programs.iter().filter(|(_, program)| !program.is_open());
+        let ended = state
+            .programs
+            .iter()
+            .filter(|(_, program)| !program.is_open());
         ended
             .flat_map(|(id, program)| program.held_by.keys().map(|engine| (*id, engine.clone())))
             .collect()
     };
     for (program, engine) in owed {
-        if host.releasing.borrow_mut().insert((program, engine.clone())) {
+        if host
+            .releasing
+            .borrow_mut()
+            .insert((program, engine.clone()))
+        {
             ntex::rt::spawn(release(node.clone(), host.clone(), program, engine));
         }
     }
@@ -70,7 +81,10 @@
 
 async fn release(node: Rc<Node>, host: Rc<ShardHost>, program: ProgramId, engine: String) {
     if is_off_the_list(&node, &engine) || ask_release(&node, program, &engine).await {
-        let command = Command::Released { program, engine: engine.clone() };
+        let command = Command::Released {
+            program,
+            engine: engine.clone(),
+        };
         let _ = propose(&node, &host, command).await;
     }
     host.releasing.borrow_mut().remove(&(program, engine));
@@ -78,7 +92,10 @@
 
 async fn ask_release(node: &Node, program: ProgramId, engine: &str) -> bool {
     let url = format!("http://{engine}/v1/programs/{program}");
-    let reply = node.client.fetch(Method::DELETE, &url, &[], Vec::new(), ENGINE_TIMEOUT).await;
+    let reply = node
+        .client
+        .fetch(Method::DELETE, &url, &[], Vec::new(), ENGINE_TIMEOUT)
+        .await;
     reply.is_ok_and(|reply| reply.status == 200)
 }
 
@@ -86,7 +103,10 @@
 fn is_off_the_list(node: &Node, engine: &str) -> bool {
     let fleet = node.fleet.borrow();
     !fleet.machines().is_empty()
-        && !fleet.machines().iter().any(|machine| machine.address == engine)
+        && !fleet
+            .machines()
+            .iter()
+            .any(|machine| machine.address == engine)
 }
 
 async fn forget_old(node: &Rc<Node>, host: &Rc<ShardHost>) {
@@ -101,14 +121,23 @@
 async fn sweep(node: &Rc<Node>) {
     let engines: Vec<String> = {
         let fleet = node.fleet.borrow();
-        let engines = fleet.machines().iter().filter(|item| item.kind == MachineKind::Engine);
+        let engines = fleet
+            .machines()
+            .iter()
+            .filter(|item| item.kind == MachineKind::Engine);
         engines.map(|machine| machine.address.clone()).collect()
     };
     for engine in engines {
         let url = format!("http://{engine}/v1/programs");
-        let held = node.client.get_json::<BTreeMap<String, u64>>(&url, ENGINE_TIMEOUT).await;
+        let held = node
+            .client
+            .get_json::<BTreeMap<String, u64>>(&url, ENGINE_TIMEOUT)
+            .await;
         let Ok(held) = held else { continue };
-        for program in held.keys().filter_map(|text| text.parse::<ProgramId>().ok()) {
+        for program in held
+            .keys()
+            .filter_map(|text| text.parse::<ProgramId>().ok())
+        {
             if is_orphaned(node, program) {
                 tracing::info!(%program, engine, "sweeps memory of a program that has ended");
                 ask_release(node, program, &engine).await;
@@ -118,10 +147,15 @@
 }
 
 fn is_orphaned(node: &Node, program: ProgramId) -> bool {
-    let Some(host) = node.shard(program.shard) else { return false };
+    let Some(host) = node.shard(program.shard) else {
+        return false;
+    };
     if !host.leads() {
         return false;
     }
     let state = host.state.borrow();
-    state.programs.get(&program).is_none_or(|record| !record.is_open())
+    state
+        .programs
+        .get(&program)
+        .is_none_or(|record| !record.is_open())
 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -87,7 +87,9 @@
 }
 
 async fn internal_call(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
-    let Ok(call) = CallMessage::deserialize_bin(&body) else { return undecodable() };
+    let Ok(call) = CallMessage::deserialize_bin(&body) else {
+        return undecodable();
+    };
     let (out, events) = mpsc::channel(EVENT_BACKLOG);
     ntex::rt::spawn(serve_call((*node).clone(), call, out));
     let frames = stream::unfold(events, |mut events| async move {
@@ -106,12 +108,17 @@
 }
 
 async fn internal_facts(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
-    let Ok(exchange) = FactExchange::deserialize_bin(&body) else { return undecodable() };
+    let Ok(exchange) = FactExchange::deserialize_bin(&body) else {
+        return undecodable();
+    };
     let own = {
         let detector = node.detector.borrow();
         let digest = detector.table().digest();
-        let facts =
-            if digest == exchange.digest { Vec::new() } else { detector.table().all() };
+        let facts = if digest == exchange.digest {
+            Vec::new()
+        } else {
+            detector.table().all()
+        };
         FactExchange { digest, facts }
     };
     for fact in exchange.facts {
--- a/crates/daemon/src/settings/error.rs
+++ b/crates/daemon/src/settings/error.rs
@@ -33,13 +33,21 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreadable { path, cause } => {
-                write!(formatter, "{path}: {cause}; remedy: name a readable file with --config")
+                write!(
+                    formatter,
+                    "{path}: {cause}; remedy: name a readable file with --config"
+                )
             }
             Self::Syntax(message) => write!(
                 formatter,
                 "{message}; remedy: correct the key; docs/OPERATIONS.md lists every setting"
             ),
-            Self::Value { key, value, allowed, remedy } => write!(
+            Self::Value {
+                key,
+                value,
+                allowed,
+                remedy,
+            } => write!(
                 formatter,
                 "{key} = {value:?} is not allowed; allowed: {allowed}; remedy: {remedy}"
             ),
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -45,9 +45,12 @@
     pub fn settings(&self) -> Result<Settings, SettingsError> {
         let text = match &self.config {
             None => String::new(),
-            Some(path) => std::fs::read_to_string(path).map_err(|error| {
-                SettingsError::Unreadable { path: path.clone(), cause: error.to_string() }
-            })?,
+            Some(path) => {
+                std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+                    path: path.clone(),
+                    cause: error.to_string(),
+                })?
+            }
         };
         let mut table: Table =
             toml::from_str(&text).map_err(|error| SettingsError::Syntax(error.to_string()))?;
@@ -67,7 +70,9 @@
         if !self.seed.is_empty() {
             set(table, "seeds", Some(self.seed.clone()));
         }
-        let platform = table.entry("platform").or_insert_with(|| Value::Table(Table::new()));
+        let platform = table
+            .entry("platform")
+            .or_insert_with(|| Value::Table(Table::new()));
         if let Value::Table(platform) = platform {
             set(platform, "log", self.log.clone());
             set(platform, "machines", self.machines.clone());
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -153,7 +153,13 @@
         for seed in &self.seeds {
             check_address("seeds", seed)?;
         }
-        check("zone", &self.zone, !self.zone.is_empty(), "a name", "set the machine's zone")?;
+        check(
+            "zone",
+            &self.zone,
+            !self.zone.is_empty(),
+            "a name",
+            "set the machine's zone",
+        )?;
         check(
             "shards",
             self.shards,
@@ -170,7 +176,9 @@
         )?;
         self.check_limits()?;
         let consensus = self.consensus_core();
-        consensus.validate().map_err(|error| SettingsError::Relation(format!("consensus: {error}")))?;
+        consensus
+            .validate()
+            .map_err(|error| SettingsError::Relation(format!("consensus: {error}")))?;
         let membership = self.membership_core();
         membership
             .validate()
@@ -193,7 +201,13 @@
             "1 to 10",
             "use 4; every further attempt costs budget",
         )?;
-        check("limits.max_turns", limits.max_turns, limits.max_turns > 0, "1 or more", "use 200")?;
+        check(
+            "limits.max_turns",
+            limits.max_turns,
+            limits.max_turns > 0,
+            "1 or more",
+            "use 200",
+        )?;
         check(
             "limits.stall_ms",
             limits.stall_ms,
@@ -236,7 +250,10 @@
     /// # Errors
     /// One is not an IPv4 address with a port.
     pub fn seed_addresses(&self) -> Result<Vec<Address>, SettingsError> {
-        self.seeds.iter().map(|seed| parse_address("seeds", seed)).collect()
+        self.seeds
+            .iter()
+            .map(|seed| parse_address("seeds", seed))
+            .collect()
     }
 }
 
@@ -280,5 +297,10 @@
     if good {
         return Ok(());
     }
-    Err(SettingsError::Value { key, value: value.to_string(), allowed, remedy })
+    Err(SettingsError::Value {
+        key,
+        value: value.to_string(),
+        allowed,
+        remedy,
+    })
 }
--- a/crates/daemon/src/shard/drive.rs
+++ b/crates/daemon/src/shard/drive.rs
@@ -39,7 +39,10 @@
             None => return,
         },
     };
-    let input = Input::Receive { from: envelope.from, message: envelope.message };
+    let input = Input::Receive {
+        from: envelope.from,
+        message: envelope.message,
+    };
     let actions = host.core.borrow_mut().step(input);
     carry_out(node, &host, actions);
 }
@@ -59,7 +62,9 @@
         node.settings.consensus_core(),
         node.now_ms(),
     ));
-    node.shards.borrow_mut().insert(envelope.shard, host.clone());
+    node.shards
+        .borrow_mut()
+        .insert(envelope.shard, host.clone());
     Some(host)
 }
 
@@ -69,7 +74,13 @@
         match action {
             Action::Send { to, message } => post(
                 node,
-                Envelope { shard: host.shard, epoch: host.epoch, from: node.id, to, message },
+                Envelope {
+                    shard: host.shard,
+                    epoch: host.epoch,
+                    from: node.id,
+                    to,
+                    message,
+                },
             ),
             Action::Apply(entry) => apply(node, host, entry),
             Action::Install { index, state } => install(host, index, &state),
@@ -79,7 +90,11 @@
                 host.archive.borrow_mut().begin();
             }
             Action::Deposed => {
-                tracing::info!(shard = host.shard, epoch = host.epoch, "no longer leads shard");
+                tracing::info!(
+                    shard = host.shard,
+                    epoch = host.epoch,
+                    "no longer leads shard"
+                );
                 host.depose();
             }
         }
@@ -119,13 +134,13 @@
     }
 }
 
-fn make_snapshot(
-    node: &Rc<Node>,
-    host: &Rc<ShardHost>,
-    to: fieldhook_model::address::ReplicaId,
-) {
+fn make_snapshot(node: &Rc<Node>, host: &Rc<ShardHost>, to: fieldhook_model::address::ReplicaId) {
     let state = host.state.borrow().serialize_bin();
-    let input = Input::SnapshotMade { to, index: host.applied(), state };
+    let input = Input::SnapshotMade {
+        to,
+        index: host.applied(),
+        state,
+    };
     let actions = host.core.borrow_mut().step(input);
     carry_out(node, host, actions);
 }
--- a/crates/daemon/src/shard/host.rs
+++ b/crates/daemon/src/shard/host.rs
@@ -130,13 +130,19 @@
 
     /// Encodes a command with the leader's time.
     pub fn timed(&self, command: Command) -> Vec<u8> {
-        TimedCommand { at_ms: self.shard_now_ms(), command }.serialize_bin()
+        TimedCommand {
+            at_ms: self.shard_now_ms(),
+            command,
+        }
+        .serialize_bin()
     }
 
     /// Waits for an entry of this term at this index.
     pub fn wait_for(&self, index: u64, term: u64) -> oneshot::Receiver<Reply> {
         let (done, committed) = oneshot::channel();
-        self.waiters.borrow_mut().insert(index, Waiter { term, done });
+        self.waiters
+            .borrow_mut()
+            .insert(index, Waiter { term, done });
         committed
     }
 
@@ -184,7 +190,9 @@
     /// Registers a call that starts to run here.
     pub fn start_live(&self, program: ProgramId, number: u64) -> Rc<LiveCall> {
         let live = Rc::new(LiveCall::default());
-        self.live.borrow_mut().insert((program, number), live.clone());
+        self.live
+            .borrow_mut()
+            .insert((program, number), live.clone());
         live
     }
 
--- a/crates/daemon/src/shard/manage.rs
+++ b/crates/daemon/src/shard/manage.rs
@@ -58,7 +58,12 @@
         term: core.term(),
         index: core.commit_index(),
         leader: node.id,
-        members: members.voters.iter().chain(&members.learners).copied().collect(),
+        members: members
+            .voters
+            .iter()
+            .chain(&members.learners)
+            .copied()
+            .collect(),
     };
     node.announce(Fact::Route(route));
 }
@@ -99,13 +104,23 @@
     let replace_after_ms = node.settings.membership.replace_after_ms;
     let is_gone = |id: &ReplicaId| {
         table.is_surely_gone(*id)
-            || detector.dead_for_ms(*id).is_some_and(|dead_ms| dead_ms >= replace_after_ms)
+            || detector
+                .dead_for_ms(*id)
+                .is_some_and(|dead_ms| dead_ms >= replace_after_ms)
     };
     let all = members.voters.iter().chain(&members.learners);
     let gone: Vec<ReplicaId> = all.filter(|id| is_gone(id)).copied().collect();
-    let stay: Vec<ReplicaId> =
-        members.voters.iter().filter(|id| !gone.contains(id)).copied().collect();
-    Candidates { joining: rank_joining(table, &stay), gone, size: node.settings.replicas }
+    let stay: Vec<ReplicaId> = members
+        .voters
+        .iter()
+        .filter(|id| !gone.contains(id))
+        .copied()
+        .collect();
+    Candidates {
+        joining: rank_joining(table, &stay),
+        gone,
+        size: node.settings.replicas,
+    }
 }
 
 /// Daemons that could join, best first: from zones without a replica, then
@@ -148,7 +163,10 @@
 fn update_metrics(node: &Node) {
     let hosts = node.hosts();
     let led = hosts.iter().filter(|host| host.leads()).count();
-    let programs: usize = hosts.iter().map(|host| host.state.borrow().programs.len()).sum();
+    let programs: usize = hosts
+        .iter()
+        .map(|host| host.state.borrow().programs.len())
+        .sum();
     let lag: usize = hosts.iter().map(|host| host.archive.borrow().lag()).sum();
     node.metrics.shards_led.set(led as i64);
     node.metrics.replicas.set(hosts.len() as i64);
--- a/crates/daemon/src/transport/datagram.rs
+++ b/crates/daemon/src/transport/datagram.rs
@@ -34,7 +34,9 @@
 /// Sends a datagram if the socket takes it at once; else it counts as lost.
 pub fn send_datagram(node: &Node, to: Address, datagram: &Datagram) {
     let bytes = datagram.serialize_bin();
-    node.metrics.control_bytes.inc_by(bytes.len() as u64 + HEADER_BYTES);
+    node.metrics
+        .control_bytes
+        .inc_by(bytes.len() as u64 + HEADER_BYTES);
     SOCKET.with_borrow(|socket| {
         if let Some(socket) = socket {
             let _ = socket.try_send_to(&bytes, SocketAddr::V4(to.socket()));
--- a/crates/daemon/src/transport/outbox.rs
+++ b/crates/daemon/src/transport/outbox.rs
@@ -64,10 +64,21 @@
         }
     }
     if envelope.message.is_small() {
-        send_datagram(node, peer, &Datagram::Consensus(Batch { envelopes: vec![envelope] }));
+        send_datagram(
+            node,
+            peer,
+            &Datagram::Consensus(Batch {
+                envelopes: vec![envelope],
+            }),
+        );
         return;
     }
-    node.outbox.waiting.borrow_mut().entry(peer).or_default().push(envelope);
+    node.outbox
+        .waiting
+        .borrow_mut()
+        .entry(peer)
+        .or_default()
+        .push(envelope);
     if node.outbox.busy.borrow_mut().insert(peer) {
         ntex::rt::spawn(flush(node.clone(), peer));
     }
@@ -75,17 +86,26 @@
 
 async fn flush(node: Rc<Node>, peer: Address) {
     loop {
-        let envelopes = node.outbox.waiting.borrow_mut().remove(&peer).unwrap_or_default();
+        let envelopes = node
+            .outbox
+            .waiting
+            .borrow_mut()
+            .remove(&peer)
+            .unwrap_or_default();
         if envelopes.is_empty() {
             break;
         }
         let batch = Batch { envelopes };
-        node.metrics.replication_bytes.inc_by(batch.serialize_bin().len() as u64);
+        node.metrics
+            .replication_bytes
+            .inc_by(batch.serialize_bin().len() as u64);
         let url = node.url(peer, "/internal/consensus");
         // A lost exchange needs no care here: the next heartbeat goes back to
         // what is proven.
-        if let Ok(answers) =
-            node.client.post_binary::<Batch, Batch>(&url, &batch, EXCHANGE_TIMEOUT).await
+        if let Ok(answers) = node
+            .client
+            .post_binary::<Batch, Batch>(&url, &batch, EXCHANGE_TIMEOUT)
+            .await
         {
             receive_batch(&node, answers);
         }
@@ -102,9 +122,14 @@
 
 /// Takes messages in and returns the answers for their sender.
 pub fn exchange_batch(node: &Rc<Node>, batch: Batch) -> Batch {
-    let peer = batch.envelopes.first().map(|envelope| envelope.from.address);
+    let peer = batch
+        .envelopes
+        .first()
+        .map(|envelope| envelope.from.address);
     node.outbox.collector.borrow_mut().peer = peer;
     receive_batch(node, batch);
     let collected = std::mem::take(&mut *node.outbox.collector.borrow_mut());
-    Batch { envelopes: collected.answers }
+    Batch {
+        envelopes: collected.answers,
+    }
 }
--- a/crates/emulator/src/engine/cache.rs
+++ b/crates/emulator/src/engine/cache.rs
@@ -23,12 +23,20 @@
     /// An empty cache.
     pub fn new(capacity_tokens: u64) -> Self {
         let capacity_blocks = (capacity_tokens as usize / BLOCK_TOKENS).max(1);
-        Self { capacity_blocks, clock: 0, blocks: HashMap::new(), by_use: BTreeMap::new() }
+        Self {
+            capacity_blocks,
+            clock: 0,
+            blocks: HashMap::new(),
+            by_use: BTreeMap::new(),
+        }
     }
 
     /// Tokens of the longest cached prefix.
     pub fn cached_prefix(&self, hashes: &[u64]) -> u64 {
-        let found = hashes.iter().take_while(|hash| self.blocks.contains_key(hash)).count();
+        let found = hashes
+            .iter()
+            .take_while(|hash| self.blocks.contains_key(hash))
+            .count();
         (found * BLOCK_TOKENS) as u64
     }
 
@@ -38,10 +46,10 @@
         for hash in hashes {
             self.clock += 1;
             let clock = self.clock;
-            let block = self
-                .blocks
-                .entry(*hash)
-                .or_insert_with(|| Block { last_use: 0, holders: BTreeSet::new() });
+            let block = self.blocks.entry(*hash).or_insert_with(|| Block {
+                last_use: 0,
+                holders: BTreeSet::new(),
+            });
             self.by_use.remove(&block.last_use);
             block.last_use = clock;
             block.holders.insert(program.to_owned());
@@ -52,7 +60,9 @@
 
     fn evict(&mut self) {
         while self.blocks.len() > self.capacity_blocks {
-            let Some((_, hash)) = self.by_use.pop_first() else { return };
+            let Some((_, hash)) = self.by_use.pop_first() else {
+                return;
+            };
             self.blocks.remove(&hash);
         }
     }
@@ -73,8 +83,12 @@
 
     /// Blocks that a program holds, for an export.
     pub fn blocks_of(&self, program: &str) -> Vec<u64> {
-        let held = self.blocks.iter().filter(|(_, block)| block.holders.contains(program));
-        let mut blocks: Vec<(u64, u64)> = held.map(|(hash, block)| (block.last_use, *hash)).collect();
+        let held = self
+            .blocks
+            .iter()
+            .filter(|(_, block)| block.holders.contains(program));
+        let mut blocks: Vec<(u64, u64)> =
+            held.map(|(hash, block)| (block.last_use, *hash)).collect();
         blocks.sort_unstable();
         blocks.into_iter().map(|(_, hash)| hash).collect()
     }
--- a/crates/emulator/src/engine/core.rs
+++ b/crates/emulator/src/engine/core.rs
@@ -102,14 +102,18 @@
 
     /// Drops a stream.
     pub fn cancel(&mut self, stream: &str) {
-        self.waiting.retain(|sequence| sequence.request.stream != stream);
-        self.running.retain(|sequence| sequence.request.stream != stream);
+        self.waiting
+            .retain(|sequence| sequence.request.stream != stream);
+        self.running
+            .retain(|sequence| sequence.request.stream != stream);
     }
 
     /// Drops all streams of a program and what its cache alone held.
     pub fn release(&mut self, program: &str) {
-        self.waiting.retain(|sequence| sequence.request.program != program);
-        self.running.retain(|sequence| sequence.request.program != program);
+        self.waiting
+            .retain(|sequence| sequence.request.program != program);
+        self.running
+            .retain(|sequence| sequence.request.program != program);
         self.cache.release(program);
     }
 
@@ -137,9 +141,16 @@
     fn admit(&mut self) {
         while self.running.len() < self.settings.max_running && !self.waiting.is_empty() {
             let first = |sequence: &&mut Sequence| {
-                (std::cmp::Reverse(sequence.request.priority), sequence.arrival)
+                (
+                    std::cmp::Reverse(sequence.request.priority),
+                    sequence.arrival,
+                )
             };
-            let Some(best) = self.waiting.iter_mut().min_by_key(first).map(|item| item.arrival)
+            let Some(best) = self
+                .waiting
+                .iter_mut()
+                .min_by_key(first)
+                .map(|item| item.arrival)
             else {
                 return;
             };
@@ -149,7 +160,8 @@
             let cached = self.cache.cached_prefix(&sequence.hashes);
             sequence.usage.cached_tokens = cached.min(sequence.usage.prompt_tokens);
             sequence.to_prefill = sequence.usage.prompt_tokens - sequence.usage.cached_tokens;
-            self.cache.insert(&sequence.request.program, &sequence.hashes);
+            self.cache
+                .insert(&sequence.request.program, &sequence.hashes);
             self.running.push(sequence);
         }
     }
@@ -166,7 +178,11 @@
 
     fn decode(&mut self) -> (u64, Vec<StepReport>) {
         let mut reports = Vec::new();
-        for sequence in self.running.iter_mut().filter(|sequence| sequence.to_prefill == 0) {
+        for sequence in self
+            .running
+            .iter_mut()
+            .filter(|sequence| sequence.to_prefill == 0)
+        {
             let text = answer_word(sequence.digest, sequence.next_word);
             sequence.next_word += 1;
             sequence.usage.completion_tokens += 1;
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -92,7 +92,9 @@
 
 impl Engine {
     fn new(settings: EngineSettings, models: Vec<String>) -> Self {
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         Self {
             core: EngineCore::new(settings),
             settings,
@@ -128,7 +130,9 @@
     }
 
     fn deliver(&mut self, report: StepReport) {
-        let Some(stream) = self.streams.get(&report.stream) else { return };
+        let Some(stream) = self.streams.get(&report.stream) else {
+            return;
+        };
         let mut stream = stream.borrow_mut();
         stream.text.push_str(&report.text);
         stream.finished = report.finished;
@@ -140,9 +144,18 @@
         if faults.drops_event() {
             return;
         }
-        let tokens = self.core.cache.held_tokens().get(program).copied().unwrap_or(0);
-        let event =
-            CacheEvent { sequence: self.event_sequence, program: program.to_owned(), tokens };
+        let tokens = self
+            .core
+            .cache
+            .held_tokens()
+            .get(program)
+            .copied()
+            .unwrap_or(0);
+        let event = CacheEvent {
+            sequence: self.event_sequence,
+            program: program.to_owned(),
+            tokens,
+        };
         self.events.push_back((Instant::now(), event));
         if self.events.len() > EVENT_RETENTION {
             self.events.pop_front();
@@ -357,8 +370,13 @@
         return answer;
     }
     let engine = shared.engine.borrow();
-    let old_enough = engine.events.iter().filter(|(at, _)| at.elapsed() >= shared.event_lag);
-    let wanted = old_enough.map(|(_, event)| event).filter(|event| event.sequence >= query.from);
+    let old_enough = engine
+        .events
+        .iter()
+        .filter(|(at, _)| at.elapsed() >= shared.event_lag);
+    let wanted = old_enough
+        .map(|(_, event)| event)
+        .filter(|event| event.sequence >= query.from);
     json(200, &wanted.collect::<Vec<_>>())
 }
 
@@ -381,7 +399,12 @@
 ) -> HttpResponse {
     match serde_json::from_slice::<CacheExport>(&body) {
         Ok(export) => {
-            shared.engine.borrow_mut().core.cache.insert(&program, &export.blocks);
+            shared
+                .engine
+                .borrow_mut()
+                .core
+                .cache
+                .insert(&program, &export.blocks);
             text(200, "imported")
         }
         Err(error) => text(400, error.to_string()),
@@ -423,7 +446,9 @@
 async fn download(address: &str, name: &str) -> Result<(), String> {
     let client = fieldhook_http::HttpClient::new().await;
     let url = format!("http://{address}/v1/weights/{name}");
-    let weights = client.get_json::<crate::weights::Weights>(&url, Duration::from_secs(600)).await;
+    let weights = client
+        .get_json::<crate::weights::Weights>(&url, Duration::from_secs(600))
+        .await;
     weights.map(|_| ()).map_err(|error| error.to_string())
 }
 
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -91,7 +91,9 @@
 
     /// Adds the control route.
     pub fn configure(&self, config: &mut ServiceConfig) {
-        config.state(self.clone()).route("/control/faults", web::post().to(set_faults));
+        config
+            .state(self.clone())
+            .route("/control/faults", web::post().to(set_faults));
     }
 }
 
--- a/crates/emulator/src/log.rs
+++ b/crates/emulator/src/log.rs
@@ -33,7 +33,9 @@
 
     fn page(&self, name: &str, from: u64) -> LogPage {
         let streams = self.records.borrow();
-        let stream = streams.get(name).map_or(&[][..], |stream| stream.as_slice());
+        let stream = streams
+            .get(name)
+            .map_or(&[][..], |stream| stream.as_slice());
         let mut bytes = 0;
         let mut records = Vec::new();
         for (offset, data) in stream.iter().enumerate().skip(from as usize) {
@@ -41,9 +43,15 @@
             if bytes > PAGE_BYTES && !records.is_empty() {
                 break;
             }
-            records.push(LogRecord { offset: offset as u64, data: data.clone() });
+            records.push(LogRecord {
+                offset: offset as u64,
+                data: data.clone(),
+            });
+        }
+        LogPage {
+            records,
+            end: stream.len() as u64,
         }
-        LogPage { records, end: stream.len() as u64 }
     }
 }
 
--- a/crates/emulator/src/machines.rs
+++ b/crates/emulator/src/machines.rs
@@ -25,9 +25,15 @@
 impl MachineList {
     fn visible(&self) -> Vec<Machine> {
         let changes = self.changes.borrow();
-        let old_enough = changes.iter().rev().find(|change| change.at.elapsed() >= self.lag);
+        let old_enough = changes
+            .iter()
+            .rev()
+            .find(|change| change.at.elapsed() >= self.lag);
         // The first list is there from the start: it lags only behind changes.
-        old_enough.or(changes.first()).map(|change| change.machines.clone()).unwrap_or_default()
+        old_enough
+            .or(changes.first())
+            .map(|change| change.machines.clone())
+            .unwrap_or_default()
     }
 }
 
@@ -63,7 +69,10 @@
 async fn set_machines(list: types::State<MachineList>, body: Bytes) -> HttpResponse {
     match serde_json::from_slice::<Vec<Machine>>(&body) {
         Ok(machines) => {
-            list.changes.borrow_mut().push(Change { at: Instant::now(), machines });
+            list.changes.borrow_mut().push(Change {
+                at: Instant::now(),
+                machines,
+            });
             text(200, "set")
         }
         Err(error) => text(400, error.to_string()),
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -122,7 +122,10 @@
 
 #[ntex::main]
 async fn main() -> ExitCode {
-    tracing_subscriber::fmt().json().with_writer(io::stderr).init();
+    tracing_subscriber::fmt()
+        .json()
+        .with_writer(io::stderr)
+        .init();
     let arguments = Arguments::parse_args_default_or_exit();
     let result = match arguments.command {
         Some(command) => run(command).await,
--- a/crates/emulator/src/serve.rs
+++ b/crates/emulator/src/serve.rs
@@ -1,7 +1,7 @@
 //! Running one stand-in as a process: one worker thread, one listener.
 
-use ntex::http::HttpServiceConfig;
 use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
 use ntex::time::Seconds;
 use ntex::web::{self, HttpServer, ServiceConfig};
 use std::io;
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -41,7 +41,11 @@
         let executions = Rc::default();
         Faults::default().configure(config);
         config
-            .state(Server { work_ms, offers_lookup, executions })
+            .state(Server {
+                work_ms,
+                offers_lookup,
+                executions,
+            })
             .route("/call/{path}*", web::post().to(execute_request))
             .route("/v1/executions", web::get().to(list_executions))
             .route("/v1/executions/{key}", web::get().to(show_execution));
@@ -59,7 +63,10 @@
     if let Err(answer) = faults.before().await {
         return answer;
     }
-    let key = request.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok());
+    let key = request
+        .headers()
+        .get(KEY_HEADER)
+        .and_then(|value| value.to_str().ok());
     let Some(key) = key else {
         return text(400, "send the header x-request-key");
     };
--- a/crates/emulator/src/weights.rs
+++ b/crates/emulator/src/weights.rs
@@ -47,7 +47,11 @@
         let free_at = Rc::new(Cell::new(Instant::now()));
         Faults::default().configure(config);
         config
-            .state(Store { bytes_per_second: bytes_per_second.max(1), weight_bytes, free_at })
+            .state(Store {
+                bytes_per_second: bytes_per_second.max(1),
+                weight_bytes,
+                free_at,
+            })
             .route("/v1/weights/{name}", web::get().to(fetch_weights));
     })
     .await
@@ -63,5 +67,11 @@
     }
     let wait_ms = store.take_turn().as_millis().min(u128::from(u32::MAX)) as u32;
     sleep(Millis(wait_ms)).await;
-    json(200, &Weights { name: name.into_inner(), bytes: store.weight_bytes })
+    json(
+        200,
+        &Weights {
+            name: name.into_inner(),
+            bytes: store.weight_bytes,
+        },
+    )
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -34,10 +34,16 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => {
-                write!(formatter, "no connection ({cause}); check that the process runs there")
+                write!(
+                    formatter,
+                    "no connection ({cause}); check that the process runs there"
+                )
             }
             Self::Unknown(cause) => {
-                write!(formatter, "no answer ({cause}); the request may have run, ask again")
+                write!(
+                    formatter,
+                    "no answer ({cause}); the request may have run, ask again"
+                )
             }
             Self::Status { status, body } => write!(formatter, "status {status}: {body}"),
         }
@@ -64,8 +70,9 @@
 impl HttpClient {
     /// Builds a client without a limit of connections.
     pub async fn new() -> Self {
-        let connector =
-            Connector::new().limit(0).keep_alive(ntex::time::Seconds(CONNECT_KEEP_ALIVE_SECONDS));
+        let connector = Connector::new()
+            .limit(0)
+            .keep_alive(ntex::time::Seconds(CONNECT_KEEP_ALIVE_SECONDS));
         let client = Client::builder()
             .connector::<()>(connector)
             .disable_timeout()
@@ -75,7 +82,9 @@
             .await;
         match client {
             Ok(client) => Self { client },
-            Err(_) => Self { client: Client::new().await },
+            Err(_) => Self {
+                client: Client::new().await,
+            },
         }
     }
 
@@ -101,7 +110,10 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        request.send_body(body).await.map_err(|error| classify(&error))
+        request
+            .send_body(body)
+            .await
+            .map_err(|error| classify(&error))
     }
 
     /// Sends a request and reads the whole answer, whatever its status.
@@ -116,8 +128,13 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<TextReply, SendError> {
-        let (status, bytes) = self.fetch_bytes(method, url, headers, body, timeout).await?;
-        Ok(TextReply { status, body: String::from_utf8_lossy(&bytes).into_owned() })
+        let (status, bytes) = self
+            .fetch_bytes(method, url, headers, body, timeout)
+            .await?;
+        Ok(TextReply {
+            status,
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+        })
     }
 
     async fn fetch_bytes(
@@ -150,7 +167,10 @@
         url: &str,
         timeout: Duration,
     ) -> Result<T, SendError> {
-        decode(self.fetch(Method::GET, url, &[], Vec::new(), timeout).await?)
+        decode(
+            self.fetch(Method::GET, url, &[], Vec::new(), timeout)
+                .await?,
+        )
     }
 
     /// Sends JSON and reads JSON.
@@ -165,7 +185,10 @@
     ) -> Result<T, SendError> {
         let body = serde_json::to_vec(body).unwrap_or_default();
         let headers = [("content-type", "application/json")];
-        decode(self.fetch(Method::POST, url, &headers, body, timeout).await?)
+        decode(
+            self.fetch(Method::POST, url, &headers, body, timeout)
+                .await?,
+        )
     }
 
     /// Sends and reads messages between the project's own processes.
@@ -179,7 +202,9 @@
         timeout: Duration,
     ) -> Result<T, SendError> {
         let body = body.serialize_bin();
-        let (status, bytes) = self.fetch_bytes(Method::POST, url, &[], body, timeout).await?;
+        let (status, bytes) = self
+            .fetch_bytes(Method::POST, url, &[], body, timeout)
+            .await?;
         if status != 200 {
             let body = String::from_utf8_lossy(&bytes).into_owned();
             return Err(SendError::Status { status, body });
@@ -190,7 +215,10 @@
 
 fn decode<T: DeserializeOwned>(reply: TextReply) -> Result<T, SendError> {
     if !(200..300).contains(&reply.status) {
-        return Err(SendError::Status { status: reply.status, body: reply.body });
+        return Err(SendError::Status {
+            status: reply.status,
+            body: reply.body,
+        });
     }
     serde_json::from_str(&reply.body).map_err(|error| SendError::Unknown(error.to_string()))
 }
--- a/crates/http/src/respond.rs
+++ b/crates/http/src/respond.rs
@@ -18,7 +18,9 @@
 
 /// A plain text answer.
 pub fn text(status: u16, body: impl Into<String>) -> HttpResponse {
-    HttpResponse::build(status_code(status)).content_type("text/plain").body(body.into())
+    HttpResponse::build(status_code(status))
+        .content_type("text/plain")
+        .body(body.into())
 }
 
 /// An answer of server-sent events.
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -52,9 +52,19 @@
 
 impl Detector {
     /// A detector that knows only itself and the addresses to start from.
-    pub fn new(id: ReplicaId, zone: &str, seeds: Vec<Address>, settings: Settings, seed: u64) -> Self {
-        let own =
-            Member { id, zone: zone.to_owned(), state: MemberState::Alive, refutation: 0 };
+    pub fn new(
+        id: ReplicaId,
+        zone: &str,
+        seeds: Vec<Address>,
+        settings: Settings,
+        seed: u64,
+    ) -> Self {
+        let own = Member {
+            id,
+            zone: zone.to_owned(),
+            state: MemberState::Alive,
+            refutation: 0,
+        };
         let mut detector = Self {
             own: own.clone(),
             settings,
@@ -173,7 +183,8 @@
     }
 
     fn start_probe(&mut self) {
-        self.errands.retain(|sequence, _| *sequence + 64 > self.sequence);
+        self.errands
+            .retain(|sequence, _| *sequence + 64 > self.sequence);
         if let Some(probe) = self.probe.take() {
             self.suspect(probe.target);
         }
@@ -184,7 +195,12 @@
         self.sequence += 1;
         let sequence = self.sequence;
         let started_ms = self.now_ms;
-        self.probe = Some(Probe { target, sequence, started_ms, helpers_asked: false });
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            started_ms,
+            helpers_asked: false,
+        });
         self.send(target, Question::Ping { sequence });
         // A seed nobody has heard of may be a group that split off.
         if sequence.is_multiple_of(8) {
@@ -199,12 +215,19 @@
             .copied()
             .filter(|seed| *seed != self.own.id.address)
             .filter(|seed| {
-                self.table.member(*seed).is_none_or(|member| member.state >= MemberState::Dead)
+                self.table
+                    .member(*seed)
+                    .is_none_or(|member| member.state >= MemberState::Dead)
             })
             .collect();
         for seed in unknown {
             self.sequence += 1;
-            self.send(seed, Question::Ping { sequence: self.sequence });
+            self.send(
+                seed,
+                Question::Ping {
+                    sequence: self.sequence,
+                },
+            );
         }
     }
 
@@ -216,7 +239,11 @@
             self.random.shuffle(&mut self.round);
         }
         while let Some(target) = self.round.pop() {
-            if self.table.member(target).is_some_and(|member| member.state <= MemberState::Suspect) {
+            if self
+                .table
+                .member(target)
+                .is_some_and(|member| member.state <= MemberState::Suspect)
+            {
                 return Some(target);
             }
         }
@@ -225,7 +252,8 @@
 
     fn others(&self) -> Vec<Address> {
         let live = self.table.live().map(|member| member.id.address);
-        live.filter(|address| *address != self.own.id.address).collect()
+        live.filter(|address| *address != self.own.id.address)
+            .collect()
     }
 
     fn follow_probe(&mut self) {
@@ -233,20 +261,31 @@
         if probe.helpers_asked || self.now_ms < probe.started_ms + self.settings.answer_ms {
             return;
         }
-        self.probe = Some(Probe { helpers_asked: true, ..probe });
+        self.probe = Some(Probe {
+            helpers_asked: true,
+            ..probe
+        });
         let mut helpers = self.others();
         helpers.retain(|helper| *helper != probe.target);
         self.random.shuffle(&mut helpers);
         for helper in helpers.into_iter().take(self.settings.helpers) {
-            let question = Question::PingFor { sequence: probe.sequence, target: probe.target };
+            let question = Question::PingFor {
+                sequence: probe.sequence,
+                target: probe.target,
+            };
             self.send(helper, question);
         }
     }
 
     fn suspect(&mut self, address: Address) {
-        let Some(member) = self.table.member(address) else { return };
+        let Some(member) = self.table.member(address) else {
+            return;
+        };
         if member.state == MemberState::Alive {
-            let suspicion = Member { state: MemberState::Suspect, ..member.clone() };
+            let suspicion = Member {
+                state: MemberState::Suspect,
+                ..member.clone()
+            };
             self.learn(Fact::Member(suspicion));
         }
     }
@@ -262,7 +301,10 @@
             .collect();
         for address in buried {
             if let Some(member) = self.table.member(address) {
-                let death = Member { state: MemberState::Dead, ..member.clone() };
+                let death = Member {
+                    state: MemberState::Dead,
+                    ..member.clone()
+                };
                 self.learn(Fact::Member(death));
             }
         }
@@ -282,9 +324,19 @@
             Question::Ack { sequence } => self.take_answer(sequence),
             Question::PingFor { sequence, target } => {
                 self.sequence += 1;
-                self.errands
-                    .insert(self.sequence, Errand { asker: from, asker_sequence: sequence });
-                self.send(target, Question::Ping { sequence: self.sequence });
+                self.errands.insert(
+                    self.sequence,
+                    Errand {
+                        asker: from,
+                        asker_sequence: sequence,
+                    },
+                );
+                self.send(
+                    target,
+                    Question::Ping {
+                        sequence: self.sequence,
+                    },
+                );
             }
         }
         std::mem::take(&mut self.packets_out)
@@ -292,7 +344,9 @@
 
     /// A sender that is held dead here must hear of it, or it never objects.
     fn tell_if_mistaken(&mut self, from: ReplicaId) {
-        let Some(member) = self.table.member(from.address) else { return };
+        let Some(member) = self.table.member(from.address) else {
+            return;
+        };
         if member.id == from && member.state > MemberState::Alive {
             let subject = Fact::Member(member.clone()).subject();
             self.queue.add(subject);
@@ -301,7 +355,12 @@
 
     fn take_answer(&mut self, sequence: u64) {
         if let Some(errand) = self.errands.remove(&sequence) {
-            self.send(errand.asker, Question::Ack { sequence: errand.asker_sequence });
+            self.send(
+                errand.asker,
+                Question::Ack {
+                    sequence: errand.asker_sequence,
+                },
+            );
             return;
         }
         let answered = |probe: &Probe| probe.sequence == sequence;
@@ -313,13 +372,19 @@
     fn send(&mut self, to: Address, question: Question) {
         let size = self.table.live().count().max(2);
         let limit = self.settings.repeats * (usize::BITS - size.leading_zeros());
-        let mut facts = self.queue.take(&self.table, self.settings.packet_bytes, limit);
+        let mut facts = self
+            .queue
+            .take(&self.table, self.settings.packet_bytes, limit);
         let own = Fact::Member(self.own.clone());
         if self.table.member(to).is_none() && !facts.contains(&own) {
             // The receiver does not know this daemon either.
             facts.push(own);
         }
-        let packet = Packet { from: self.own.id, question, facts };
+        let packet = Packet {
+            from: self.own.id,
+            question,
+            facts,
+        };
         self.packets_out.push(Outgoing { to, packet });
     }
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -54,13 +54,18 @@
     /// Takes facts for one packet, those sent least often first; a fact that
     /// was sent `limit` times is dropped from the queue.
     pub(crate) fn take(&mut self, table: &FactTable, bytes: usize, limit: u32) -> Vec<Fact> {
-        let mut order: Vec<(u32, Subject)> =
-            self.sent.iter().map(|(subject, sent)| (*sent, subject.clone())).collect();
+        let mut order: Vec<(u32, Subject)> = self
+            .sent
+            .iter()
+            .map(|(subject, sent)| (*sent, subject.clone()))
+            .collect();
         order.sort();
         let mut facts = Vec::new();
         let mut room = bytes;
         for (sent, subject) in order {
-            let Some(fact) = table.get(&subject) else { continue };
+            let Some(fact) = table.get(&subject) else {
+                continue;
+            };
             if fact.size() > room {
                 continue;
             }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -16,7 +16,10 @@
     /// Takes a fact in; true if it was news.
     pub fn insert(&mut self, fact: Fact) -> bool {
         let subject = fact.subject();
-        let news = self.facts.get(&subject).is_none_or(|known| fact.replaces(known));
+        let news = self
+            .facts
+            .get(&subject)
+            .is_none_or(|known| fact.replaces(known));
         if news {
             self.facts.insert(subject, fact);
         }
@@ -68,7 +71,8 @@
 
     /// Daemons that take part: alive or merely suspected.
     pub fn live(&self) -> impl Iterator<Item = &Member> {
-        self.members().filter(|member| member.state <= MemberState::Suspect)
+        self.members()
+            .filter(|member| member.state <= MemberState::Suspect)
     }
 
     /// The newest route of a shard.
--- a/crates/model/src/claims.rs
+++ b/crates/model/src/claims.rs
@@ -114,7 +114,9 @@
     }
 
     fn fold_members(&mut self, record: MemberRecord) {
-        let Some(group) = self.groups.get_mut(&record.shard) else { return };
+        let Some(group) = self.groups.get_mut(&record.shard) else {
+            return;
+        };
         if group.epoch == record.epoch && record.index > group.index {
             group.index = record.index;
             group.members = record.members;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod error;
 pub mod ids;
 pub mod labels;
+pub mod operator;
 pub mod platform;
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -83,8 +83,10 @@
     if allowed.is_empty() {
         return Err(Refusal::NoEngine);
     }
-    let open: Vec<&(&EngineView, Verdict)> =
-        allowed.iter().filter(|(engine, _)| has_room(engine)).collect();
+    let open: Vec<&(&EngineView, Verdict)> = allowed
+        .iter()
+        .filter(|(engine, _)| has_room(engine))
+        .collect();
     let best = open
         .into_iter()
         .map(|(engine, verdict)| candidate(engine, verdict, work))
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -39,8 +39,17 @@
 
 /// Estimates a call. `assigned` counts calls sent there that the lagging load
 /// report may not show yet.
-pub fn estimate(load: &EngineLoad, assigned: u32, missing_tokens: u64, new_tokens: u64) -> Estimate {
-    let step_us = if load.step_us == 0 { DEFAULT_STEP_US } else { load.step_us };
+pub fn estimate(
+    load: &EngineLoad,
+    assigned: u32,
+    missing_tokens: u64,
+    new_tokens: u64,
+) -> Estimate {
+    let step_us = if load.step_us == 0 {
+        DEFAULT_STEP_US
+    } else {
+        load.step_us
+    };
     let places = u64::from(load.max_running.max(1));
     let present = u64::from((load.running + load.waiting).max(assigned));
     let rounds_ahead = present / places;
--- a/crates/placement/src/rules.rs
+++ b/crates/placement/src/rules.rs
@@ -29,7 +29,9 @@
         }
         matched.push(rule.name.clone());
         match rule.effect {
-            Effect::Allow => priority = priority.max(Some(rule.priority.unwrap_or(DEFAULT_PRIORITY))),
+            Effect::Allow => {
+                priority = priority.max(Some(rule.priority.unwrap_or(DEFAULT_PRIORITY)))
+            }
             Effect::Deny | Effect::Drain => barred = true,
         }
     }
--- a/crates/program/src/history.rs
+++ b/crates/program/src/history.rs
@@ -27,7 +27,9 @@
     pub fn prompt(&self, id: ProgramId, call_number: u64) -> Option<Vec<Message>> {
         let program = self.programs.get(&id)?;
         let call = program.call(call_number)?;
-        let CallSpec::Model(model) = &call.spec else { return None };
+        let CallSpec::Model(model) = &call.spec else {
+            return None;
+        };
         let mut messages = Vec::new();
         self.collect(program, call_number - 1, &mut messages);
         messages.extend(model.messages.iter().cloned());
@@ -57,5 +59,8 @@
 }
 
 fn answer_message(content: &str) -> Message {
-    Message { role: ASSISTANT.to_owned(), content: content.to_owned() }
+    Message {
+        role: ASSISTANT.to_owned(),
+        content: content.to_owned(),
+    }
 }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -12,6 +12,8 @@
 
 pub use budget::{Budget, highest_cost, prompt_bound};
 pub use call::{Attempt, Call, CallState};
-pub use command::{AttemptCost, Begin, Command, EndReason, Finish, NextAttempt, Open, Outcome, Reply, TimedCommand};
+pub use command::{
+    AttemptCost, Begin, Command, EndReason, Finish, NextAttempt, Open, Outcome, Reply, TimedCommand,
+};
 pub use machine::{Admission, RETENTION_MS, ShardState};
 pub use program::{ForkPoint, Phase, Program};
--- a/crates/program/src/machine.rs
+++ b/crates/program/src/machine.rs
@@ -50,9 +50,11 @@
             Command::Begin(begin) => self.begin(begin),
             Command::NextAttempt(next) => self.next_attempt(next),
             Command::Finish(finish) => self.finish(finish),
-            Command::RefuseKey { program, call_number, request_key } => {
-                self.refuse_key(program, call_number, request_key)
-            }
+            Command::RefuseKey {
+                program,
+                call_number,
+                request_key,
+            } => self.refuse_key(program, call_number, request_key),
             Command::End { program, reason } => self.end(program, reason),
             Command::Released { program, engine } => self.released(program, &engine),
             Command::Forget => self.forget(),
@@ -100,9 +102,13 @@
                 parent: id,
                 after_call: parent.calls.len() as u64 - u64::from(parent.running_call().is_some()),
             }),
-            budget: Budget { limit: open.budget, ..Budget::default() },
-            deadline_ms: parent
-                .map_or(own_deadline_ms, |(_, parent)| parent.deadline_ms.min(own_deadline_ms)),
+            budget: Budget {
+                limit: open.budget,
+                ..Budget::default()
+            },
+            deadline_ms: parent.map_or(own_deadline_ms, |(_, parent)| {
+                parent.deadline_ms.min(own_deadline_ms)
+            }),
             max_turns: open.max_turns,
             calls: Vec::new(),
             refused_keys: Default::default(),
@@ -156,7 +162,11 @@
             ));
         }
         let running = program.running_call().is_some();
-        Ok(if running { Admission::AfterRunning } else { Admission::Next })
+        Ok(if running {
+            Admission::AfterRunning
+        } else {
+            Admission::Next
+        })
     }
 
     fn begin(&mut self, begin: Begin) -> Reply {
@@ -173,7 +183,10 @@
             Ok(Admission::Next) => {}
         }
         let reservation = self.reservation(begin.program, &begin.spec);
-        if !self.budget_mut(begin.program).is_some_and(|budget| budget.reserve(reservation)) {
+        if !self
+            .budget_mut(begin.program)
+            .is_some_and(|budget| budget.reserve(reservation))
+        {
             return Reply::Refused(over_budget(reservation));
         }
         let attempt = Attempt {
@@ -183,7 +196,9 @@
             lineage: 1,
             prefix: String::new(),
         };
-        let Some(program) = self.programs.get_mut(&begin.program) else { return Reply::Stale };
+        let Some(program) = self.programs.get_mut(&begin.program) else {
+            return Reply::Stale;
+        };
         note_hold(program, &begin.spec, &attempt.target);
         program.calls.push(Call {
             request_key: begin.request_key,
@@ -202,8 +217,13 @@
     /// Most tokens the history can have: what an engine of the same model
     /// counted, or else a bound from its bytes.
     fn history_bound(&self, id: ProgramId, spec: &CallSpec) -> u64 {
-        let CallSpec::Model(model) = spec else { return 0 };
-        let counted = self.programs.get(&id).and_then(|program| program.counted.as_ref());
+        let CallSpec::Model(model) = spec else {
+            return 0;
+        };
+        let counted = self
+            .programs
+            .get(&id)
+            .and_then(|program| program.counted.as_ref());
         match counted {
             Some(counted) if counted.model == model.model => counted.tokens,
             _ => prompt_bound(&self.history(id)),
@@ -212,7 +232,9 @@
 
     fn budget_mut(&mut self, id: ProgramId) -> Option<&mut Budget> {
         let root = self.programs.get(&id)?.root;
-        self.programs.get_mut(&root).map(|program| &mut program.budget)
+        self.programs
+            .get_mut(&root)
+            .map(|program| &mut program.budget)
     }
 
     fn running(&self, id: ProgramId, number: u64, attempt: u32) -> Option<&Call> {
@@ -233,12 +255,22 @@
         let (spec, old) = (call.spec.clone(), call.attempt.clone());
         let prefix_bound = next.prefix.len() as u64;
         let reservation = self.reservation(next.program, &spec) + prefix_bound;
-        let counted = if next.cost == AttemptCost::Full { old.reservation } else { 0 };
-        let Some(budget) = self.budget_mut(next.program) else { return Reply::Stale };
+        let counted = if next.cost == AttemptCost::Full {
+            old.reservation
+        } else {
+            0
+        };
+        let Some(budget) = self.budget_mut(next.program) else {
+            return Reply::Stale;
+        };
         budget.settle(old.reservation, counted);
         if !budget.reserve(reservation) {
             let error = over_budget(reservation).executed(Executed::Unknown);
-            self.close_call(next.program, next.call_number, CallState::Failed(error.clone()));
+            self.close_call(
+                next.program,
+                next.call_number,
+                CallState::Failed(error.clone()),
+            );
             return Reply::Refused(error);
         }
         let number = next.given_up + 1;
@@ -246,10 +278,16 @@
             number,
             target: next.target,
             reservation,
-            lineage: if next.prefix.is_empty() { number } else { old.lineage },
+            lineage: if next.prefix.is_empty() {
+                number
+            } else {
+                old.lineage
+            },
             prefix: next.prefix,
         };
-        let Some(program) = self.programs.get_mut(&next.program) else { return Reply::Stale };
+        let Some(program) = self.programs.get_mut(&next.program) else {
+            return Reply::Stale;
+        };
         note_hold(program, &spec, &attempt.target);
         if let Some(call) = program.call_mut(next.call_number) {
             call.attempt = attempt.clone();
@@ -282,12 +320,21 @@
     }
 
     fn note_usage(&mut self, id: ProgramId, number: u64, answer: &Answer) {
-        let Some(program) = self.programs.get_mut(&id) else { return };
-        let Some(call) = program.call(number) else { return };
-        let CallSpec::Model(model) = &call.spec else { return };
+        let Some(program) = self.programs.get_mut(&id) else {
+            return;
+        };
+        let Some(call) = program.call(number) else {
+            return;
+        };
+        let CallSpec::Model(model) = &call.spec else {
+            return;
+        };
         let tokens = answer.usage.prompt_tokens + answer.usage.completion_tokens;
         // The next prompt wraps this answer into a message of its own.
-        let counted = CountedPrompt { model: model.model.clone(), tokens: tokens + 8 };
+        let counted = CountedPrompt {
+            model: model.model.clone(),
+            tokens: tokens + 8,
+        };
         let engine = call.attempt.target.clone();
         program.counted = Some(counted);
         program.held_by.insert(engine, tokens);
@@ -303,8 +350,13 @@
     /// Whatever made the leader refuse may pass; the key stays refused, or a
     /// late copy of the request would run after the caller was told it had not.
     fn refuse_key(&mut self, id: ProgramId, number: u64, key: String) -> Reply {
-        let Some(program) = self.programs.get_mut(&id) else { return Reply::Stale };
-        if program.call(number).is_some_and(|call| call.request_key == key) {
+        let Some(program) = self.programs.get_mut(&id) else {
+            return Reply::Stale;
+        };
+        if program
+            .call(number)
+            .is_some_and(|call| call.request_key == key)
+        {
             return Reply::Known;
         }
         program.refused_keys.insert(key);
@@ -312,7 +364,9 @@
     }
 
     fn end(&mut self, id: ProgramId, reason: EndReason) -> Reply {
-        let Some(program) = self.programs.get(&id) else { return Reply::Stale };
+        let Some(program) = self.programs.get(&id) else {
+            return Reply::Stale;
+        };
         if !program.is_open() {
             return Reply::Known;
         }
@@ -328,7 +382,9 @@
     }
 
     fn cancel_running(&mut self, id: ProgramId) {
-        let Some(number) = self.programs.get(&id).and_then(Program::running_call) else { return };
+        let Some(number) = self.programs.get(&id).and_then(Program::running_call) else {
+            return;
+        };
         let attempt = self.programs[&id].calls[number as usize - 1].attempt.number;
         let error = CallError::not_run(ErrorKind::Cancelled, "the program ended while it ran")
             .executed(Executed::Unknown);
@@ -342,14 +398,24 @@
 
     fn open_children(&self, id: ProgramId) -> Vec<ProgramId> {
         let is_child = |program: &Program| program.fork.is_some_and(|fork| fork.parent == id);
-        let children = self.programs.iter().filter(|(_, program)| is_child(program));
-        children.filter(|(_, program)| program.is_open()).map(|(child, _)| *child).collect()
+        let children = self
+            .programs
+            .iter()
+            .filter(|(_, program)| is_child(program));
+        children
+            .filter(|(_, program)| program.is_open())
+            .map(|(child, _)| *child)
+            .collect()
     }
 
     fn released(&mut self, id: ProgramId, engine: &str) -> Reply {
-        let Some(program) = self.programs.get_mut(&id) else { return Reply::Stale };
+        let Some(program) = self.programs.get_mut(&id) else {
+            return Reply::Stale;
+        };
         if program.running_call().is_some_and(|number| {
-            program.call(number).is_some_and(|call| call.attempt.target == engine)
+            program
+                .call(number)
+                .is_some_and(|call| call.attempt.target == engine)
         }) {
             return Reply::Stale;
         }
@@ -359,7 +425,10 @@
 
     /// Ended programs whose records may go at a time of the shard's clock.
     fn forgettable(&self, now_ms: u64) -> impl Iterator<Item = ProgramId> + '_ {
-        let over = self.programs.iter().filter(move |(_, item)| retention_over(item, now_ms));
+        let over = self
+            .programs
+            .iter()
+            .filter(move |(_, item)| retention_over(item, now_ms));
         over.map(|(id, _)| *id).filter(|id| !self.has_children(*id))
     }
 
@@ -379,7 +448,9 @@
     /// A root's ledger and a parent's history are needed until the last
     /// sub-agent's record is gone.
     fn has_children(&self, id: ProgramId) -> bool {
-        self.programs.values().any(|program| program.fork.is_some_and(|fork| fork.parent == id))
+        self.programs
+            .values()
+            .any(|program| program.fork.is_some_and(|fork| fork.parent == id))
     }
 
     fn restore(&mut self, state: &[u8]) -> Reply {
--- a/crates/program/src/view.rs
+++ b/crates/program/src/view.rs
@@ -13,7 +13,10 @@
     /// No record of the program.
     pub fn view(&self, id: ProgramId) -> Result<ProgramView, CallError> {
         let program = self.program(id)?;
-        let budget = self.programs.get(&program.root).map_or(program.budget, |root| root.budget);
+        let budget = self
+            .programs
+            .get(&program.root)
+            .map_or(program.budget, |root| root.budget);
         Ok(ProgramView {
             program: id.to_string(),
             tenant: program.tenant.clone(),
