Process tests of survival; mend a client pool that forgot requests

Cause: callers waited 60 s for calls that never reached their engine (test lost_answers_double_nothing), and replication to one peer lagged for seconds. Excluded: a lapsed lease (a wait for its renewal was added all the same, since a call of a leader whose lease lapses for a moment would have stayed for ever), panics (none logged), sockets with unread bytes (none), the engine (it had never seen the stream). Found: the HTTP client's limit(0), documented as no limit, never wakes a request that found a connection to its address half opened. The harness now waits until groups consist of running processes; it had counted replaced voters as present and so killed majorities.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -76,6 +76,8 @@
     pub total: Duration,
     /// Times the caller had to ask again.
     pub asked_again: u32,
+    /// Times an answer broke off after it had begun.
+    pub broken: u32,
 }
 
 /// One program as its caller sees it.
@@ -338,6 +340,7 @@
         let mut decoder = SseDecoder::default();
         loop {
             let Ok(Some(Ok(chunk))) = timeout(SILENCE, response.next()).await else {
+                self.times.broken += 1;
                 return Asked::Again("the stream broke off".to_owned());
             };
             for event in decoder.push(&chunk) {
--- a/crates/bench/src/cluster/process.rs
+++ b/crates/bench/src/cluster/process.rs
@@ -164,8 +164,10 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.signal(Signal::Continue);
-        self.kill();
+        if self.is_running() {
+            self.signal(Signal::Continue);
+            self.kill();
+        }
     }
 }
 
--- a/crates/bench/src/cluster/shape.rs
+++ b/crates/bench/src/cluster/shape.rs
@@ -4,6 +4,7 @@
 use fieldhook_emulator::faults::FaultPlan;
 use fieldhook_http::{HttpClient, TextReply};
 use fieldhook_model::labels::Labels;
+use fieldhook_model::operator::{ReplicaStatus, Status};
 use fieldhook_model::platform::{Machine, MachineKind};
 use ntex::http::Method;
 use std::collections::BTreeMap;
@@ -386,6 +387,48 @@
         None
     }
 
+    /// Waits until every shard has a leader, and all its voters are processes
+    /// that run now.
+    ///
+    /// # Errors
+    /// Some group does not regain its size in time.
+    pub async fn wait_whole(&self) -> Result<(), ProcessError> {
+        self.wait_ready().await?;
+        let begun = Instant::now();
+        while begun.elapsed() < READY_LIMIT {
+            if self.is_whole().await.unwrap_or(false) {
+                return Ok(());
+            }
+            ntex::time::sleep(READY_STEP).await;
+        }
+        Err(ProcessError::NotReady(
+            "a shard with all its replicas".to_owned(),
+        ))
+    }
+
+    async fn is_whole(&self) -> Option<bool> {
+        let mut processes = Vec::new();
+        let mut replicas: Vec<ReplicaStatus> = Vec::new();
+        for daemon in self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.process.is_some())
+        {
+            let status = self.get(&daemon.address, "/v1/status").await?;
+            let status: Status = serde_json::from_str(&status.body).ok()?;
+            processes.push(status.process);
+            let held = self.get(&daemon.address, "/v1/operator/replicas").await?;
+            replicas.extend(serde_json::from_str::<Vec<ReplicaStatus>>(&held.body).ok()?);
+        }
+        let wanted = usize::from(self.shape.replicas).min(processes.len());
+        let whole = replicas.iter().filter(|replica| {
+            replica.leads
+                && replica.voters.len() == wanted
+                && replica.voters.iter().all(|voter| processes.contains(voter))
+        });
+        Some(whole.count() == usize::from(self.shape.shards))
+    }
+
     /// Addresses of the engines.
     pub fn engines(&self) -> Vec<String> {
         self.addresses(MachineKind::Engine)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,8 @@
 //! `fieldhook-bench`: starts clusters of real processes on loopback, drives
 //! them as callers do, causes faults, and checks from outside what must hold.
 
+pub mod audit;
 pub mod caller;
 pub mod cluster;
+pub mod load;
 pub mod quickstart;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,303 @@
+//! Load: many programs that converse at once, each checked by its caller.
+
+use crate::caller::{CallEnd, Caller, Violation};
+use fieldhook_http::HttpClient;
+use fieldhook_model::api::OpenProgram;
+use fieldhook_model::error::{CallError, Executed};
+use hdrhistogram::Histogram;
+use ntex::time::{Millis, sleep};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// One kind of program, run many times.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// Tenant of the programs.
+    pub tenant: String,
+    /// Labels of the programs.
+    pub labels: BTreeMap<String, String>,
+    /// Model asked for.
+    pub model: String,
+    /// Service for requests that are not repeatable; none if empty.
+    pub service: String,
+    /// Programs at once.
+    pub programs: usize,
+    /// Calls of each program.
+    pub turns: u32,
+    /// Every so many calls one goes to the service; 0 for none.
+    pub service_every: u32,
+    /// Bytes of each user message.
+    pub message_bytes: usize,
+    /// Tokens of each answer.
+    pub max_tokens: u32,
+    /// Longest pause between calls, in milliseconds.
+    pub pause_ms: u32,
+    /// Budget of each program.
+    pub budget: i64,
+    /// Distinguishes runs on one cluster.
+    pub run: String,
+}
+
+impl Default for Workload {
+    fn default() -> Self {
+        Self {
+            tenant: "tambak".to_owned(),
+            labels: BTreeMap::new(),
+            model: "chat".to_owned(),
+            service: "instalments".to_owned(),
+            programs: 12,
+            turns: 8,
+            service_every: 3,
+            message_bytes: 40,
+            max_tokens: 20,
+            pause_ms: 60,
+            budget: 1_000_000,
+            run: "run".to_owned(),
+        }
+    }
+}
+
+/// What became of a request that is not repeatable, as its caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerOutcome {
+    /// Answered: it ran.
+    Answered,
+    /// Refused as not run.
+    NotRun,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// Everything the callers saw.
+pub struct Tally {
+    /// Calls that were answered.
+    pub answered: u64,
+    /// Refusals and failures.
+    pub refused: Vec<CallError>,
+    /// Calls that never got a final answer.
+    pub no_answer: Vec<String>,
+    /// Wrong answers.
+    pub violations: Vec<Violation>,
+    /// Conversations that the system shows otherwise than the caller knows them.
+    pub wrong_histories: Vec<String>,
+    /// Programs that spent more than their budget.
+    pub overspent: Vec<String>,
+    /// Programs that ran to their end.
+    pub finished: u64,
+    /// Identifiers of all programs.
+    pub programs: Vec<String>,
+    /// Requests that are not repeatable, by server key.
+    pub server_outcomes: BTreeMap<String, ServerOutcome>,
+    /// Times that a caller had to ask again.
+    pub asked_again: u64,
+    /// Times that an opened answer broke off.
+    pub broken: u64,
+    /// Time to the first token, in microseconds.
+    pub first_token: Histogram<u64>,
+    /// Longest silence within each streamed answer, in microseconds.
+    pub pauses: Histogram<u64>,
+    /// Time of whole programs, in microseconds.
+    pub program_time: Histogram<u64>,
+    /// Prompt tokens of all answers.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that engines found cached.
+    pub cached_tokens: u64,
+}
+
+const HIGHEST_US: u64 = 600_000_000;
+const DIGITS: u8 = 3;
+
+fn histogram() -> Histogram<u64> {
+    // The bounds are constants that the library accepts.
+    Histogram::new_with_bounds(1, HIGHEST_US, DIGITS).unwrap_or_else(|error| panic!("{error}"))
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self {
+            answered: 0,
+            refused: Vec::new(),
+            no_answer: Vec::new(),
+            violations: Vec::new(),
+            wrong_histories: Vec::new(),
+            overspent: Vec::new(),
+            finished: 0,
+            programs: Vec::new(),
+            server_outcomes: BTreeMap::new(),
+            asked_again: 0,
+            broken: 0,
+            first_token: histogram(),
+            pauses: histogram(),
+            program_time: histogram(),
+            prompt_tokens: 0,
+            cached_tokens: 0,
+        }
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    (span.as_micros() as u64).clamp(1, HIGHEST_US)
+}
+
+impl Tally {
+    fn note_call(&mut self, caller: &Caller, end: &CallEnd) {
+        self.asked_again += u64::from(caller.times.asked_again);
+        self.broken += u64::from(caller.times.broken);
+        if let Some(first) = caller.times.first {
+            self.first_token.saturating_record(micros(first));
+            self.pauses
+                .saturating_record(micros(caller.times.longest_pause));
+        }
+        match end {
+            CallEnd::Answered(answer) => {
+                self.answered += 1;
+                self.prompt_tokens += answer.usage.prompt_tokens;
+                self.cached_tokens += answer.usage.cached_tokens;
+            }
+            CallEnd::Refused(error) => self.refused.push(error.clone()),
+            CallEnd::NoAnswer(cause) => self.no_answer.push(cause.clone()),
+        }
+    }
+
+    fn note_server_call(&mut self, caller: &Caller, number: u64, end: &CallEnd) {
+        let outcome = match end {
+            CallEnd::Answered(_) => ServerOutcome::Answered,
+            CallEnd::Refused(error) if error.executed == Executed::No => ServerOutcome::NotRun,
+            _ => ServerOutcome::Unknown,
+        };
+        let key = format!("{}.{}", caller.program, caller.request_key(number));
+        self.server_outcomes.insert(key, outcome);
+    }
+}
+
+/// Programs under way, and what their callers see.
+#[derive(Clone)]
+pub struct Load {
+    /// What was seen so far.
+    pub tally: Rc<RefCell<Tally>>,
+    running: Rc<RefCell<usize>>,
+}
+
+impl Load {
+    /// Starts all programs of a workload.
+    pub fn start(client: &HttpClient, gateways: &[String], workload: &Workload) -> Self {
+        let load = Self {
+            tally: Rc::default(),
+            running: Rc::new(RefCell::new(workload.programs)),
+        };
+        for index in 0..workload.programs {
+            let (load, client) = (load.clone(), client.clone());
+            let (gateways, workload) = (gateways.to_vec(), workload.clone());
+            ntex::rt::spawn(async move {
+                load.converse(&client, &gateways, &workload, index).await;
+                *load.running.borrow_mut() -= 1;
+            });
+        }
+        load
+    }
+
+    /// What was seen, taken out after the end.
+    pub fn take_tally(&self) -> Tally {
+        self.tally.take()
+    }
+
+    /// Whether all programs have ended.
+    pub fn is_over(&self) -> bool {
+        *self.running.borrow() == 0
+    }
+
+    /// Waits until all programs have ended; false if they have not in time.
+    pub async fn wait(&self, limit: Duration) -> bool {
+        let begun = Instant::now();
+        while !self.is_over() && begun.elapsed() < limit {
+            sleep(Millis(20)).await;
+        }
+        self.is_over()
+    }
+
+    async fn converse(
+        &self,
+        client: &HttpClient,
+        gateways: &[String],
+        workload: &Workload,
+        index: usize,
+    ) {
+        let begun = Instant::now();
+        let body = OpenProgram {
+            tenant: workload.tenant.clone(),
+            labels: workload.labels.clone(),
+            budget: workload.budget,
+            deadline_ms: 600_000,
+            request_key: format!("{}-{index}", workload.run),
+            max_turns: None,
+            parent: None,
+        };
+        let mut caller = match Caller::open_with(client, gateways, &body).await {
+            Ok(caller) => caller,
+            Err(error) => {
+                self.tally
+                    .borrow_mut()
+                    .no_answer
+                    .push(format!("open: {error}"));
+                return;
+            }
+        };
+        self.tally
+            .borrow_mut()
+            .programs
+            .push(caller.program.clone());
+        for turn in 1..=workload.turns {
+            self.take_turn(&mut caller, workload, turn).await;
+            sleep(Millis(fastrand::u32(..=workload.pause_ms))).await;
+        }
+        self.close(&mut caller, workload, begun).await;
+    }
+
+    async fn take_turn(&self, caller: &mut Caller, workload: &Workload, turn: u32) {
+        let to_service = workload.service_every > 0 && turn.is_multiple_of(workload.service_every);
+        if to_service {
+            let number = caller.calls + 1;
+            let end = caller.ask_server(&workload.service, "create", false).await;
+            let mut tally = self.tally.borrow_mut();
+            tally.note_server_call(caller, number, &end);
+            tally.note_call(caller, &end);
+            return;
+        }
+        let mut content = format!("turn {turn} of {}: ", caller.program);
+        while content.len() < workload.message_bytes {
+            content.push_str("lorem ");
+        }
+        let end = caller
+            .ask_model(&workload.model, &content, workload.max_tokens)
+            .await;
+        self.tally.borrow_mut().note_call(caller, &end);
+    }
+
+    async fn close(&self, caller: &mut Caller, workload: &Workload, begun: Instant) {
+        let view = caller.view().await;
+        let ended = caller.end().await;
+        let mut tally = self.tally.borrow_mut();
+        tally.violations.append(&mut caller.violations);
+        match view {
+            Ok(view) => {
+                if view.history != caller.history {
+                    tally.wrong_histories.push(caller.program.clone());
+                }
+                if view.spent + view.reserved > workload.budget as u64 {
+                    tally.overspent.push(caller.program.clone());
+                }
+            }
+            Err(error) => tally.no_answer.push(format!("view: {error}")),
+        }
+        if ended {
+            tally.finished += 1;
+        } else {
+            tally.no_answer.push(format!("end of {}", caller.program));
+        }
+        tally
+            .program_time
+            .saturating_record(micros(begun.elapsed()));
+    }
+}
--- /dev/null
+++ b/crates/bench/tests/processes.rs
@@ -0,0 +1,375 @@
+//! Real processes under load and faults. One test at a time, so that each has
+//! the machine to itself.
+
+use fieldhook_bench::audit::{audit, time_to_release};
+use fieldhook_bench::caller::{CallEnd, Caller};
+use fieldhook_bench::cluster::{Cluster, EngineShape, Shape, Signal};
+use fieldhook_bench::load::{Load, Tally, Workload};
+use fieldhook_emulator::faults::FaultPlan;
+use fieldhook_model::error::{ErrorKind, Executed};
+use ntex::time::{Millis, sleep};
+use std::path::PathBuf;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+const RUN_LIMIT: Duration = Duration::from_secs(100);
+const RELEASE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Runs a test on the runtime of the clients, with the machine to itself.
+fn run<F: Future<Output = ()> + 'static>(test: F) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    ntex::rt::System::build()
+        .build(ntex::rt::DefaultRuntime)
+        .block_on(test);
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+async fn start(name: &str, shape: Shape) -> Cluster {
+    Cluster::start(shape, &folder(name))
+        .await
+        .expect("the cluster starts")
+}
+
+fn gateways(cluster: &Cluster) -> Vec<String> {
+    cluster
+        .daemons
+        .iter()
+        .map(|daemon| daemon.address.clone())
+        .collect()
+}
+
+fn start_load(cluster: &Cluster, workload: &Workload) -> Load {
+    Load::start(&cluster.client, &gateways(cluster), workload)
+}
+
+/// Waits for the load's end and checks everything.
+async fn finish(cluster: &Cluster, load: &Load, workload: &Workload) -> Tally {
+    assert!(load.wait(RUN_LIMIT).await, "programs did not end in time");
+    let tally = load.take_tally();
+    let broken = audit(cluster, &tally, &workload.service).await;
+    assert!(broken.is_empty(), "violations: {broken:#?}");
+    assert_eq!(tally.finished, workload.programs as u64);
+    let released = time_to_release(cluster, &tally.programs, RELEASE_LIMIT).await;
+    assert!(released.is_some(), "engines hold memory for ended programs");
+    eprintln!(
+        "answered {} refused {} asked again {} broken {} longest pause {} ms",
+        tally.answered,
+        tally.refused.len(),
+        tally.asked_again,
+        tally.broken,
+        tally.pauses.max() / 1_000,
+    );
+    tally
+}
+
+async fn pause(ms: u32) {
+    sleep(Millis(ms)).await;
+}
+
+#[test]
+fn killed_daemons_lose_nothing() {
+    run(async {
+        let mut cluster = start("kill", Shape::default()).await;
+        let workload = Workload {
+            turns: 30,
+            pause_ms: 300,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        for index in 0..cluster.daemons.len() {
+            pause(700).await;
+            cluster.kill_daemon(index);
+            pause(1_500).await;
+            cluster.start_daemon(index).expect("restarts");
+            cluster
+                .wait_whole()
+                .await
+                .expect("groups regain their size");
+        }
+        finish(&cluster, &load, &workload).await;
+    });
+}
+
+fn metric(text: &str, name: &str) -> f64 {
+    let line = text
+        .lines()
+        .find(|line| line.starts_with(name) && !line.starts_with('#'));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+        .unwrap_or(0.0)
+}
+
+#[test]
+fn frozen_leaders_do_no_harm_when_they_wake() {
+    run(async {
+        let cluster = start("freeze", Shape::default()).await;
+        let workload = Workload {
+            turns: 25,
+            pause_ms: 300,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        for index in 0..cluster.daemons.len() {
+            pause(500).await;
+            cluster.signal_daemon(index, Signal::Stop);
+            pause(2_500).await;
+            cluster.signal_daemon(index, Signal::Continue);
+            pause(2_000).await;
+        }
+        finish(&cluster, &load, &workload).await;
+    });
+}
+
+#[test]
+fn lost_engine_is_replaced_in_mid_stream() {
+    run(async {
+        let mut cluster = start("engine", Shape::default()).await;
+        let workload = Workload {
+            max_tokens: 80,
+            turns: 12,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        for address in cluster.engines() {
+            pause(800).await;
+            if let Some(process) = cluster.stand_ins.get_mut(&address) {
+                process.kill();
+            }
+            pause(800).await;
+            let engine = EngineShape {
+                model: "chat".to_owned(),
+                zone: "imanta".to_owned(),
+                flags: Vec::new(),
+            };
+            cluster.start_engine(&address, &engine).expect("restarts");
+            pause(1_500).await;
+        }
+        finish(&cluster, &load, &workload).await;
+    });
+}
+
+#[test]
+fn all_daemons_are_replaced_while_the_log_is_down() {
+    run(async {
+        let mut cluster = start("outage", Shape::default()).await;
+        let workload = Workload {
+            turns: 40,
+            pause_ms: 300,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        pause(500).await;
+        let down = FaultPlan {
+            down: true,
+            ..FaultPlan::default()
+        };
+        cluster.set_faults(&cluster.log, &down).await;
+        for index in 0..cluster.daemons.len() {
+            cluster.kill_daemon(index);
+            pause(1_000).await;
+            cluster.start_daemon(index).expect("restarts");
+            cluster
+                .wait_whole()
+                .await
+                .expect("groups regain their size");
+        }
+        let late = Workload {
+            run: "late".to_owned(),
+            turns: 3,
+            ..workload.clone()
+        };
+        let new_programs = start_load(&cluster, &late);
+        finish(&cluster, &new_programs, &late).await;
+        finish(&cluster, &load, &workload).await;
+        cluster
+            .set_faults(&cluster.log, &FaultPlan::default())
+            .await;
+        for _ in 0..100 {
+            pause(100).await;
+            if archive_lag(&cluster).await == 0.0 {
+                return;
+            }
+        }
+        panic!("the archive did not catch up after the outage");
+    });
+}
+
+async fn archive_lag(cluster: &Cluster) -> f64 {
+    let mut lag = 0.0;
+    for daemon in &cluster.daemons {
+        if let Some(reply) = cluster.get(&daemon.address, "/metrics").await {
+            lag += metric(&reply.body, "fieldhook_archive_lag_commands");
+        }
+    }
+    lag
+}
+
+#[test]
+fn programs_outlive_the_loss_of_all_daemons_at_once() {
+    run(async {
+        let mut cluster = start("cold", Shape::default()).await;
+        let gateways = gateways(&cluster);
+        let mut callers = Vec::new();
+        for index in 0..6 {
+            let key = format!("cold-{index}");
+            let caller = Caller::open(&cluster.client, &gateways, "riga", &key, 100_000).await;
+            let mut caller = caller.expect("opens");
+            let end = caller.ask_model("chat", "Who leads at half time?", 8).await;
+            assert!(matches!(end, CallEnd::Answered(_)), "{end:?}");
+            callers.push(caller);
+        }
+        for _ in 0..100 {
+            if archive_lag(&cluster).await == 0.0 {
+                break;
+            }
+            pause(50).await;
+        }
+        for index in 0..cluster.daemons.len() {
+            cluster.kill_daemon(index);
+        }
+        for index in 0..cluster.daemons.len() {
+            cluster.start_daemon(index).expect("restarts");
+        }
+        cluster.wait_ready().await.expect("daemons recover");
+        for mut caller in callers {
+            let end = caller.ask_model("chat", "And who scored last?", 8).await;
+            assert!(matches!(end, CallEnd::Answered(_)), "{end:?}");
+            assert_eq!(caller.violations, []);
+            assert_eq!(caller.view().await.expect("shown").history, caller.history);
+            assert!(caller.end().await);
+        }
+    });
+}
+
+#[test]
+fn lost_answers_double_nothing() {
+    run(async {
+        let shape = Shape {
+            services: vec![
+                ("instalments".to_owned(), true),
+                ("penalties".to_owned(), false),
+            ],
+            ..Shape::default()
+        };
+        let cluster = start("lost", shape).await;
+        for service in ["instalments", "penalties"] {
+            let workload = Workload {
+                service: service.to_owned(),
+                run: service.to_owned(),
+                service_every: 2,
+                ..Workload::default()
+            };
+            let load = start_load(&cluster, &workload);
+            for _ in 0..5 {
+                pause(150).await;
+                let lose = FaultPlan {
+                    lose_answers: 2,
+                    ..FaultPlan::default()
+                };
+                for server in cluster.servers(service) {
+                    cluster.set_faults(&server, &lose).await;
+                }
+                for engine in cluster.engines() {
+                    cluster.set_faults(&engine, &lose).await;
+                }
+            }
+            let tally = finish(&cluster, &load, &workload).await;
+            let unknown = tally
+                .refused
+                .iter()
+                .filter(|error| error.kind == ErrorKind::OutcomeUnknown);
+            let expect_unknown = service == "penalties";
+            assert_eq!(
+                unknown.count() > 0,
+                expect_unknown,
+                "refused: {:?}",
+                tally.refused
+            );
+            assert!(
+                tally
+                    .refused
+                    .iter()
+                    .all(|error| error.executed == Executed::Unknown)
+            );
+        }
+    });
+}
+
+#[test]
+fn planned_stops_cut_off_nothing() {
+    run(async {
+        let mut cluster = start("stop", Shape::default()).await;
+        let workload = Workload {
+            turns: 30,
+            max_tokens: 60,
+            pause_ms: 100,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        for index in 0..cluster.daemons.len() {
+            pause(700).await;
+            cluster.signal_daemon(index, Signal::Terminate);
+            let process = cluster.daemons[index].process.as_mut().expect("runs");
+            let status = process.wait(Duration::from_secs(30)).await.expect("ends");
+            assert_eq!(status.code(), Some(0));
+            cluster.start_daemon(index).expect("restarts");
+            cluster
+                .wait_whole()
+                .await
+                .expect("groups regain their size");
+        }
+        let tally = finish(&cluster, &load, &workload).await;
+        assert_eq!(tally.broken, 0, "answers broke off");
+        assert_eq!(tally.refused, []);
+    });
+}
+
+#[test]
+fn leaving_engine_gets_no_new_work_though_the_list_lags() {
+    run(async {
+        let shape = Shape {
+            list_lag_ms: 20_000,
+            ..Shape::default()
+        };
+        let cluster = start("leaving", shape).await;
+        let workload = Workload {
+            turns: 30,
+            pause_ms: 200,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        pause(1_000).await;
+        let leaving = cluster.engines()[0].clone();
+        let url = format!("http://{leaving}/control/leave");
+        let limit = Duration::from_secs(2);
+        let sent = cluster
+            .client
+            .fetch(ntex::http::Method::POST, &url, &[], Vec::new(), limit)
+            .await;
+        assert!(sent.is_ok());
+        pause(2_000).await;
+        let before = dispatched(&cluster, &leaving).await;
+        pause(2_000).await;
+        assert!(!load.is_over(), "the load ended too early to show anything");
+        assert_eq!(
+            dispatched(&cluster, &leaving).await,
+            before,
+            "new work at a leaving engine"
+        );
+        finish(&cluster, &load, &workload).await;
+    });
+}
+
+/// Requests that an engine has taken so far: its newest cache event counts them.
+async fn dispatched(cluster: &Cluster, engine: &str) -> u64 {
+    let reply = cluster
+        .get(engine, "/control/generated")
+        .await
+        .expect("engine answers");
+    reply.body.trim().parse().expect("a number")
+}
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -425,6 +425,14 @@
         self.leader_contact_ms
     }
 
+    /// Followers with the highest index that each is known to hold.
+    pub fn matched(&self) -> Vec<(ReplicaId, u64)> {
+        self.progress
+            .iter()
+            .map(|(follower, progress)| (*follower, progress.matched))
+            .collect()
+    }
+
     /// Whether a follower is so close to the leader that it may vote.
     pub fn is_caught_up(&self, replica: ReplicaId) -> bool {
         let progress = self.progress.get(&replica);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -17,6 +17,8 @@
     pub further_attempts: IntCounter,
     /// Shards led here.
     pub shards_led: IntGauge,
+    /// Voters that the shards led here lack, counting those known to be gone.
+    pub missing_voters: IntGauge,
     /// Replicas here.
     pub replicas: IntGauge,
     /// Committed commands that the platform's log does not have yet.
@@ -64,6 +66,11 @@
                 "Attempts of calls after the first",
             ),
             shards_led: gauge(r, "fieldhook_shards_led", "Shards led here"),
+            missing_voters: gauge(
+                r,
+                "fieldhook_missing_voters",
+                "Voters that the shards led here lack",
+            ),
             replicas: gauge(r, "fieldhook_replicas", "Replicas here"),
             archive_lag: gauge(
                 r,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -4,12 +4,15 @@
 use crate::node::Node;
 use crate::platform::fleet::engine_views;
 use crate::sequencer::CommandMessage;
+use crate::shard::ShardHost;
+use fieldhook_consensus::Role;
 use fieldhook_http::json;
 use fieldhook_membership::MemberState;
 use fieldhook_model::api::ProgramView;
 use fieldhook_model::error::CallError;
 use fieldhook_model::operator::{
-    ConfigStatus, DaemonStatus, EngineStatus, Explanation, ProgramLine, ShardStatus, Status,
+    ConfigStatus, DaemonStatus, EngineStatus, Explanation, FollowerStatus, ProgramLine,
+    ReplicaStatus, ShardStatus, Status,
 };
 use fieldhook_placement::{EngineView, estimate, judge};
 use fieldhook_program::EndReason;
@@ -24,6 +27,7 @@
     config
         .route("/v1/status", web::get().to(show_status))
         .route("/v1/config", web::get().to(show_config))
+        .route("/v1/operator/replicas", web::get().to(list_replicas))
         .route("/v1/operator/programs", web::get().to(list_programs))
         .route(
             "/v1/operator/programs/{id}",
@@ -50,6 +54,7 @@
         200,
         &Status {
             address: node.id.address.to_string(),
+            process: node.id.to_string(),
             config_version: node.config.borrow().version,
             archive_lag: node.metrics.archive_lag.get(),
             daemons: daemons(&node),
@@ -197,3 +202,49 @@
     };
     engine_views(node).into_iter().map(explain_engine).collect()
 }
+
+/// Replicas on this daemon.
+async fn list_replicas(node: types::State<Rc<Node>>) -> HttpResponse {
+    let replicas: Vec<ReplicaStatus> = node
+        .hosts()
+        .iter()
+        .map(|host| replica_status(host))
+        .collect();
+    json(200, &replicas)
+}
+
+fn replica_status(host: &ShardHost) -> ReplicaStatus {
+    let core = host.core.borrow();
+    let followers = core.matched().into_iter();
+    ReplicaStatus {
+        shard: host.shard,
+        epoch: host.epoch,
+        role: role_name(core.role()).to_owned(),
+        leads: host.leads(),
+        term: core.term(),
+        commit: core.commit_index(),
+        last: core.last_entry().1,
+        applied: host.applied(),
+        voters: core
+            .members()
+            .voters
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
+        followers: followers
+            .map(|(replica, matched)| FollowerStatus {
+                replica: replica.to_string(),
+                matched,
+            })
+            .collect(),
+    }
+}
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Leader => "leader",
+        Role::Follower => "follower",
+        Role::Candidate => "candidate",
+        Role::PreCandidate => "pre_candidate",
+    }
+}
--- a/crates/daemon/src/sequencer/attempt.rs
+++ b/crates/daemon/src/sequencer/attempt.rs
@@ -15,6 +15,7 @@
 use ntex::time::{Millis, sleep};
 use std::rc::Rc;
 
+const LEASE_CHECK: Millis = Millis(10);
 const PLACE_RETRY: Millis = Millis(100);
 const PLACE_TRIES: u32 = 20;
 const FAILED_RETRY_MS: u64 = 1_000;
@@ -64,9 +65,19 @@
 }
 
 impl RunningCall {
-    /// Whether this replica may still act for the call.
-    pub fn may_act(&self) -> bool {
-        self.host.leads() && self.host.live_call(self.program, self.number).is_some()
+    /// Waits until this replica surely leads; false once it does not any more.
+    /// A lease can lapse for a moment and be renewed without a new leader: the
+    /// call then goes on here, and nobody else would go on with it.
+    pub async fn may_act(&self) -> bool {
+        loop {
+            if !self.host.is_leader() || self.host.live_call(self.program, self.number).is_none() {
+                return false;
+            }
+            if self.host.leads() {
+                return true;
+            }
+            sleep(LEASE_CHECK).await;
+        }
     }
 }
 
@@ -251,7 +262,7 @@
         if let Ok(target) = any {
             return Some(target.address);
         }
-        if !call.may_act() {
+        if !call.may_act().await {
             return None;
         }
         sleep(PLACE_RETRY).await;
--- a/crates/daemon/src/sequencer/model_attempt.rs
+++ b/crates/daemon/src/sequencer/model_attempt.rs
@@ -104,7 +104,7 @@
     };
     let body = serde_json::to_vec(&request).unwrap_or_default();
     // The last look before the request leaves: a frozen leader wakes here.
-    if !call.may_act() {
+    if !call.may_act().await {
         return Err(AttemptEnd::Deposed);
     }
     let url = format!("http://{}/v1/generate", attempt.target);
@@ -137,7 +137,7 @@
                 sleep(SEEN_CHECK).await;
                 waited = Millis(waited.0 + SEEN_CHECK.0);
             }
-            if call.may_act() {
+            if call.may_act().await {
                 Err(AttemptEnd::Lost)
             } else {
                 Err(AttemptEnd::Deposed)
@@ -147,7 +147,7 @@
 }
 
 async fn resume(call: &RunningCall, attempt: &Attempt) -> Result<ClientResponse, AttemptEnd> {
-    if !call.may_act() {
+    if !call.may_act().await {
         return Err(AttemptEnd::Deposed);
     }
     let from = call.live.text().len() - attempt.prefix.len();
--- a/crates/daemon/src/sequencer/server_attempt.rs
+++ b/crates/daemon/src/sequencer/server_attempt.rs
@@ -30,7 +30,7 @@
         return settle_lost(call, attempt).await;
     }
     // The last look before the request leaves: a frozen leader wakes here.
-    if !call.may_act() {
+    if !call.may_act().await {
         return AttemptEnd::Deposed;
     }
     let key = server_key(call);
@@ -73,7 +73,7 @@
 
 async fn settle_lost(call: &RunningCall, attempt: &Attempt) -> AttemptEnd {
     if call.repeatable {
-        return if call.may_act() {
+        return if call.may_act().await {
             AttemptEnd::Lost
         } else {
             AttemptEnd::Deposed
--- a/crates/daemon/src/shard/manage.rs
+++ b/crates/daemon/src/shard/manage.rs
@@ -168,8 +168,24 @@
         .map(|host| host.state.borrow().programs.len())
         .sum();
     let lag: usize = hosts.iter().map(|host| host.archive.borrow().lag()).sum();
+    let missing: usize = hosts
+        .iter()
+        .filter(|host| host.leads())
+        .map(|host| missing_voters(node, host))
+        .sum();
+    node.metrics.missing_voters.set(missing as i64);
     node.metrics.shards_led.set(led as i64);
     node.metrics.replicas.set(hosts.len() as i64);
     node.metrics.programs.set(programs as i64);
     node.metrics.archive_lag.set(lag as i64);
 }
+
+fn missing_voters(node: &Node, host: &ShardHost) -> usize {
+    let detector = node.detector.borrow();
+    let core = host.core.borrow();
+    let voters = core.members().voters.iter();
+    let present = voters
+        .filter(|id| !detector.table().is_surely_gone(**id))
+        .count();
+    node.settings.replicas.saturating_sub(present)
+}
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -65,6 +65,7 @@
     streams: BTreeMap<String, Rc<RefCell<StreamState>>>,
     events: VecDeque<(Instant, CacheEvent)>,
     event_sequence: u64,
+    generated: u64,
     load: EngineLoad,
     load_at: Instant,
 }
@@ -106,6 +107,7 @@
             streams: BTreeMap::new(),
             events: VecDeque::new(),
             event_sequence: 0,
+            generated: 0,
             load: EngineLoad::default(),
             load_at: Instant::now(),
         }
@@ -118,6 +120,7 @@
         let stream = Rc::new(RefCell::new(StreamState::default()));
         self.streams.insert(request.stream.clone(), stream.clone());
         self.core.submit(request);
+        self.generated += 1;
         stream
     }
 
@@ -220,7 +223,8 @@
         .route("/v1/kv/{program}", web::get().to(export_cache))
         .route("/v1/kv/{program}", web::post().to(import_cache))
         .route("/v1/orders", web::post().to(take_order))
-        .route("/control/leave", web::post().to(announce_leave));
+        .route("/control/leave", web::post().to(announce_leave))
+        .route("/control/generated", web::get().to(count_generated));
 }
 
 async fn run_steps(shared: Shared) {
@@ -456,3 +460,8 @@
     shared.engine.borrow_mut().leaving = true;
     text(200, "leaving")
 }
+
+/// Requests to generate that this engine has taken so far.
+async fn count_generated(shared: types::State<Shared>) -> HttpResponse {
+    text(200, shared.engine.borrow().generated.to_string())
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,11 @@
 /// Largest answer that is read whole, in bytes.
 const BODY_LIMIT: usize = 256 << 20;
 const CONNECT_KEEP_ALIVE_SECONDS: u16 = 10;
+/// More connections than a process may open. The library's own "no limit", 0,
+/// must not be used: a request that comes while another connection to the same
+/// address is being opened then waits for ever (ntex 3.12, `client/pool.rs`:
+/// waiters are only woken while `acquired < limit`).
+const CONNECTION_LIMIT: usize = 1 << 20;
 
 /// Why a request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,10 +73,10 @@
 }
 
 impl HttpClient {
-    /// Builds a client without a limit of connections.
+    /// Builds a client that opens as many connections as it needs.
     pub async fn new() -> Self {
         let connector = Connector::new()
-            .limit(0)
+            .limit(CONNECTION_LIMIT)
             .keep_alive(ntex::time::Seconds(CONNECT_KEEP_ALIVE_SECONDS));
         let client = Client::builder()
             .connector::<()>(connector)
--- a/crates/model/src/operator.rs
+++ b/crates/model/src/operator.rs
@@ -53,6 +53,8 @@
 pub struct Status {
     /// The daemon that answers.
     pub address: String,
+    /// Its process: address and incarnation.
+    pub process: String,
     /// Version of the configuration in force there.
     pub config_version: u64,
     /// Committed commands of shards led there that the platform's log lacks.
@@ -113,3 +115,37 @@
     /// Tokens of the program that it is thought to hold.
     pub held_tokens: u64,
 }
+
+/// One replica on the daemon that answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaStatus {
+    /// The shard.
+    pub shard: u16,
+    /// Epoch of its group.
+    pub epoch: u64,
+    /// `leader`, `follower`, `candidate` or `pre_candidate`.
+    pub role: String,
+    /// Whether it leads and its lease holds.
+    pub leads: bool,
+    /// Term.
+    pub term: u64,
+    /// Index of the newest committed entry.
+    pub commit: u64,
+    /// Index of the newest entry.
+    pub last: u64,
+    /// Index of the newest applied entry.
+    pub applied: u64,
+    /// Processes that vote in the group.
+    pub voters: Vec<String>,
+    /// For a leader: followers with the highest index that each holds.
+    pub followers: Vec<FollowerStatus>,
+}
+
+/// A follower as its leader knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowerStatus {
+    /// The follower.
+    pub replica: String,
+    /// Highest index that it is known to hold.
+    pub matched: u64,
+}
--- a/crates/program/tests/machine_fuzz.rs
+++ b/crates/program/tests/machine_fuzz.rs
@@ -18,14 +18,41 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Operation {
-    Open { program: u8, parent: u8 },
-    Begin { program: u8, skip: u8, key: u8, repeatable: bool, tokens: u8 },
-    Finish { program: u8, stale: bool, tokens: u8, failed: bool },
-    Next { program: u8, ran: bool, prefix: u8 },
-    RefuseKey { program: u8, key: u8 },
-    End { program: u8 },
-    Release { program: u8 },
-    Advance { span_ms: u16 },
+    Open {
+        program: u8,
+        parent: u8,
+    },
+    Begin {
+        program: u8,
+        skip: u8,
+        key: u8,
+        repeatable: bool,
+        tokens: u8,
+    },
+    Finish {
+        program: u8,
+        stale: bool,
+        tokens: u8,
+        failed: bool,
+    },
+    Next {
+        program: u8,
+        ran: bool,
+        prefix: u8,
+    },
+    RefuseKey {
+        program: u8,
+        key: u8,
+    },
+    End {
+        program: u8,
+    },
+    Release {
+        program: u8,
+    },
+    Advance {
+        span_ms: u16,
+    },
     Forget,
     Repeat,
     Snapshot,
@@ -38,20 +65,40 @@
         let tokens = u8::arbitrary(generator) % 60;
         let flag = bool::arbitrary(generator);
         match u8::arbitrary(generator) % 20 {
-            0..=1 => Self::Open { program, parent: u8::arbitrary(generator) % (2 * PROGRAMS) },
+            0..=1 => Self::Open {
+                program,
+                parent: u8::arbitrary(generator) % (2 * PROGRAMS),
+            },
             2..=7 => {
                 let skip = u8::arbitrary(generator) % 8;
-                Self::Begin { program, skip, key, repeatable: flag, tokens }
+                Self::Begin {
+                    program,
+                    skip,
+                    key,
+                    repeatable: flag,
+                    tokens,
+                }
             }
             8..=11 => {
                 let stale = u8::arbitrary(generator).is_multiple_of(8);
-                Self::Finish { program, stale, tokens, failed: flag && tokens < 20 }
+                Self::Finish {
+                    program,
+                    stale,
+                    tokens,
+                    failed: flag && tokens < 20,
+                }
             }
-            12..=13 => Self::Next { program, ran: flag, prefix: tokens % 8 },
+            12..=13 => Self::Next {
+                program,
+                ran: flag,
+                prefix: tokens % 8,
+            },
             14 => Self::RefuseKey { program, key },
             15 => Self::End { program },
             16 => Self::Release { program },
-            17 => Self::Advance { span_ms: u16::arbitrary(generator) },
+            17 => Self::Advance {
+                span_ms: u16::arbitrary(generator),
+            },
             18 => Self::Forget,
             _ if flag => Self::Repeat,
             _ => Self::Snapshot,
@@ -101,7 +148,10 @@
             body: String::new(),
         });
     }
-    let message = Message { role: "user".to_owned(), content: format!("question {key}") };
+    let message = Message {
+        role: "user".to_owned(),
+        content: format!("question {key}"),
+    };
     CallSpec::Model(ModelCall {
         model: "chat".to_owned(),
         messages: vec![message],
@@ -111,11 +161,19 @@
 
 impl Fuzz {
     fn new() -> Self {
-        Self { state: ShardState::default(), oracle: Oracle::default(), now_ms: 0, last: None }
+        Self {
+            state: ShardState::default(),
+            oracle: Oracle::default(),
+            now_ms: 0,
+            last: None,
+        }
     }
 
     fn apply(&mut self, command: Command) -> Reply {
-        let timed = TimedCommand { at_ms: self.now_ms, command };
+        let timed = TimedCommand {
+            at_ms: self.now_ms,
+            command,
+        };
         self.last = Some(timed.clone());
         self.state.apply(timed)
     }
@@ -123,16 +181,34 @@
     fn perform(&mut self, operation: Operation) {
         match operation {
             Operation::Open { program, parent } => self.open(program, parent),
-            Operation::Begin { program, skip, key, repeatable, tokens } => {
+            Operation::Begin {
+                program,
+                skip,
+                key,
+                repeatable,
+                tokens,
+            } => {
                 self.begin(program, skip, key, repeatable, tokens);
             }
-            Operation::Finish { program, stale, tokens, failed } => {
+            Operation::Finish {
+                program,
+                stale,
+                tokens,
+                failed,
+            } => {
                 self.finish(program, stale, tokens, failed);
             }
-            Operation::Next { program, ran, prefix } => self.next(program, ran, prefix),
+            Operation::Next {
+                program,
+                ran,
+                prefix,
+            } => self.next(program, ran, prefix),
             Operation::RefuseKey { program, key } => self.refuse(program, key),
             Operation::End { program } => {
-                self.apply(Command::End { program: id(program), reason: EndReason::Caller });
+                self.apply(Command::End {
+                    program: id(program),
+                    reason: EndReason::Caller,
+                });
             }
             Operation::Release { program } => self.release(program),
             Operation::Advance { span_ms } => self.now_ms += u64::from(span_ms),
@@ -149,7 +225,9 @@
     fn open(&mut self, program: u8, parent: u8) {
         let parent = (parent < PROGRAMS && parent != program).then_some(parent);
         let known = self.state.programs.contains_key(&id(program));
-        let inherited = parent.map(|parent| self.state.history(id(parent))).unwrap_or_default();
+        let inherited = parent
+            .map(|parent| self.state.history(id(parent)))
+            .unwrap_or_default();
         let reply = self.apply(Command::Open(Open {
             program: id(program),
             parent: parent.map(id),
@@ -161,21 +239,32 @@
         }));
         assert_eq!(reply == Reply::Known, known);
         if reply == Reply::Done {
-            let root =
-                parent.map_or(program, |parent| self.oracle.records[&parent].root);
+            let root = parent.map_or(program, |parent| self.oracle.records[&parent].root);
             // A new life of the number: what ran in the old one is over.
-            self.oracle.executed.retain(|(owner, _), _| *owner != program);
-            self.oracle.told_not_run.retain(|(owner, _)| *owner != program);
+            self.oracle
+                .executed
+                .retain(|(owner, _), _| *owner != program);
+            self.oracle
+                .told_not_run
+                .retain(|(owner, _)| *owner != program);
             if root == program {
                 self.oracle.really_spent.insert(program, 0);
             }
-            let record = Record { root, inherited, ..Record::default() };
+            let record = Record {
+                root,
+                inherited,
+                ..Record::default()
+            };
             self.oracle.records.insert(program, record);
         }
     }
 
     fn begin(&mut self, program: u8, skip: u8, key: u8, repeatable: bool, tokens: u8) {
-        let calls = self.state.programs.get(&id(program)).map_or(0, |item| item.calls.len());
+        let calls = self
+            .state
+            .programs
+            .get(&id(program))
+            .map_or(0, |item| item.calls.len());
         // Mostly the next number; sometimes an old one or one too far.
         let number = match skip {
             0 => calls as u64,
@@ -200,7 +289,11 @@
             }
             Reply::Known => {
                 let record = &self.oracle.records[&program];
-                assert_eq!(record.keys[number as usize - 1], key_name(key), "answers crossed");
+                assert_eq!(
+                    record.keys[number as usize - 1],
+                    key_name(key),
+                    "answers crossed"
+                );
             }
             Reply::Refused(error) => assert_eq!(error.executed, Executed::No),
             other => panic!("unexpected {other:?}"),
@@ -209,10 +302,16 @@
 
     fn note_dispatch(&mut self, program: u8, key: String, repeatable: bool) {
         let entry = (program, key);
-        assert!(!self.oracle.told_not_run.contains(&entry), "ran after it was refused");
+        assert!(
+            !self.oracle.told_not_run.contains(&entry),
+            "ran after it was refused"
+        );
         let count = self.oracle.executed.entry(entry).or_insert(0);
         *count += 1;
-        assert!(repeatable || *count == 1, "a request that is not repeatable ran twice");
+        assert!(
+            repeatable || *count == 1,
+            "a request that is not repeatable ran twice"
+        );
     }
 
     /// The running call of a program, with its attempt and reservation.
@@ -223,7 +322,9 @@
     }
 
     fn finish(&mut self, program: u8, stale: bool, tokens: u8, failed: bool) {
-        let Some((number, call)) = self.running(program) else { return };
+        let Some((number, call)) = self.running(program) else {
+            return;
+        };
         let attempt = call.attempt.number + u32::from(stale);
         let usage = match &call.spec {
             CallSpec::Server(_) => Usage::default(),
@@ -242,11 +343,23 @@
             usage,
         };
         let error = CallError::not_run(ErrorKind::TargetFailed, "").executed(Executed::Unknown);
-        let outcome =
-            if failed { Outcome::Failed(error) } else { Outcome::Answered(answer.clone()) };
-        let finish = Finish { program: id(program), call_number: number, attempt, outcome };
+        let outcome = if failed {
+            Outcome::Failed(error)
+        } else {
+            Outcome::Answered(answer.clone())
+        };
+        let finish = Finish {
+            program: id(program),
+            call_number: number,
+            attempt,
+            outcome,
+        };
         let reply = self.apply(Command::Finish(finish));
-        assert_eq!(reply == Reply::Stale, stale, "an outcome of another attempt counted");
+        assert_eq!(
+            reply == Reply::Stale,
+            stale,
+            "an outcome of another attempt counted"
+        );
         if stale {
             return;
         }
@@ -259,7 +372,10 @@
             let record = self.oracle.records.get_mut(&program).expect("recorded");
             record.turns.extend(model.messages.clone());
             let role = "assistant".to_owned();
-            record.turns.push(Message { role, content: answer.content });
+            record.turns.push(Message {
+                role,
+                content: answer.content,
+            });
         }
     }
 
@@ -269,8 +385,14 @@
     }
 
     fn next(&mut self, program: u8, ran: bool, prefix: u8) {
-        let Some((number, call)) = self.running(program) else { return };
-        let cost = if ran { AttemptCost::Full } else { AttemptCost::NotRun };
+        let Some((number, call)) = self.running(program) else {
+            return;
+        };
+        let cost = if ran {
+            AttemptCost::Full
+        } else {
+            AttemptCost::NotRun
+        };
         let key = call.request_key.clone();
         if !ran {
             // The truth: this dispatch never reached anyone.
@@ -292,9 +414,16 @@
         }
         match reply {
             Reply::Dispatch(attempt) => {
-                assert!(!refused_unrepeatable, "a request that is not repeatable went out again");
+                assert!(
+                    !refused_unrepeatable,
+                    "a request that is not repeatable went out again"
+                );
                 let continues = prefix > 0;
-                assert_eq!(attempt.lineage == call.attempt.lineage, continues, "texts spliced");
+                assert_eq!(
+                    attempt.lineage == call.attempt.lineage,
+                    continues,
+                    "texts spliced"
+                );
                 self.note_dispatch(program, key, call.repeatable);
             }
             Reply::Refused(error) => assert_eq!(error.executed, Executed::Unknown),
@@ -303,7 +432,11 @@
     }
 
     fn refuse(&mut self, program: u8, key: u8) {
-        let calls = self.state.programs.get(&id(program)).map_or(0, |item| item.calls.len());
+        let calls = self
+            .state
+            .programs
+            .get(&id(program))
+            .map_or(0, |item| item.calls.len());
         let reply = self.apply(Command::RefuseKey {
             program: id(program),
             call_number: calls as u64 + 1,
@@ -317,13 +450,19 @@
 
     fn release(&mut self, program: u8) {
         for engine in ["engine-a", "engine-b"] {
-            self.apply(Command::Released { program: id(program), engine: engine.to_owned() });
+            self.apply(Command::Released {
+                program: id(program),
+                engine: engine.to_owned(),
+            });
             if let Some((_, call)) = self.running(program)
                 && call.attempt.target == engine
                 && matches!(call.spec, CallSpec::Model(_))
             {
                 let held = &self.state.programs[&id(program)].held_by;
-                assert!(held.contains_key(engine), "a running engine was taken off the list");
+                assert!(
+                    held.contains_key(engine),
+                    "a running engine was taken off the list"
+                );
             }
         }
     }
@@ -342,16 +481,23 @@
             .collect();
         self.apply(Command::Forget);
         for program in open.iter().chain(&owing) {
-            assert!(self.state.programs.contains_key(program), "forgot a program too early");
+            assert!(
+                self.state.programs.contains_key(program),
+                "forgot a program too early"
+            );
         }
         self.now_ms += RETENTION_MS / 4;
     }
 
     /// The same command once more, as after a lost answer.
     fn repeat(&mut self) {
-        let Some(last) = self.last.clone() else { return };
-        let repeats_harmlessly =
-            matches!(last.command, Command::Begin(_) | Command::Finish(_) | Command::Open(_));
+        let Some(last) = self.last.clone() else {
+            return;
+        };
+        let repeats_harmlessly = matches!(
+            last.command,
+            Command::Begin(_) | Command::Finish(_) | Command::Open(_)
+        );
         if repeats_harmlessly {
             let before = self.state.clone();
             let reply = self.state.apply(last);
@@ -362,27 +508,58 @@
 
     fn check(&self) {
         for (number, record) in &self.oracle.records {
-            let Some(program) = self.state.programs.get(&id(*number)) else { continue };
+            let Some(program) = self.state.programs.get(&id(*number)) else {
+                continue;
+            };
             let older = program.calls.iter().rev().skip(1);
-            assert!(older.clone().all(|call| !call.is_running()), "two calls run at once");
+            assert!(
+                older.clone().all(|call| !call.is_running()),
+                "two calls run at once"
+            );
             let keys: Vec<&String> = program.calls.iter().map(|call| &call.request_key).collect();
-            assert_eq!(keys, record.keys.iter().collect::<Vec<_>>(), "order of calls changed");
-            let wanted: Vec<Message> =
-                record.inherited.iter().chain(&record.turns).cloned().collect();
-            assert_eq!(self.state.history(id(*number)), wanted, "history lost or mixed");
+            assert_eq!(
+                keys,
+                record.keys.iter().collect::<Vec<_>>(),
+                "order of calls changed"
+            );
+            let wanted: Vec<Message> = record
+                .inherited
+                .iter()
+                .chain(&record.turns)
+                .cloned()
+                .collect();
+            assert_eq!(
+                self.state.history(id(*number)),
+                wanted,
+                "history lost or mixed"
+            );
             let budget = program.budget;
-            assert!(budget.spent + budget.reserved <= budget.limit, "the ledger overspent");
+            assert!(
+                budget.spent + budget.reserved <= budget.limit,
+                "the ledger overspent"
+            );
             if record.root == *number {
                 let spent = self.oracle.really_spent.get(number).copied().unwrap_or(0);
-                assert!(spent <= budget.limit, "really spent {spent} of {}", budget.limit);
-                assert!(spent <= budget.spent, "spent {spent}, booked {}", budget.spent);
+                assert!(
+                    spent <= budget.limit,
+                    "really spent {spent} of {}",
+                    budget.limit
+                );
+                assert!(
+                    spent <= budget.spent,
+                    "spent {spent}, booked {}",
+                    budget.spent
+                );
             }
         }
     }
 }
 
 fn setting(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
 }
 
 fn holds(operations: Vec<Operation>) -> bool {
@@ -397,7 +574,10 @@
 fn fuzz_machine_agrees_with_the_oracle() {
     let cases = setting("FIELDHOOK_FUZZ_CASES", 2_000);
     QuickCheck::new()
-        .rng(Gen::from_size_and_seed(120, setting("FIELDHOOK_FUZZ_SEED", 11)))
+        .rng(Gen::from_size_and_seed(
+            120,
+            setting("FIELDHOOK_FUZZ_SEED", 11),
+        ))
         .tests(cases)
         .max_tests(cases * 2)
         .quickcheck(holds as fn(Vec<Operation>) -> bool);
