--- a/crates/bench/src/hollow.rs
+++ b/crates/bench/src/hollow.rs
@@ -15,6 +15,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 const STEP_MS: u64 = 10;
+const REPLICAS: usize = 3;
+const LOST_ZONE: usize = 1;
 const GROUP_TICK_STEPS: u64 = 2;
 const DETECTOR_TICK_STEPS: u64 = 5;
 const HEADER_BYTES: u64 = 28;
@@ -36,6 +38,8 @@
     pub heartbeat_ms: u64,
     /// Shortest election timeout, in milliseconds.
     pub election_ms: u64,
+    /// Virtual time before that, in which the first facts spread, in milliseconds.
+    pub warm_up_ms: u64,
     /// Virtual time over which the steady state is measured, in milliseconds.
     pub span_ms: u64,
 }
@@ -49,6 +53,8 @@
     pub shards: usize,
     /// Replicas on a daemon, on average.
     pub replicas_per_daemon: f64,
+    /// Bytes sent by a daemon per second while the first facts spread.
+    pub warm_up_bytes_per_second: f64,
     /// Bytes sent by a daemon per second, headers included.
     pub bytes_per_second: f64,
     /// Of these, the failure detector and gossip.
@@ -109,8 +115,10 @@
     let own_id = std::process::id();
     let memory_before = memory_kb(own_id);
     let mut hollow = Hollow::new(shape);
-    hollow.run(10_000);
+    hollow.run(shape.warm_up_ms);
     let memory_after = memory_kb(own_id);
+    let warm_up_seconds = shape.warm_up_ms as f64 / 1e3;
+    let warm_up_bytes = hollow.bytes as f64 / shape.daemons as f64 / warm_up_seconds;
     hollow.reset_counters();
     let processor_before = processor_ms(own_id);
     hollow.run(shape.span_ms);
@@ -120,7 +128,8 @@
     let mut report = HollowReport {
         daemons: shape.daemons,
         shards: shape.shards,
-        replicas_per_daemon: shape.shards as f64 * 3.0 / shape.daemons as f64,
+        replicas_per_daemon: (shape.shards * REPLICAS) as f64 / shape.daemons as f64,
+        warm_up_bytes_per_second: warm_up_bytes,
         bytes_per_second: hollow.bytes as f64 / daemon_seconds,
         membership_bytes_per_second: hollow.membership_bytes as f64 / daemon_seconds,
         packets_per_second: hollow.packets as f64 / daemon_seconds,
@@ -195,7 +204,7 @@
         hollow
     }
 
-    /// Three daemons in a row are in three zones.
+    /// Puts each shard on three daemons in three zones.
     fn place_shards(&mut self, shape: HollowShape, ids: &[ReplicaId]) {
         let settings = ConsensusSettings {
             heartbeat_ms: shape.heartbeat_ms,
@@ -203,9 +212,7 @@
             ..ConsensusSettings::default()
         };
         for shard in 0..shape.shards {
-            let places: Vec<usize> = (0..3)
-                .map(|step| (shard * 3 + step) % shape.daemons)
-                .collect();
+            let places = self.places(shard);
             let voters = places.iter().map(|place| ids[*place]).collect();
             let members = Members::of_voters(voters);
             for place in places {
@@ -216,6 +223,20 @@
         }
     }
 
+    fn places(&self, shard: usize) -> Vec<usize> {
+        let mut places: Vec<usize> = Vec::new();
+        let mut candidate = shard * REPLICAS;
+        while places.len() < REPLICAS {
+            let place = candidate % self.daemons.len();
+            let zone = self.daemons[place].zone;
+            if places.iter().all(|other| self.daemons[*other].zone != zone) {
+                places.push(place);
+            }
+            candidate += 1;
+        }
+        places
+    }
+
     fn reset_counters(&mut self) {
         self.bytes = 0;
         self.membership_bytes = 0;
@@ -399,7 +420,9 @@
     }
 
     fn lose_daemon(&mut self) -> Option<u64> {
-        let lost = self.daemons.len() - 1;
+        // One of the zone that is lost afterwards, so that faults do not add up.
+        let in_lost_zone = |daemon: &HollowDaemon| daemon.zone == LOST_ZONE;
+        let lost = self.daemons.iter().rposition(in_lost_zone).unwrap_or(0);
         self.daemons[lost].running = false;
         let lost = self.daemons[lost].id.address;
         self.run_until(move |hollow| {
@@ -411,7 +434,11 @@
     }
 
     fn lose_zone(&mut self) -> Option<u64> {
-        for daemon in self.daemons.iter_mut().filter(|daemon| daemon.zone == 1) {
+        for daemon in self
+            .daemons
+            .iter_mut()
+            .filter(|daemon| daemon.zone == LOST_ZONE)
+        {
             daemon.running = false;
         }
         self.run_until(Self::every_leader_is_known)
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -108,6 +108,9 @@
     /// Shortest election timeout, in milliseconds.
     #[options(default = "600")]
     election_ms: u64,
+    /// Virtual seconds before the measurement.
+    #[options(default = "120")]
+    warm_up: u64,
     /// Virtual seconds of steady state to measure.
     #[options(default = "20")]
     seconds: u64,
@@ -145,6 +148,7 @@
             zones: options.zones,
             heartbeat_ms: options.heartbeat_ms,
             election_ms: options.election_ms,
+            warm_up_ms: options.warm_up * 1_000,
             span_ms: options.seconds * 1_000,
         })),
         None => Err("name a command; see --help".into()),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,7 @@
 use fieldhook_daemon::node::{Node, Phase};
 use fieldhook_daemon::platform::{archive, claims, config_follow, fleet, recovery};
 use fieldhook_daemon::sequencer::run_upkeep;
-use fieldhook_daemon::server::{self, FactExchange};
+use fieldhook_daemon::server;
 use fieldhook_daemon::settings::{Flags, Settings, SettingsError};
 use fieldhook_daemon::shard::{run_management, run_shards};
 use fieldhook_daemon::transport::run_datagrams;
@@ -17,7 +17,6 @@
 use ntex::web::{self, HttpServer};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 
@@ -28,9 +27,6 @@
 /// Longer than any client of the project keeps an idle connection.
 const KEEP_ALIVE: Seconds = Seconds(75);
 const READY_CHECK: Millis = Millis(50);
-const EXCHANGE_PAUSE: Millis = Millis(10_000);
-const FIRST_EXCHANGE_PAUSE: Millis = Millis(200);
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[ntex::main]
 async fn main() -> ExitCode {
@@ -120,7 +116,6 @@
     ntex::rt::spawn(config_follow::run_config_from_peers(node.clone()));
     ntex::rt::spawn(fleet::run_machine_list(node.clone()));
     ntex::rt::spawn(fleet::run_load_reports(node.clone()));
-    ntex::rt::spawn(exchange_facts(node.clone()));
     ntex::rt::spawn(become_ready(node.clone()));
     Ok(node)
 }
@@ -135,44 +130,6 @@
     tracing::info!("serves");
 }
 
-/// Exchanges all facts with a random peer, often until this daemon is ready and
-/// now and then afterwards, in case gossip missed something.
-async fn exchange_facts(node: Rc<Node>) {
-    loop {
-        let starting = node.phase() == Phase::Starting;
-        sleep(if starting {
-            FIRST_EXCHANGE_PAUSE
-        } else {
-            EXCHANGE_PAUSE
-        })
-        .await;
-        let peers: Vec<_> = {
-            let detector = node.detector.borrow();
-            detector
-                .table()
-                .live()
-                .map(|member| member.id)
-                .filter(|id| *id != node.id)
-                .collect()
-        };
-        let Some(peer) = fastrand::choice(&peers) else {
-            continue;
-        };
-        let mine = FactExchange {
-            digest: node.detector.borrow().table().digest(),
-            facts: Vec::new(),
-        };
-        let url = node.url(peer.address, "/internal/facts");
-        let reply = node
-            .client
-            .post_binary::<FactExchange, FactExchange>(&url, &mine, EXCHANGE_TIMEOUT)
-            .await;
-        for fact in reply.map(|reply| reply.facts).unwrap_or_default() {
-            node.announce(fact);
-        }
-    }
-}
-
 async fn stop_on_signal(node: Rc<Node>, drained: oneshot::Sender<()>) {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -8,7 +8,6 @@
 use crate::sequencer::{CallMessage, CommandMessage, serve_call, serve_command};
 use crate::transport::{Batch, exchange_batch};
 use fieldhook_http::text;
-use fieldhook_membership::Fact;
 use fieldhook_model::ids::ShardId;
 use futures_util::stream;
 use nanoserde::{DeBin, SerBin};
@@ -22,15 +21,6 @@
 const INTERNAL_BODY_LIMIT: usize = 512 << 20;
 const EVENT_BACKLOG: usize = 64;
 
-/// A full exchange of facts, skipped if both sides have the same.
-#[derive(Clone, Debug, Default, SerBin, DeBin)]
-pub struct FactExchange {
-    /// Digest of the sender's facts.
-    pub digest: u64,
-    /// The sender's facts; empty if the digests agree.
-    pub facts: Vec<Fact>,
-}
-
 /// Adds all routes.
 pub fn configure(config: &mut ServiceConfig, node: Rc<Node>) {
     config
@@ -49,7 +39,6 @@
         .route("/internal/consensus", web::post().to(internal_consensus))
         .route("/internal/call", web::post().to(internal_call))
         .route("/internal/command", web::post().to(internal_command))
-        .route("/internal/facts", web::post().to(internal_facts))
         .route("/internal/config", web::post().to(internal_config))
         .route("/internal/survivor", web::post().to(internal_survivor));
     operator::configure(config);
@@ -108,26 +97,6 @@
     }
 }
 
-async fn internal_facts(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
-    let Ok(exchange) = FactExchange::deserialize_bin(&body) else {
-        return undecodable();
-    };
-    let own = {
-        let detector = node.detector.borrow();
-        let digest = detector.table().digest();
-        let facts = if digest == exchange.digest {
-            Vec::new()
-        } else {
-            detector.table().all()
-        };
-        FactExchange { digest, facts }
-    };
-    for fact in exchange.facts {
-        node.announce(fact);
-    }
-    binary(&own)
-}
-
 async fn internal_config(node: types::State<Rc<Node>>) -> HttpResponse {
     let state = node.config.borrow().clone();
     binary(&PeerConfig {
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -41,6 +41,7 @@
     queue: Queue,
     now_ms: u64,
     next_probe_ms: u64,
+    next_compare_ms: u64,
     sequence: u64,
     probe: Option<Probe>,
     round: Vec<Address>,
@@ -74,6 +75,7 @@
             queue: Queue::default(),
             now_ms: 0,
             next_probe_ms: 0,
+            next_compare_ms: settings.compare_ms,
             sequence: 0,
             probe: None,
             round: Vec::new(),
@@ -184,9 +186,22 @@
             self.next_probe_ms = now_ms + self.settings.probe_ms;
             self.start_probe();
         }
+        if now_ms >= self.next_compare_ms {
+            self.next_compare_ms = now_ms + self.settings.compare_ms;
+            self.compare();
+        }
         std::mem::take(&mut self.packets_out)
     }
 
+    /// Asks a random member for what differs there.
+    fn compare(&mut self) {
+        let others = self.others();
+        if let Some(peer) = self.random.choice(&others) {
+            let digests = self.table.digests();
+            self.push_packet(*peer, Question::Compare { digests }, Vec::new());
+        }
+    }
+
     fn forgive(&mut self, now_ms: u64) {
         self.probe = None;
         for (_, since_ms) in self.suspected_ms.values_mut() {
@@ -336,9 +351,13 @@
             Question::Join { sequence } => {
                 self.tell_if_mistaken(packet.from);
                 self.send(from, Question::Ack { sequence });
-                self.tell_everything(from);
+                self.tell(from, self.table.all());
             }
             Question::Tell => {}
+            Question::Compare { digests } => {
+                let differing = self.table.differing(&digests);
+                self.tell(from, differing);
+            }
             Question::Ack { sequence } => self.take_answer(sequence),
             Question::PingFor { sequence, target } => {
                 self.sequence += 1;
@@ -360,20 +379,21 @@
         std::mem::take(&mut self.packets_out)
     }
 
-    /// Sends all facts, in as many packets as they need. This happens once a
-    /// start of a daemon, and when a cut heals.
-    fn tell_everything(&mut self, to: Address) {
+    /// Sends facts, in as many packets as they need.
+    fn tell(&mut self, to: Address, told: Vec<Fact>) {
         let mut facts = Vec::new();
         let mut size = 0;
-        for fact in self.table.all() {
-            if size + fact.size() > self.settings.packet_bytes && !facts.is_empty() {
+        for fact in told {
+            if size + fact.size() > self.settings.packet_bytes {
                 self.push_packet(to, Question::Tell, std::mem::take(&mut facts));
                 size = 0;
             }
             size += fact.size();
             facts.push(fact);
         }
-        self.push_packet(to, Question::Tell, facts);
+        if !facts.is_empty() {
+            self.push_packet(to, Question::Tell, facts);
+        }
     }
 
     /// A sender that is held dead here must hear of it, or it never objects.
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -24,8 +24,13 @@
         /// Matches the answer to the question.
         sequence: u64,
     },
-    /// No question: part of the answer to `Join`.
+    /// No question: part of the answer to `Join` or `Compare`.
     Tell,
+    /// Which of my facts are outdated? Digests of all facts, by bucket.
+    Compare {
+        /// See `FactTable::digests`.
+        digests: Vec<u64>,
+    },
     /// Please ping another and pass its answer on.
     PingFor {
         /// Sequence of the asker.
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -15,6 +15,9 @@
     pub suspicion_ms: u64,
     /// How often a fact is passed on, times the logarithm of the group's size.
     pub repeats: u32,
+    /// Time between two comparisons with a random member, which repair what
+    /// gossip missed, in milliseconds.
+    pub compare_ms: u64,
     /// Most bytes of facts in a packet.
     pub packet_bytes: usize,
 }
@@ -26,7 +29,8 @@
             answer_ms: 200,
             helpers: 3,
             suspicion_ms: 2_000,
-            repeats: 3,
+            repeats: 1,
+            compare_ms: 5_000,
             packet_bytes: 1_100,
         }
     }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -6,6 +6,19 @@
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+const BUCKETS: usize = 64;
+
+fn hash<T: Hash>(value: &T) -> u64 {
+    // Not keyed: all daemons of one version hash alike.
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn bucket(subject: &Subject) -> usize {
+    hash(subject) as usize % BUCKETS
+}
+
 /// All facts known here, newest per subject.
 #[derive(Debug, Default)]
 pub struct FactTable {
@@ -35,13 +48,26 @@
         self.facts.values().cloned().collect()
     }
 
-    /// A hash of all facts: equal hashes spare a full exchange.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for fact in self.facts.values() {
-            fact.hash(&mut hasher);
+    /// Digests of all facts by bucket of their subjects: two tables differ only
+    /// in buckets whose digests differ, which spares a full exchange.
+    pub fn digests(&self) -> Vec<u64> {
+        let mut digests = vec![0; BUCKETS];
+        for (subject, fact) in &self.facts {
+            // Order does not matter, so that each fact is hashed only once.
+            digests[bucket(subject)] ^= hash(fact);
         }
-        hasher.finish()
+        digests
+    }
+
+    /// Facts in buckets whose digests differ from another table's.
+    pub fn differing(&self, other: &[u64]) -> Vec<Fact> {
+        let own = self.digests();
+        let differs = |place: usize| other.get(place) != Some(&own[place]);
+        let facts = self
+            .facts
+            .iter()
+            .filter(|(subject, _)| differs(bucket(subject)));
+        facts.map(|(_, fact)| fact.clone()).collect()
     }
 
     /// All daemons, in whatever state.
--- /dev/null
+++ b/crates/placement/tests/choice.rs
@@ -0,0 +1,134 @@
+//! Rules against a simple oracle, and what the cost model must prefer.
+
+use fieldhook_model::config::{ConfigDocument, Effect, Rule};
+use fieldhook_model::labels::{Labels, Operator, Requirement, Selector};
+use fieldhook_model::platform::EngineLoad;
+use fieldhook_placement::{EngineView, Refusal, Work, choose, judge};
+use quickcheck::{Gen, QuickCheck};
+
+fn labelled(value: u8) -> Labels {
+    Labels::from([("group".to_owned(), (value % 3).to_string())])
+}
+
+fn selector(value: u8) -> Selector {
+    if value.is_multiple_of(4) {
+        return Selector::default();
+    }
+    Selector(vec![Requirement {
+        key: "group".to_owned(),
+        operator: Operator::In,
+        values: vec![(value % 3).to_string()],
+    }])
+}
+
+fn rule(index: usize, (effect, programs, machines): (u8, u8, u8)) -> Rule {
+    Rule {
+        name: index.to_string(),
+        effect: [Effect::Allow, Effect::Deny, Effect::Drain][usize::from(effect % 3)],
+        programs: selector(programs),
+        machines: selector(machines),
+        priority: Some(programs % 101),
+    }
+}
+
+fn fits(value: u8, own: u8) -> bool {
+    value.is_multiple_of(4) || value % 3 == own % 3
+}
+
+/// The oracle works on the numbers that the rules were made from.
+fn holds(rules: Vec<(u8, u8, u8)>, program: u8, machine: u8) -> bool {
+    let document = ConfigDocument {
+        labels: Vec::new(),
+        rules: rules
+            .iter()
+            .copied()
+            .enumerate()
+            .map(|(index, it)| rule(index, it))
+            .collect(),
+    };
+    let verdict = judge(&document, &labelled(program), &labelled(machine));
+    let of = |effect: u8| rules.iter().filter(move |rule| rule.0 % 3 == effect);
+    let confined = of(0).any(|rule| fits(rule.1, program));
+    let granted = of(0).any(|rule| fits(rule.1, program) && fits(rule.2, machine));
+    let denied = of(1).any(|rule| fits(rule.1, program) && fits(rule.2, machine));
+    let drained = of(2).any(|rule| fits(rule.2, machine));
+    assert_eq!(
+        verdict.allowed,
+        !denied && !drained && (!confined || granted)
+    );
+    true
+}
+
+#[test]
+fn fuzz_rules_agree_with_the_oracle() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(6, 29))
+        .tests(2_000)
+        .quickcheck(holds as fn(Vec<(u8, u8, u8)>, u8, u8) -> bool);
+}
+
+fn engine(address: &str, running: u32) -> EngineView {
+    EngineView {
+        address: address.to_owned(),
+        labels: Labels::from([("model".to_owned(), "chat".to_owned())]),
+        load: EngineLoad {
+            incarnation: 1,
+            running,
+            max_running: 4,
+            step_us: 5_000,
+            prefill_tokens_per_step: 100,
+            ..EngineLoad::default()
+        },
+        assigned: 0,
+        leaving: false,
+        reachable: true,
+    }
+}
+
+fn work(held: &[(&str, u64)]) -> Work {
+    Work {
+        labels: Labels::new(),
+        model: "chat".to_owned(),
+        prompt_tokens: 5_000,
+        new_tokens: 20,
+        held: held
+            .iter()
+            .map(|(name, tokens)| ((*name).to_owned(), *tokens))
+            .collect(),
+        avoid: Vec::new(),
+    }
+}
+
+fn chosen(engines: &[EngineView], work: &Work) -> Result<String, Refusal> {
+    choose(&ConfigDocument::default(), engines, work).map(|choice| choice.address)
+}
+
+#[test]
+fn cache_is_followed_until_the_queue_there_costs_more() {
+    let work = work(&[("a", 4_900)]);
+    assert_eq!(
+        chosen(&[engine("a", 3), engine("b", 0)], &work),
+        Ok("a".to_owned())
+    );
+    assert_eq!(
+        chosen(&[engine("a", 15), engine("b", 0)], &work),
+        Ok("b".to_owned())
+    );
+}
+
+#[test]
+fn leaving_lost_and_full_engines_get_nothing() {
+    let work = work(&[("a", 5_000)]);
+    let mut leaving = engine("a", 0);
+    leaving.leaving = true;
+    assert_eq!(
+        chosen(&[leaving.clone(), engine("b", 2)], &work),
+        Ok("b".to_owned())
+    );
+    assert_eq!(chosen(&[leaving], &work), Err(Refusal::NoEngine));
+    let full = chosen(&[engine("a", 16), engine("b", 20)], &work);
+    assert!(
+        matches!(full, Err(Refusal::Overloaded(wait_ms)) if wait_ms > 0),
+        "{full:?}"
+    );
+}
