--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -237,7 +237,7 @@
     let json = serde_json::to_string_pretty(summary)?;
     std::fs::write(folder.join("summary.json"), &json)?;
     std::fs::write(folder.join("report.html"), page(summary)?)?;
-    println!("{json}");
+    println!("{json}\nreport: {}", folder.join("report.html").display());
     Ok(())
 }
 
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -282,7 +282,8 @@
             max_tokens: self.max_tokens,
             pause_ms: self.pause_ms,
             budget: self.budget,
-            run: self.name.clone(),
+            // Names are for people; request keys take no spaces.
+            run: self.name.replace(' ', "-"),
         }
     }
 }
--- a/crates/daemon/src/platform/fleet.rs
+++ b/crates/daemon/src/platform/fleet.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use fieldhook_membership::{Fact, LeavingMachine};
 use fieldhook_model::platform::{EngineLoad, Machine, MachineKind};
-use fieldhook_placement::EngineView;
+use fieldhook_placement::{EngineView, Rotation};
 use ntex::time::{Millis, sleep};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -13,6 +13,9 @@
 const LIST_PAUSE: Millis = Millis(500);
 const LOAD_PAUSE: Millis = Millis(250);
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// Engines whose load is read in a round, besides those with work from here. In
+/// `REPORT_LIMIT` a daemon so knows up to 12 times as many well enough to choose.
+const SAMPLE: usize = 16;
 /// Age of the last report after which an engine counts as not reachable.
 const REPORT_LIMIT: Duration = Duration::from_secs(3);
 /// Time for which a failed connection keeps work away from an engine.
@@ -33,6 +36,23 @@
         &self.machines
     }
 
+    /// Addresses of all listed engines.
+    pub fn engines(&self) -> Vec<String> {
+        let engines = self
+            .machines
+            .iter()
+            .filter(|machine| machine.kind == MachineKind::Engine);
+        engines.map(|machine| machine.address.clone()).collect()
+    }
+
+    fn engines_with_work(&self) -> Vec<String> {
+        let busy = self.assigned.iter().filter(|(_, count)| **count > 0);
+        let loads = &self.loads;
+        busy.map(|(address, _)| address.clone())
+            .filter(|item| loads.contains_key(item))
+            .collect()
+    }
+
     /// Notes that a call starts at a machine.
     pub fn assign(&mut self, address: &str) {
         *self.assigned.entry(address.to_owned()).or_insert(0) += 1;
@@ -139,17 +159,18 @@
     }
 }
 
-/// Reads the load of every engine for as long as the process lives.
+/// Reads the load of engines for as long as the process lives: of those with
+/// work from here, and of a sample that goes round the fleet.
 pub async fn run_load_reports(node: Rc<Node>) {
+    let mut rotation = Rotation::default();
     loop {
-        let engines: Vec<String> = {
-            let fleet = node.fleet.borrow();
-            let engines = fleet
-                .machines
-                .iter()
-                .filter(|item| item.kind == MachineKind::Engine);
-            engines.map(|machine| machine.address.clone()).collect()
-        };
+        let all = node.fleet.borrow().engines();
+        let mut engines = rotation.take(&all, SAMPLE, |limit| fastrand::usize(..limit));
+        for busy in node.fleet.borrow().engines_with_work() {
+            if !engines.contains(&busy) {
+                engines.push(busy);
+            }
+        }
         let reads = engines
             .into_iter()
             .map(|address| read_load(node.clone(), address));
--- a/crates/daemon/src/sequencer/upkeep.rs
+++ b/crates/daemon/src/sequencer/upkeep.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::shard::{ShardHost, propose};
 use fieldhook_model::ids::ProgramId;
-use fieldhook_model::platform::MachineKind;
+use fieldhook_placement::Rotation;
 use fieldhook_program::{Command, EndReason};
 use ntex::http::Method;
 use ntex::time::{Millis, sleep};
@@ -15,11 +15,14 @@
 const PAUSE: Millis = Millis(100);
 /// Rounds between two sweeps.
 const SWEEP_ROUNDS: u64 = 20;
+/// Engines looked at in a sweep; the next sweep looks at others.
+const SWEPT_ENGINES: usize = 4;
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Looks after all shards led here, for as long as the process lives.
 pub async fn run_upkeep(node: Rc<Node>) {
     let mut round = 0_u64;
+    let mut rotation = Rotation::default();
     loop {
         for host in node.hosts() {
             if host.leads() {
@@ -30,7 +33,7 @@
         }
         round += 1;
         if round.is_multiple_of(SWEEP_ROUNDS) {
-            sweep(&node).await;
+            sweep(&node, &mut rotation).await;
         }
         sleep(PAUSE).await;
     }
@@ -118,15 +121,9 @@
 
 /// Compares what engines hold with what lives, which also catches the work of
 /// a leader that woke too late. Each leader answers for its own shards.
-async fn sweep(node: &Rc<Node>) {
-    let engines: Vec<String> = {
-        let fleet = node.fleet.borrow();
-        let engines = fleet
-            .machines()
-            .iter()
-            .filter(|item| item.kind == MachineKind::Engine);
-        engines.map(|machine| machine.address.clone()).collect()
-    };
+async fn sweep(node: &Rc<Node>, rotation: &mut Rotation) {
+    let all = node.fleet.borrow().engines();
+    let engines = rotation.take(&all, SWEPT_ENGINES, |limit| fastrand::usize(..limit));
     for engine in engines {
         let url = format!("http://{engine}/v1/programs");
         let held = node
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod choice;
 mod cost;
+mod rotation;
 mod rules;
 
 pub use choice::{Choice, EngineView, Refusal, Work, choose};
 pub use cost::{Estimate, estimate};
+pub use rotation::Rotation;
 pub use rules::{Verdict, judge};
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -3,7 +3,7 @@
 use fieldhook_model::config::{ConfigDocument, Effect, Rule};
 use fieldhook_model::labels::{Labels, Operator, Requirement, Selector};
 use fieldhook_model::platform::EngineLoad;
-use fieldhook_placement::{EngineView, Refusal, Work, choose, judge};
+use fieldhook_placement::{EngineView, Refusal, Rotation, Work, choose, judge};
 use quickcheck::{Gen, QuickCheck};
 
 fn labelled(value: u8) -> Labels {
@@ -132,3 +132,41 @@
         "{full:?}"
     );
 }
+
+/// Every machine comes once a round, never more than asked for, also while the
+/// list changes.
+fn rotation_holds(size: u8, count: u8, lost: u8) -> bool {
+    let all: Vec<String> = (0..size).map(|index| index.to_string()).collect();
+    let count = usize::from(count % 9) + 1;
+    let mut rotation = Rotation::default();
+    let mut seen = Vec::new();
+    let rounds = all.len().div_ceil(count);
+    for round in 0..rounds {
+        let taken = rotation.take(&all, count, |limit| (round * 7 + 3) % limit);
+        assert_eq!(taken.len(), count.min(all.len()));
+        seen.extend(taken);
+    }
+    assert!(
+        all.iter().all(|address| seen.contains(address)),
+        "one was passed over"
+    );
+    let fewer: Vec<String> = all
+        .iter()
+        .filter(|item| **item != lost.to_string())
+        .cloned()
+        .collect();
+    let taken = rotation.take(&fewer, count, |_| 0);
+    assert!(
+        taken.iter().all(|address| fewer.contains(address)),
+        "a lost one came again"
+    );
+    true
+}
+
+#[test]
+fn fuzz_rotation_covers_the_fleet() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 31))
+        .tests(500)
+        .quickcheck(rotation_holds as fn(u8, u8, u8) -> bool);
+}
