--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -14,7 +14,7 @@
     ConfigStatus, DaemonStatus, EngineStatus, Explanation, FollowerStatus, ProgramLine,
     ReplicaStatus, ShardStatus, Status,
 };
-use fieldhook_placement::{EngineView, estimate, judge};
+use fieldhook_placement::{EngineView, Need, estimate, judge};
 use fieldhook_program::EndReason;
 use ntex::web::{self, HttpResponse, ServiceConfig, types};
 use std::rc::Rc;
@@ -182,13 +182,12 @@
         let verdict = judge(&config.document, &labels, &engine.labels);
         let holds = program.held_by.contains(&engine.address);
         let held = if holds { bytes as u64 / 4 } else { 0 };
-        let missing = bytes as u64 / 4 - held;
-        let expected = estimate(
-            &engine.load,
-            engine.assigned,
-            missing,
-            TYPICAL_ANSWER_TOKENS,
-        );
+        let need = Need {
+            missing_tokens: bytes as u64 / 4 - held,
+            new_tokens: TYPICAL_ANSWER_TOKENS,
+            switches: !holds && !program.held_by.is_empty(),
+        };
+        let expected = estimate(&engine.load, engine.assigned, need);
         Explanation {
             allowed: verdict.allowed,
             rules: verdict.matched,
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -1,6 +1,6 @@
 //! The choice among the engines that the rules leave.
 
-use crate::cost::{Estimate, estimate};
+use crate::cost::{Estimate, Need, estimate};
 use crate::rules::{Verdict, judge};
 use fieldhook_model::config::ConfigDocument;
 use fieldhook_model::labels::Labels;
@@ -110,17 +110,21 @@
 
 fn candidate(engine: &EngineView, verdict: &Verdict, work: &Work) -> Choice {
     let held = work.held.get(&engine.address).copied().unwrap_or(0);
-    let missing = work.prompt_tokens.saturating_sub(held);
+    let need = Need {
+        missing_tokens: work.prompt_tokens.saturating_sub(held),
+        new_tokens: work.new_tokens,
+        switches: held == 0 && work.held.values().any(|tokens| *tokens > 0),
+    };
     Choice {
         address: engine.address.clone(),
         priority: verdict.priority,
-        estimate: estimate(&engine.load, engine.assigned, missing, work.new_tokens),
+        estimate: estimate(&engine.load, engine.assigned, need),
     }
 }
 
 fn shortest_wait_ms(engines: &[(&EngineView, Verdict)]) -> u64 {
     let waits = engines.iter().map(|(engine, _)| {
-        let estimate = estimate(&engine.load, engine.assigned, 0, 0);
+        let estimate = estimate(&engine.load, engine.assigned, Need::default());
         estimate.wait_us / 1_000
     });
     waits.min().unwrap_or(0).max(50)
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -1,19 +1,28 @@
 //! Expected time until an engine has generated an answer.
 //!
 //! ```text
-//! finish = wait + prefill + decode                         [ms]
-//! wait    = steps until a place in the batch is free x step time
+//! finish  = wait + prefill + decode + others               [us]
+//! wait    = sequences beyond the batch / places x typical answer x step time
 //! prefill = tokens that the engine lacks / tokens per step x step time
-//! decode  = tokens to generate x step time
+//! decode  = tokens to generate x step time x (1 + sequences / places)
+//! others  = prefill x (RECOMPUTE_WEIGHT + sequences that it delays / places)
+//! switch  = SWITCH_STEPS x step time, where another engine holds some of it
 //! ```
 //!
-//! A sequence that waits or prefills also delays the others in the batch, so
-//! prefill counts once for the program and once for each sequence it delays.
+//! The last factor of `decode` makes calls spread before batches are full: each
+//! further sequence lengthens the steps of all. Recomputing what another engine
+//! holds is waste that the users count by itself; its weight keeps a program at
+//! its engine unless the queue there costs clearly more.
 
 use fieldhook_model::platform::EngineLoad;
 
 /// Step time assumed of an engine that has not reported, in microseconds.
 const DEFAULT_STEP_US: u64 = 5_000;
+/// How many times its own time a recomputed prefill counts as waste.
+const RECOMPUTE_WEIGHT: u64 = 1;
+/// Steps by which another engine must be better than one that holds some of the
+/// program, so that small differences do not move programs to and fro.
+const SWITCH_STEPS: u64 = 6;
 /// Tokens that a running sequence is taken to have left.
 const TYPICAL_REMAINING_TOKENS: u64 = 32;
 
@@ -26,25 +35,33 @@
     pub prefill_us: u64,
     /// For the tokens to generate.
     pub decode_us: u64,
-    /// Delay that the prefill puts on others in the batch.
+    /// Cost of the prefill to others, and of the cache it wastes.
     pub others_us: u64,
+    /// Cost of leaving an engine that holds some of the program.
+    pub switch_us: u64,
 }
 
 impl Estimate {
     /// The figure by which engines are compared.
     pub fn total_us(&self) -> u64 {
-        self.wait_us + self.prefill_us + self.decode_us + self.others_us
+        self.wait_us + self.prefill_us + self.decode_us + self.others_us + self.switch_us
     }
 }
 
+/// What a call needs of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Prompt tokens that the engine lacks.
+    pub missing_tokens: u64,
+    /// Tokens to generate.
+    pub new_tokens: u64,
+    /// Whether another engine holds some of the program and this one does not.
+    pub switches: bool,
+}
+
 /// Estimates a call. `assigned` counts calls sent there that the lagging load
 /// report may not show yet.
-pub fn estimate(
-    load: &EngineLoad,
-    assigned: u32,
-    missing_tokens: u64,
-    new_tokens: u64,
-) -> Estimate {
+pub fn estimate(load: &EngineLoad, assigned: u32, need: Need) -> Estimate {
     let step_us = if load.step_us == 0 {
         DEFAULT_STEP_US
     } else {
@@ -52,14 +69,19 @@
     };
     let places = u64::from(load.max_running.max(1));
     let present = u64::from((load.running + load.waiting).max(assigned));
-    let rounds_ahead = present / places;
+    let queued = (present + 1).saturating_sub(places);
     let per_step = u64::from(load.prefill_tokens_per_step.max(1));
-    let prefill_us = missing_tokens.div_ceil(per_step) * step_us;
+    let prefill_us = need.missing_tokens.div_ceil(per_step) * step_us;
     let delayed = present.min(places);
     Estimate {
-        wait_us: rounds_ahead * TYPICAL_REMAINING_TOKENS * step_us,
+        wait_us: queued * TYPICAL_REMAINING_TOKENS * step_us / places,
         prefill_us,
-        decode_us: new_tokens * step_us,
-        others_us: prefill_us * delayed / places,
+        decode_us: need.new_tokens * step_us * (places + present) / places,
+        others_us: prefill_us * (RECOMPUTE_WEIGHT * places + delayed) / places,
+        switch_us: if need.switches {
+            SWITCH_STEPS * step_us
+        } else {
+            0
+        },
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,6 @@
 mod rules;
 
 pub use choice::{Choice, EngineView, Refusal, Work, choose};
-pub use cost::{Estimate, estimate};
+pub use cost::{Estimate, Need, estimate};
 pub use rotation::Rotation;
 pub use rules::{Verdict, judge};
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -116,6 +116,38 @@
     );
 }
 
+#[test]
+fn calls_spread_before_a_batch_is_full() {
+    let mut engines = [engine("a", 0), engine("b", 0), engine("c", 0)];
+    for engine in &mut engines {
+        engine.load.max_running = 16;
+    }
+    // A short prompt: nothing but the batches tells the engines apart.
+    let short = Work {
+        prompt_tokens: 50,
+        ..work(&[])
+    };
+    for _ in 0..12 {
+        let address = chosen(&engines, &short).expect("a choice");
+        let taken = engines.iter_mut().find(|engine| engine.address == address);
+        taken.expect("listed").assigned += 1;
+    }
+    let assigned: Vec<u32> = engines.iter().map(|engine| engine.assigned).collect();
+    assert_eq!(assigned, [4, 4, 4]);
+}
+
+#[test]
+fn a_short_conversation_stays_where_it_is_held() {
+    let short = Work {
+        prompt_tokens: 100,
+        ..work(&[("b", 60)])
+    };
+    assert_eq!(
+        chosen(&[engine("a", 0), engine("b", 1)], &short),
+        Ok("b".to_owned())
+    );
+}
+
 #[test]
 fn leaving_lost_and_full_engines_get_nothing() {
     let work = work(&[("a", 5_000)]);
