--- a/crates/bench/src/cluster/shape.rs
+++ b/crates/bench/src/cluster/shape.rs
@@ -298,6 +298,14 @@
         )
     }
 
+    /// Addresses of all daemons, any of which takes requests.
+    pub fn gateways(&self) -> Vec<String> {
+        self.daemons
+            .iter()
+            .map(|daemon| daemon.address.clone())
+            .collect()
+    }
+
     /// Waits until every started daemon serves.
     ///
     /// # Errors
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -27,11 +27,7 @@
     fastrand::seed(scenario.seed);
     let mut cluster = Cluster::start(scenario.shape(), &folder.join("cluster")).await?;
     cluster.wait_whole().await?;
-    let gateways: Vec<String> = cluster
-        .daemons
-        .iter()
-        .map(|daemon| daemon.address.clone())
-        .collect();
+    let gateways = cluster.gateways();
     let begun = Instant::now();
     let loads: Vec<Load> = scenario
         .workload
--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -42,11 +42,7 @@
 ) -> Result<MemorySlopes, Box<dyn Error>> {
     let cluster = Cluster::start(Shape::default(), folder).await?;
     cluster.wait_whole().await?;
-    let gateways: Vec<String> = cluster
-        .daemons
-        .iter()
-        .map(|daemon| daemon.address.clone())
-        .collect();
+    let gateways = cluster.gateways();
     sleep(SETTLE).await;
     let empty_kb = mean_memory_kb(&cluster);
     let mut callers = Vec::new();
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -55,11 +55,7 @@
     .into();
     let cluster = Cluster::start(shape, folder).await?;
     cluster.wait_whole().await?;
-    let gateways: Vec<String> = cluster
-        .daemons
-        .iter()
-        .map(|daemon| daemon.address.clone())
-        .collect();
+    let gateways = cluster.gateways();
     let engine = cluster.engines()[0].clone();
     let mut direct = Histogram::<u64>::new_with_bounds(1, HIGHEST_US, 3)?;
     let mut through = direct.clone();
--- a/crates/bench/src/quickstart.rs
+++ b/crates/bench/src/quickstart.rs
@@ -78,11 +78,7 @@
 }
 
 async fn converse(cluster: &Cluster) -> Outcome<()> {
-    let gateways: Vec<String> = cluster
-        .daemons
-        .iter()
-        .map(|daemon| daemon.address.clone())
-        .collect();
+    let gateways = cluster.gateways();
     let mut caller =
         Caller::open(&cluster.client, &gateways, "tambak", "checkout-1", BUDGET).await?;
     println!("Program {} is open.\n", caller.program);
--- a/crates/bench/tests/processes/input.rs
+++ b/crates/bench/tests/processes/input.rs
@@ -1,6 +1,6 @@
 //! Bad input: each gets a typed error and changes nothing.
 
-use crate::support::{gateways, run, start};
+use crate::support::{run, start};
 use fieldhook_bench::caller::{CallEnd, Caller};
 use fieldhook_bench::cluster::{Cluster, Shape};
 use fieldhook_model::error::{CallError, ErrorKind, Executed};
@@ -36,7 +36,7 @@
             },
         )
         .await;
-        let opened = Caller::open(&cluster.client, &gateways(&cluster), "riga", "k", 500).await;
+        let opened = Caller::open(&cluster.client, &cluster.gateways(), "riga", "k", 500).await;
         let mut caller = opened.expect("opens");
         assert!(matches!(
             caller.ask_model("chat", "hello", 4).await,
--- a/crates/bench/tests/processes/support.rs
+++ b/crates/bench/tests/processes/support.rs
@@ -32,16 +32,8 @@
         .expect("the cluster starts")
 }
 
-pub fn gateways(cluster: &Cluster) -> Vec<String> {
-    cluster
-        .daemons
-        .iter()
-        .map(|daemon| daemon.address.clone())
-        .collect()
-}
-
 pub fn start_load(cluster: &Cluster, workload: &Workload) -> Load {
-    Load::start(&cluster.client, &gateways(cluster), workload)
+    Load::start(&cluster.client, &cluster.gateways(), workload)
 }
 
 /// Waits for the load's end and checks everything.
--- a/crates/bench/tests/processes/survival.rs
+++ b/crates/bench/tests/processes/survival.rs
@@ -1,6 +1,6 @@
 //! Kills, freezes, lost answers, outages and planned stops under load.
 
-use crate::support::{archive_lag, finish, gateways, pause, run, start, start_load};
+use crate::support::{archive_lag, finish, pause, run, start, start_load};
 use fieldhook_bench::caller::{CallEnd, Caller};
 use fieldhook_bench::cluster::{Cluster, EngineShape, Shape, Signal};
 use fieldhook_bench::load::Workload;
@@ -131,7 +131,7 @@
 fn programs_outlive_the_loss_of_all_daemons_at_once() {
     run(async {
         let mut cluster = start("cold", Shape::default()).await;
-        let gateways = gateways(&cluster);
+        let gateways = cluster.gateways();
         let mut callers = Vec::new();
         for index in 0..6 {
             let key = format!("cold-{index}");
@@ -291,3 +291,39 @@
         .expect("engine answers");
     reply.body.trim().parse().expect("a number")
 }
+
+#[test]
+fn frozen_engines_do_not_hold_answers_up() {
+    run(async {
+        let settings = "[limits]\nstall_ms = 500\nfirst_token_ms = 1000\n".to_owned();
+        let cluster = start(
+            "frozen-engine",
+            Shape {
+                settings,
+                ..Shape::default()
+            },
+        )
+        .await;
+        let workload = Workload {
+            max_tokens: 150,
+            turns: 4,
+            ..Workload::default()
+        };
+        let load = start_load(&cluster, &workload);
+        pause(500).await;
+        let freeze = FaultPlan {
+            freeze_ms: 8_000,
+            ..FaultPlan::default()
+        };
+        for engine in &cluster.engines()[..2] {
+            cluster.set_faults(engine, &freeze).await;
+        }
+        let tally = finish(&cluster, &load, &workload).await;
+        assert_eq!(tally.refused, []);
+        let longest_ms = tally.pauses.max() / 1_000;
+        assert!(
+            longest_ms < 5_000,
+            "a reader waited {longest_ms} ms for a frozen engine"
+        );
+    });
+}
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -40,9 +40,9 @@
 pub struct Order {
     /// Fencing number of the sender's term.
     pub fence: u64,
-    /// `load_model`, `load_adapter` or `set_role`.
+    /// `load_model`, `load_adapter`, `load_version` or `set_role`.
     pub kind: String,
-    /// Name of the model, adapter or role.
+    /// Name of the model, adapter, version (`model@version`) or role.
     pub name: String,
 }
 
@@ -434,7 +434,7 @@
     shared.engine.borrow_mut().fence = order.fence;
     match order.kind.as_str() {
         "set_role" => shared.engine.borrow_mut().role = order.name,
-        "load_model" | "load_adapter" => {
+        "load_model" | "load_adapter" | "load_version" => {
             if let Some(address) = &shared.weights
                 && let Err(cause) = download(address, &order.name).await
             {
@@ -442,7 +442,7 @@
             }
             shared.engine.borrow_mut().models.push(order.name);
         }
-        _ => return text(400, "kind is load_model, load_adapter or set_role"),
+        _ => return text(400, "kind is load_model, load_adapter, load_version or set_role"),
     }
     faults.after(text(200, "done")).await
 }
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What goes wrong, until it is set anew.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +21,8 @@
     pub lose_answers: u32,
     /// So many requests take effect and are then never answered.
     pub hang: u32,
+    /// The whole process stops for this long, in milliseconds, once.
+    pub freeze_ms: u64,
     /// So many cache events are left out.
     pub drop_events: u32,
 }
@@ -33,6 +36,7 @@
 }
 
 const HANG: Millis = Millis(600_000);
+const FREEZE_PAUSE: Millis = Millis(5);
 
 /// The plan, shared by the handlers of one stand-in.
 #[derive(Clone, Default)]
@@ -101,8 +105,17 @@
     match serde_json::from_slice::<FaultPlan>(&body) {
         Ok(plan) => {
             *faults.plan.borrow_mut() = plan.clone();
+            ntex::rt::spawn(freeze(plan.freeze_ms));
             json(200, &plan)
         }
         Err(error) => text(400, error.to_string()),
     }
 }
+
+/// Stops the stand-in's only thread, after the control request is answered.
+async fn freeze(span_ms: u64) {
+    if span_ms > 0 {
+        sleep(FREEZE_PAUSE).await;
+        std::thread::sleep(Duration::from_millis(span_ms));
+    }
+}
--- a/crates/program/src/budget.rs
+++ b/crates/program/src/budget.rs
@@ -9,7 +9,7 @@
 use nanoserde::{DeBin, SerBin};
 
 /// Tokens that a model's chat template adds to a message, at most.
-const TEMPLATE_TOKENS: u64 = 8;
+pub(crate) const TEMPLATE_TOKENS: u64 = 8;
 /// Cost of a request to a tool or application server.
 const SERVER_REQUEST_COST: u64 = 1;
 
--- /dev/null
+++ b/crates/program/src/lifecycle.rs
@@ -0,0 +1,172 @@
+//! Opening and ending programs, releasing engines, and dropping old records.
+
+use crate::budget::Budget;
+use crate::command::{EndReason, Finish, Open, Outcome, Reply};
+use crate::machine::ShardState;
+use crate::program::{ForkPoint, Phase, Program};
+use fieldhook_model::error::{CallError, ErrorKind, Executed};
+use fieldhook_model::ids::ProgramId;
+use std::collections::BTreeMap;
+
+/// How long an ended program's answers can still be asked for.
+pub const RETENTION_MS: u64 = 60_000;
+
+impl ShardState {
+    pub(crate) fn open(&mut self, open: Open) -> Reply {
+        if self.programs.contains_key(&open.program) {
+            return Reply::Known;
+        }
+        match self.new_program(&open) {
+            Ok(program) => {
+                self.programs.insert(open.program, program);
+                Reply::Done
+            }
+            Err(error) => Reply::Refused(error),
+        }
+    }
+
+    pub(crate) fn new_program(&self, open: &Open) -> Result<Program, CallError> {
+        let parent = match open.parent {
+            Some(id) => Some((id, self.open_program(id)?)),
+            None => None,
+        };
+        let own_deadline_ms = self.clock_ms.saturating_add(open.deadline_ms);
+        Ok(Program {
+            tenant: open.tenant.clone(),
+            labels: open.labels.clone(),
+            root: parent.map_or(open.program, |(_, parent)| parent.root),
+            fork: parent.map(|(id, parent)| ForkPoint {
+                parent: id,
+                after_call: parent.calls.len() as u64 - u64::from(parent.running_call().is_some()),
+            }),
+            budget: Budget {
+                limit: open.budget,
+                ..Budget::default()
+            },
+            deadline_ms: parent.map_or(own_deadline_ms, |(_, parent)| {
+                parent.deadline_ms.min(own_deadline_ms)
+            }),
+            max_turns: open.max_turns,
+            calls: Vec::new(),
+            refused_keys: Default::default(),
+            phase: Phase::Open,
+            held_by: BTreeMap::new(),
+            counted: parent.and_then(|(_, parent)| parent.counted.clone()),
+        })
+    }
+
+    /// Whatever made the leader refuse may pass; the key stays refused, or a
+    /// late copy of the request would run after the caller was told it had not.
+    pub(crate) fn refuse_key(&mut self, id: ProgramId, number: u64, key: String) -> Reply {
+        let Some(program) = self.programs.get_mut(&id) else {
+            return Reply::Stale;
+        };
+        if program
+            .call(number)
+            .is_some_and(|call| call.request_key == key)
+        {
+            return Reply::Known;
+        }
+        program.refused_keys.insert(key);
+        Reply::Done
+    }
+
+    pub(crate) fn end(&mut self, id: ProgramId, reason: EndReason) -> Reply {
+        let Some(program) = self.programs.get(&id) else {
+            return Reply::Stale;
+        };
+        if !program.is_open() {
+            return Reply::Known;
+        }
+        self.cancel_running(id);
+        let at_ms = self.clock_ms;
+        if let Some(program) = self.programs.get_mut(&id) {
+            program.phase = Phase::Ended { reason, at_ms };
+        }
+        for child in self.open_children(id) {
+            self.end(child, EndReason::Parent);
+        }
+        Reply::Done
+    }
+
+    pub(crate) fn cancel_running(&mut self, id: ProgramId) {
+        let Some(number) = self.programs.get(&id).and_then(Program::running_call) else {
+            return;
+        };
+        let attempt = self.programs[&id].calls[number as usize - 1].attempt.number;
+        let error = CallError::not_run(ErrorKind::Cancelled, "the program ended while it ran")
+            .executed(Executed::Unknown);
+        self.finish(Finish {
+            program: id,
+            call_number: number,
+            attempt,
+            outcome: Outcome::Failed(error),
+        });
+    }
+
+    pub(crate) fn open_children(&self, id: ProgramId) -> Vec<ProgramId> {
+        let is_child = |program: &Program| program.fork.is_some_and(|fork| fork.parent == id);
+        let children = self
+            .programs
+            .iter()
+            .filter(|(_, program)| is_child(program));
+        children
+            .filter(|(_, program)| program.is_open())
+            .map(|(child, _)| *child)
+            .collect()
+    }
+
+    pub(crate) fn released(&mut self, id: ProgramId, engine: &str) -> Reply {
+        let Some(program) = self.programs.get_mut(&id) else {
+            return Reply::Stale;
+        };
+        if program.running_call().is_some_and(|number| {
+            program
+                .call(number)
+                .is_some_and(|call| call.attempt.target == engine)
+        }) {
+            return Reply::Stale;
+        }
+        program.held_by.remove(engine);
+        Reply::Done
+    }
+
+    /// Ended programs whose records may go at a time of the shard's clock.
+    pub(crate) fn forgettable(&self, now_ms: u64) -> impl Iterator<Item = ProgramId> + '_ {
+        let over = self
+            .programs
+            .iter()
+            .filter(move |(_, item)| retention_over(item, now_ms));
+        over.map(|(id, _)| *id).filter(|id| !self.has_children(*id))
+    }
+
+    /// Whether `Command::Forget` would drop anything at that time.
+    pub fn is_forget_due(&self, now_ms: u64) -> bool {
+        self.forgettable(now_ms).next().is_some()
+    }
+
+    pub(crate) fn forget(&mut self) -> Reply {
+        let due: Vec<ProgramId> = self.forgettable(self.clock_ms).collect();
+        for id in due {
+            self.programs.remove(&id);
+        }
+        Reply::Done
+    }
+
+    /// A root's ledger and a parent's history are needed until the last
+    /// sub-agent's record is gone.
+    pub(crate) fn has_children(&self, id: ProgramId) -> bool {
+        self.programs
+            .values()
+            .any(|program| program.fork.is_some_and(|fork| fork.parent == id))
+    }
+}
+
+fn retention_over(program: &Program, clock_ms: u64) -> bool {
+    match program.phase {
+        Phase::Open => false,
+        Phase::Ended { at_ms, .. } => {
+            program.held_by.is_empty() && clock_ms >= at_ms + RETENTION_MS
+        }
+    }
+}
--- a/crates/program/src/machine.rs
+++ b/crates/program/src/machine.rs
@@ -4,22 +4,21 @@
 //! newest is running; spent plus reserved never exceed the limit; a call that
 //! is not repeatable gets a second attempt only if the first surely did not run.
 
-use crate::budget::{Budget, cost_of, highest_cost, prompt_bound};
+use crate::admission::Admission;
+use crate::budget::{Budget, TEMPLATE_TOKENS, cost_of, highest_cost, prompt_bound};
 use crate::call::{Attempt, Call, CallState};
 use crate::command::{
-    AttemptCost, Begin, Command, EndReason, Finish, NextAttempt, Open, Outcome, Reply, TimedCommand,
+    AttemptCost, Begin, Command, Finish, NextAttempt, Outcome, Reply, TimedCommand,
 };
-use crate::program::{CountedPrompt, ForkPoint, Phase, Program};
+use crate::program::{CountedPrompt, Program};
 use fieldhook_model::api::{Answer, CallSpec};
 use fieldhook_model::error::{CallError, ErrorKind, Executed};
 use fieldhook_model::ids::ProgramId;
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
 
-/// How long an ended program's answers can still be asked for.
-pub const RETENTION_MS: u64 = 60_000;
 /// When to ask again while an earlier call of the program runs.
-const RUNNING_RETRY_MS: u64 = 50;
+pub(crate) const RUNNING_RETRY_MS: u64 = 50;
 
 /// All programs of one shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, SerBin, DeBin)]
@@ -30,17 +29,6 @@
     pub programs: BTreeMap<ProgramId, Program>,
 }
 
-/// How a request for a call stands to what is recorded.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// It is the next call and may begin.
-    Next,
-    /// It is the next call, but the one before is still running.
-    AfterRunning,
-    /// It is recorded under the same key.
-    Recorded,
-}
-
 impl ShardState {
     /// Applies one command.
     pub fn apply(&mut self, timed: TimedCommand) -> Reply {
@@ -62,113 +50,6 @@
         }
     }
 
-    /// A program that may be asked about.
-    ///
-    /// # Errors
-    /// No record of the program.
-    pub fn program(&self, id: ProgramId) -> Result<&Program, CallError> {
-        self.programs.get(&id).ok_or_else(|| {
-            CallError::not_run(
-                ErrorKind::ProgramUnknown,
-                "open the program first; an ended program's record is dropped after a minute",
-            )
-        })
-    }
-
-    fn open(&mut self, open: Open) -> Reply {
-        if self.programs.contains_key(&open.program) {
-            return Reply::Known;
-        }
-        match self.new_program(&open) {
-            Ok(program) => {
-                self.programs.insert(open.program, program);
-                Reply::Done
-            }
-            Err(error) => Reply::Refused(error),
-        }
-    }
-
-    fn new_program(&self, open: &Open) -> Result<Program, CallError> {
-        let parent = match open.parent {
-            Some(id) => Some((id, self.open_program(id)?)),
-            None => None,
-        };
-        let own_deadline_ms = self.clock_ms.saturating_add(open.deadline_ms);
-        Ok(Program {
-            tenant: open.tenant.clone(),
-            labels: open.labels.clone(),
-            root: parent.map_or(open.program, |(_, parent)| parent.root),
-            fork: parent.map(|(id, parent)| ForkPoint {
-                parent: id,
-                after_call: parent.calls.len() as u64 - u64::from(parent.running_call().is_some()),
-            }),
-            budget: Budget {
-                limit: open.budget,
-                ..Budget::default()
-            },
-            deadline_ms: parent.map_or(own_deadline_ms, |(_, parent)| {
-                parent.deadline_ms.min(own_deadline_ms)
-            }),
-            max_turns: open.max_turns,
-            calls: Vec::new(),
-            refused_keys: Default::default(),
-            phase: Phase::Open,
-            held_by: BTreeMap::new(),
-            counted: parent.and_then(|(_, parent)| parent.counted.clone()),
-        })
-    }
-
-    fn open_program(&self, id: ProgramId) -> Result<&Program, CallError> {
-        let program = self.program(id)?;
-        if !program.is_open() {
-            return Err(CallError::not_run(
-                ErrorKind::ProgramEnded,
-                "open a new program; this one has ended",
-            ));
-        }
-        Ok(program)
-    }
-
-    /// How a request stands to what is recorded. Reads only; `Begin` applies
-    /// the same rule.
-    ///
-    /// # Errors
-    /// The refusal that the caller gets; the request has not run.
-    pub fn admit(&self, id: ProgramId, number: u64, key: &str) -> Result<Admission, CallError> {
-        let program = self.program(id)?;
-        if let Some(call) = program.call(number) {
-            return recorded(call, key);
-        }
-        let program = self.open_program(id)?;
-        check_key(program, key)?;
-        let next = program.calls.len() as u64 + 1;
-        if number != next {
-            return Err(CallError::not_run(
-                ErrorKind::CallNumberTooEarly,
-                format!("issue call number {next} first; call numbers start at 1"),
-            )
-            .retry_after(RUNNING_RETRY_MS));
-        }
-        if next > u64::from(program.max_turns) {
-            return Err(CallError::not_run(
-                ErrorKind::TurnLimit,
-                "end the program; raise max_turns when opening the next one",
-            ));
-        }
-        if self.clock_ms >= program.deadline_ms {
-            return Err(CallError::not_run(
-                ErrorKind::DeadlineExceeded,
-                "open a new program with a later deadline",
-            ));
-        }
-        let running = program.running_call().is_some();
-        Ok(if running {
-            Admission::AfterRunning
-        } else {
-            Admission::Next
-        })
-    }
-
     fn begin(&mut self, begin: Begin) -> Reply {
         match self.admit(begin.program, begin.call_number, &begin.request_key) {
             Err(error) => return Reply::Refused(error),
@@ -295,7 +176,7 @@
         Reply::Dispatch(attempt)
     }
 
-    fn finish(&mut self, finish: Finish) -> Reply {
+    pub(crate) fn finish(&mut self, finish: Finish) -> Reply {
         let Some(call) = self.running(finish.program, finish.call_number, finish.attempt) else {
             return Reply::Stale;
         };
@@ -333,7 +214,7 @@
         // The next prompt wraps this answer into a message of its own.
         let counted = CountedPrompt {
             model: model.model.clone(),
-            tokens: tokens + 8,
+            tokens: tokens + TEMPLATE_TOKENS,
         };
         let engine = call.attempt.target.clone();
         program.counted = Some(counted);
@@ -347,112 +228,6 @@
         }
     }
 
-    /// Whatever made the leader refuse may pass; the key stays refused, or a
-    /// late copy of the request would run after the caller was told it had not.
-    fn refuse_key(&mut self, id: ProgramId, number: u64, key: String) -> Reply {
-        let Some(program) = self.programs.get_mut(&id) else {
-            return Reply::Stale;
-        };
-        if program
-            .call(number)
-            .is_some_and(|call| call.request_key == key)
-        {
-            return Reply::Known;
-        }
-        program.refused_keys.insert(key);
-        Reply::Done
-    }
-
-    fn end(&mut self, id: ProgramId, reason: EndReason) -> Reply {
-        let Some(program) = self.programs.get(&id) else {
-            return Reply::Stale;
-        };
-        if !program.is_open() {
-            return Reply::Known;
-        }
-        self.cancel_running(id);
-        let at_ms = self.clock_ms;
-        if let Some(program) = self.programs.get_mut(&id) {
-            program.phase = Phase::Ended { reason, at_ms };
-        }
-        for child in self.open_children(id) {
-            self.end(child, EndReason::Parent);
-        }
-        Reply::Done
-    }
-
-    fn cancel_running(&mut self, id: ProgramId) {
-        let Some(number) = self.programs.get(&id).and_then(Program::running_call) else {
-            return;
-        };
-        let attempt = self.programs[&id].calls[number as usize - 1].attempt.number;
-        let error = CallError::not_run(ErrorKind::Cancelled, "the program ended while it ran")
-            .executed(Executed::Unknown);
-        self.finish(Finish {
-            program: id,
-            call_number: number,
-            attempt,
-            outcome: Outcome::Failed(error),
-        });
-    }
-
-    fn open_children(&self, id: ProgramId) -> Vec<ProgramId> {
-        let is_child = |program: &Program| program.fork.is_some_and(|fork| fork.parent == id);
-        let children = self
-            .programs
-            .iter()
-            .filter(|(_, program)| is_child(program));
-        children
-            .filter(|(_, program)| program.is_open())
-            .map(|(child, _)| *child)
-            .collect()
-    }
-
-    fn released(&mut self, id: ProgramId, engine: &str) -> Reply {
-        let Some(program) = self.programs.get_mut(&id) else {
-            return Reply::Stale;
-        };
-        if program.running_call().is_some_and(|number| {
-            program
-                .call(number)
-                .is_some_and(|call| call.attempt.target == engine)
-        }) {
-            return Reply::Stale;
-        }
-        program.held_by.remove(engine);
-        Reply::Done
-    }
-
-    /// Ended programs whose records may go at a time of the shard's clock.
-    fn forgettable(&self, now_ms: u64) -> impl Iterator<Item = ProgramId> + '_ {
-        let over = self
-            .programs
-            .iter()
-            .filter(move |(_, item)| retention_over(item, now_ms));
-        over.map(|(id, _)| *id).filter(|id| !self.has_children(*id))
-    }
-
-    /// Whether `Command::Forget` would drop anything at that time.
-    pub fn is_forget_due(&self, now_ms: u64) -> bool {
-        self.forgettable(now_ms).next().is_some()
-    }
-
-    fn forget(&mut self) -> Reply {
-        let due: Vec<ProgramId> = self.forgettable(self.clock_ms).collect();
-        for id in due {
-            self.programs.remove(&id);
-        }
-        Reply::Done
-    }
-
-    /// A root's ledger and a parent's history are needed until the last
-    /// sub-agent's record is gone.
-    fn has_children(&self, id: ProgramId) -> bool {
-        self.programs
-            .values()
-            .any(|program| program.fork.is_some_and(|fork| fork.parent == id))
-    }
-
     fn restore(&mut self, state: &[u8]) -> Reply {
         match Self::deserialize_bin(state) {
             Ok(state) => {
@@ -464,41 +239,6 @@
     }
 }
 
-fn retention_over(program: &Program, clock_ms: u64) -> bool {
-    match program.phase {
-        Phase::Open => false,
-        Phase::Ended { at_ms, .. } => {
-            program.held_by.is_empty() && clock_ms >= at_ms + RETENTION_MS
-        }
-    }
-}
-
-fn recorded(call: &Call, key: &str) -> Result<Admission, CallError> {
-    if call.request_key == key {
-        return Ok(Admission::Recorded);
-    }
-    Err(CallError::not_run(
-        ErrorKind::CallNumberConflict,
-        "another request has this call number; use the next number or the first request's key",
-    ))
-}
-
-fn check_key(program: &Program, key: &str) -> Result<(), CallError> {
-    if program.refused_keys.contains(key) {
-        return Err(CallError::not_run(
-            ErrorKind::RequestKeyRefused,
-            "this request was refused for good; ask again under a new request key",
-        ));
-    }
-    if program.calls.iter().any(|call| call.request_key == key) {
-        return Err(CallError::not_run(
-            ErrorKind::RequestKeyConflict,
-            "the request key belongs to another call of this program; use a new one",
-        ));
-    }
-    Ok(())
-}
-
 fn over_budget(reservation: u64) -> CallError {
     CallError::not_run(
         ErrorKind::BudgetExhausted,
