--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -442,7 +442,12 @@
             }
             shared.engine.borrow_mut().models.push(order.name);
         }
-        _ => return text(400, "kind is load_model, load_adapter, load_version or set_role"),
+        _ => {
+            return text(
+                400,
+                "kind is load_model, load_adapter, load_version or set_role",
+            );
+        }
     }
     faults.after(text(200, "done")).await
 }
