A woken follower keeps its promise to the leader

Excluded: the leader's lease, which counts from the stamp of its sending; the pause check, which concerns leaders. Found: a process that wakes takes waiting messages before its next tick; the core noted the leader's message by the clock of the last tick, before the freeze, and so granted a vote within the time that the leader's lease counted on. Change: Input::Receive carries the clock, and time passes before the message counts. Test: woken_follower_keeps_its_promise_to_the_leader, the shrunk case.

--- a/crates/bench/src/hollow.rs
+++ b/crates/bench/src/hollow.rs
@@ -383,6 +383,7 @@
                 Ok(Datagram::Consensus(batch)) => {
                     for envelope in batch.envelopes {
                         let input = Input::Receive {
+                            now_ms: self.now_ms,
                             from: envelope.from,
                             message: envelope.message,
                         };
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -34,6 +34,10 @@
     },
     /// A message arrived.
     Receive {
+        /// Monotonic clock of this machine. A process that wakes from a freeze
+        /// finds old messages; by the clock of its last tick it would promise
+        /// their leader less time than that leader's lease counts on.
+        now_ms: u64,
         /// Who sent it.
         from: ReplicaId,
         /// The message.
@@ -159,7 +163,14 @@
     pub fn step(&mut self, input: Input) -> Vec<Action> {
         match input {
             Input::Tick { now_ms } => self.tick(now_ms),
-            Input::Receive { from, message } => self.receive(from, message),
+            Input::Receive {
+                now_ms,
+                from,
+                message,
+            } => {
+                self.tick(now_ms);
+                self.receive(from, message);
+            }
             Input::SnapshotMade { to, index, state } => self.send_snapshot(to, index, state),
         }
         self.apply_committed();
--- a/crates/consensus/tests/group_fuzz.rs
+++ b/crates/consensus/tests/group_fuzz.rs
@@ -106,3 +106,15 @@
     simulation.run(200);
     assert_eq!(simulation.acknowledged(), 4);
 }
+
+/// Found by `scripts/fuzz --seed 101`: a follower that woke noted a leader's
+/// waiting message by the clock of its last tick and so voted too early.
+#[test]
+fn woken_follower_keeps_its_promise_to_the_leader() {
+    let mut simulation = Simulation::new(17_101_114_071_287_992_769);
+    simulation.cut_link(223, 26);
+    simulation.freeze(12, 1_806);
+    simulation.run(1_727);
+    simulation.run(998);
+    simulation.settle();
+}
--- a/crates/consensus/tests/support/simulation.rs
+++ b/crates/consensus/tests/support/simulation.rs
@@ -150,6 +150,7 @@
             return;
         }
         let input = Input::Receive {
+            now_ms: self.now_ms,
             from: item.from,
             message: item.message,
         };
--- a/crates/daemon/src/shard/drive.rs
+++ b/crates/daemon/src/shard/drive.rs
@@ -40,6 +40,7 @@
         },
     };
     let input = Input::Receive {
+        now_ms: node.now_ms(),
         from: envelope.from,
         message: envelope.message,
     };
