Find the chain of another program's turn in its partition

Excluded: records lost (the turns were in the log; another partition held them). Change: where the home partition does not know a previous turn, the other partitions are asked; 404 only if all of them say so with their fence checked.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -4,8 +4,9 @@
 use super::owner::Owner;
 use super::peer::Peers;
 use crate::store::contact::Contact;
-use fieldhook_ledger::message::{CloseTurn, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_ledger::partition_of;
+use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -79,11 +80,60 @@
         }
     }
 
-    /// Opens a turn.
+    /// Opens a turn. A previous turn that the program's own partition does not know
+    /// may belong to another program: the other partitions are asked then, and
+    /// `request` says from there on that its chain is brought along.
     ///
     /// # Errors
     /// The turn may not begin, or nobody could tell by the deadline.
     pub async fn open(
+        &self,
+        request: &mut OpenTurn,
+        deadline: Instant,
+    ) -> Result<OpenedTurn, OpenFailure> {
+        match self.open_at_home(request, deadline).await {
+            Err(OpenFailure::UnknownTurn) => {}
+            outcome => return outcome,
+        }
+        let chain = self.find_elsewhere(request, deadline).await?;
+        request.brings_chain = true;
+        let opened = self.open_at_home(request, deadline).await?;
+        Ok(OpenedTurn { chain, ..opened })
+    }
+
+    /// Asks the partitions of other programs for a chain, all at once.
+    async fn find_elsewhere(
+        &self,
+        request: &OpenTurn,
+        deadline: Instant,
+    ) -> Result<Vec<u8>, OpenFailure> {
+        let home = partition_of(&request.program, self.owner.partitions);
+        let turn = request.previous.clone().unwrap_or_default();
+        let questions: Vec<LedgerRequest> = (0..self.owner.partitions)
+            .filter(|partition| *partition != home)
+            .map(|partition| {
+                LedgerRequest::Find(FindChain {
+                    partition,
+                    turn: turn.clone(),
+                })
+            })
+            .collect();
+        let asked = questions
+            .iter()
+            .map(|question| self.ask(question, OPEN_ANSWER_LIMIT, deadline));
+        let mut failure = OpenFailure::UnknownTurn;
+        for answer in join_all(asked).await {
+            match answer {
+                Some((LedgerReply::Chain(chain), _)) => return Ok(chain),
+                Some((LedgerReply::UnknownTurn, _)) => {}
+                // Without its answer nobody can say that the turn is not kept.
+                _ => failure = OpenFailure::Unavailable,
+            }
+        }
+        Err(failure)
+    }
+
+    async fn open_at_home(
         &self,
         request: &OpenTurn,
         deadline: Instant,
@@ -113,7 +163,7 @@
             match timeout_at(deadline, opened.replies.recv()).await {
                 Err(_) => return false,
                 Ok(Some(LedgerReply::Durable)) => opened.durable = true,
-                Ok(_) => match self.open(request, deadline).await {
+                Ok(_) => match self.open_at_home(request, deadline).await {
                     Ok(again) => *opened = again,
                     Err(_) => return false,
                 },
@@ -135,7 +185,7 @@
         answer_limit: Duration,
         deadline: Instant,
     ) -> Option<(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>)> {
-        let partition = partition_of(request.program(), self.owner.partitions);
+        let partition = request.partition(self.owner.partitions);
         loop {
             let exchange = self.exchange(partition, request, answer_limit);
             match timeout_at(deadline, exchange).await {
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -9,7 +9,6 @@
 use crate::store::api::{Append, LogStore, Partition as StorePartition, Producer, StoreError};
 use fieldhook_ledger::message::{CloseTurn, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
-use fieldhook_ledger::partition_of;
 use fieldhook_ledger::record::Record;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -98,12 +97,13 @@
 
     /// Answers a request; answers go to `sender`, [`LedgerReply::Durable`] last.
     pub fn handle(&self, request: LedgerRequest, sender: mpsc::UnboundedSender<LedgerReply>) {
-        let partition = partition_of(request.program(), self.partitions);
+        let partition = request.partition(self.partitions);
         let held = self.held.borrow();
         match held.get(&partition) {
             Some(Hold::Serving(owned)) => match request {
                 LedgerRequest::Open(open) => owned.open(&open, sender),
                 LedgerRequest::Close(close) => owned.close(&close, sender),
+                LedgerRequest::Find(find) => owned.find(&find.turn, sender),
             },
             Some(Hold::Loading(_)) => {
                 let _ = sender.send(LedgerReply::Unavailable);
@@ -202,6 +202,15 @@
         self.appender.push(records, Some(Waiter { sender, reply }));
     }
 
+    fn find(&self, turn: &str, sender: mpsc::UnboundedSender<LedgerReply>) {
+        match self.state.borrow().contents(turn) {
+            Some(chain) => {
+                let _ = sender.send(LedgerReply::Chain(chain));
+            }
+            None => self.answer_fenced(sender, LedgerReply::UnknownTurn),
+        }
+    }
+
     fn answer_fenced(&self, sender: mpsc::UnboundedSender<LedgerReply>, reply: LedgerReply) {
         self.appender
             .push(Vec::new(), Some(Waiter { sender, reply }));
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -56,18 +56,19 @@
     if route.keeps_context && context.body.len() > LARGEST_KEPT {
         return Err(TurnRefusal::TooLarge);
     }
-    let request = OpenTurn {
+    let mut request = OpenTurn {
         turn: meta.id.clone(),
         program: meta.program.clone().unwrap_or_default(),
         previous: meta.previous.clone(),
         wants_chain: route.keeps_context,
         keeps_context: route.keeps_context,
+        brings_chain: false,
         budget: meta.budget,
         most_tokens: meta.most_tokens,
     };
     let started = Instant::now();
     let ledger = context.daemon.ledger.clone();
-    let result = ledger.open(&request, context.deadline).await;
+    let result = ledger.open(&mut request, context.deadline).await;
     let took = started.elapsed();
     context
         .daemon
@@ -110,7 +111,9 @@
 }
 
 impl Turn {
-    /// The body for the engine: the chain, then the new input.
+    /// The body for the engine: the chain, then the new input. Where the chain
+    /// belongs to another program, the whole of it is kept as this turn's input:
+    /// the partition of a program holds all that its turns go on from.
     pub fn prompt(&mut self, input: &Bytes) -> Bytes {
         let chain = std::mem::take(&mut self.opened.chain);
         if chain.is_empty() {
@@ -118,7 +121,11 @@
         }
         let mut prompt = BytesMut::from(chain.as_slice());
         prompt.extend_from_slice(input);
-        prompt.freeze()
+        let prompt = prompt.freeze();
+        if self.request.brings_chain {
+            self.input = prompt.clone();
+        }
+        prompt
     }
 
     /// Waits until output may reach the client.
@@ -148,7 +155,7 @@
         }
         let started = Instant::now();
         let content = TurnContent {
-            previous: self.request.previous.clone(),
+            previous: self.kept_previous(),
             input: self.input.to_vec(),
             output: self.output.to_vec(),
             retention_ms: self.retention_ms,
@@ -162,6 +169,11 @@
         recorded
     }
 
+    fn kept_previous(&self) -> Option<String> {
+        let previous = self.request.previous.clone();
+        previous.filter(|_| !self.request.brings_chain)
+    }
+
     /// The turn is over.
     pub fn end(self) {}
 
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between gateways and the owner of a partition.
 
+use crate::partition_of;
 use nanoserde::{DeBin, SerBin};
 
 /// A turn asks to begin.
@@ -15,6 +16,8 @@
     pub wants_chain: bool,
     /// The chain must be known for the turn to begin.
     pub keeps_context: bool,
+    /// The gateway brings the chain itself: it belongs to another program.
+    pub brings_chain: bool,
     /// Tokens that all turns of the program may generate, where bounded.
     pub budget: Option<u64>,
     /// Most tokens that this turn may generate.
@@ -51,6 +54,15 @@
     pub content: Option<TurnContent>,
 }
 
+/// Asks one partition for the chain that ends with a turn, whatever its program.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FindChain {
+    /// Partition that is asked.
+    pub partition: u32,
+    /// Last turn of the chain.
+    pub turn: String,
+}
+
 /// A request of a gateway to an owner.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum LedgerRequest {
@@ -58,14 +70,17 @@
     Open(OpenTurn),
     /// End a turn.
     Close(CloseTurn),
+    /// Find a chain of another program.
+    Find(FindChain),
 }
 
 impl LedgerRequest {
-    /// Program that the request is about.
-    pub fn program(&self) -> &str {
+    /// Partition that the request is for.
+    pub fn partition(&self, partitions: u32) -> u32 {
         match self {
-            Self::Open(open) => &open.program,
-            Self::Close(close) => &close.program,
+            Self::Open(open) => partition_of(&open.program, partitions),
+            Self::Close(close) => partition_of(&close.program, partitions),
+            Self::Find(find) => find.partition,
         }
     }
 }
@@ -83,6 +98,8 @@
     },
     /// The reservation of an opened turn is durable now.
     Durable,
+    /// Inputs and outputs of a chain that was asked for.
+    Chain(Vec<u8>),
     /// The budget does not hold this turn.
     BudgetSpent,
     /// No such turn is kept.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -188,16 +188,25 @@
         let Some(previous) = &request.previous else {
             return Some(Vec::new());
         };
-        if !request.keeps_context {
+        if !request.keeps_context || request.brings_chain {
             return Some(Vec::new());
         }
-        let chain = self.chain(previous)?;
-        let mut contents = Vec::new();
-        if request.wants_chain {
-            for turn in chain.iter().rev() {
-                contents.extend_from_slice(&turn.record.input);
-                contents.extend_from_slice(&turn.record.output);
+        self.contents(previous).map(|contents| {
+            if request.wants_chain {
+                contents
+            } else {
+                Vec::new()
             }
+        })
+    }
+
+    /// Inputs and outputs of the chain that ends with a turn, oldest first.
+    pub fn contents(&self, last: &str) -> Option<Vec<u8>> {
+        let chain = self.chain(last)?;
+        let mut contents = Vec::new();
+        for turn in chain.iter().rev() {
+            contents.extend_from_slice(&turn.record.input);
+            contents.extend_from_slice(&turn.record.output);
         }
         Some(contents)
     }
