Records that nobody waits for share an append

Cause: one append for each record of a turn's budget, 1.3 a turn. Change: ends without kept content and openings within the durable mark wait up to 120 ms for an urgent record of their partition.

--- a/crates/gateway/src/ledger/appender.rs
+++ b/crates/gateway/src/ledger/appender.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Topic of programs and turns.
 pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
@@ -36,6 +36,18 @@
     waiter: Option<Waiter>,
 }
 
+/// How soon queued records have to go out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Somebody waits for them.
+    Now,
+    /// They go out with the next urgent ones, or after a while by themselves.
+    Soon,
+}
+
+/// Longest time that records wait for others to share their append.
+const SHARE_WAIT: Duration = Duration::from_millis(120);
+
 /// Queue of one owned partition.
 pub struct Appender {
     partition: u32,
@@ -43,6 +55,7 @@
     store: Rc<dyn LogStore>,
     metrics: Rc<Metrics>,
     queue: RefCell<Vec<Entry>>,
+    urgent: Cell<bool>,
     wake: Notify,
     next_sequence: Cell<u64>,
     stopped: Cell<bool>,
@@ -66,6 +79,7 @@
             store,
             metrics,
             queue: RefCell::default(),
+            urgent: Cell::new(false),
             wake: Notify::new(),
             next_sequence: Cell::new(0),
             stopped: Cell::new(false),
@@ -74,8 +88,11 @@
 
     /// Queues records; `waiter` is answered once they and all before are durable.
     /// Without records, it is answered once the fence is known to hold.
-    pub fn push(&self, records: Vec<Record>, waiter: Option<Waiter>) {
+    pub fn push(&self, records: Vec<Record>, waiter: Option<Waiter>, urgency: Urgency) {
         self.queue.borrow_mut().push(Entry { records, waiter });
+        if urgency == Urgency::Now {
+            self.urgent.set(true);
+        }
         self.wake.notify_one();
     }
 
@@ -94,6 +111,7 @@
                 }
                 self.wake.notified().await;
             }
+            self.wait_for_company().await;
             let batch = self.next_batch();
             if self.append(&batch).await.is_err() {
                 answer_all(batch, Some(&LedgerReply::NotOwner));
@@ -107,6 +125,17 @@
         }
     }
 
+    /// Waits for records that share the append, unless some are urgent.
+    async fn wait_for_company(&self) {
+        let until = Instant::now() + SHARE_WAIT;
+        while !self.urgent.get() && !self.stopped.get() {
+            if timeout_at(until, self.wake.notified()).await.is_err() {
+                break;
+            }
+        }
+        self.urgent.set(false);
+    }
+
     fn next_batch(&self) -> Vec<Entry> {
         let mut queue = self.queue.borrow_mut();
         let mut bytes = 0;
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,6 +1,6 @@
 //! The partitions owned by this daemon.
 
-use super::appender::{Appender, LEDGER_TOPIC, PRODUCER, Waiter};
+use super::appender::{Appender, LEDGER_TOPIC, PRODUCER, Urgency, Waiter};
 use super::claim::{self, ClaimError};
 use super::ownership::{Claim, OWNERS_TOPIC, Ownership};
 use crate::daemon::unix_ms;
@@ -186,8 +186,9 @@
                     sender,
                     reply: LedgerReply::Durable,
                 });
+                let urgency = if durable { Urgency::Soon } else { Urgency::Now };
                 if waiter.is_some() || !records.is_empty() {
-                    self.appender.push(records, waiter);
+                    self.appender.push(records, waiter, urgency);
                 }
             }
             // A refusal has to be true: it goes out once the fence is seen to hold.
@@ -199,7 +200,13 @@
     fn close(&self, close: &CloseTurn, sender: mpsc::UnboundedSender<LedgerReply>) {
         let records = self.state.borrow_mut().close(close, unix_ms());
         let reply = LedgerReply::Closed;
-        self.appender.push(records, Some(Waiter { sender, reply }));
+        // Only the end of an answer whose content is kept waits for its record.
+        let urgency = match close.content {
+            Some(_) => Urgency::Now,
+            None => Urgency::Soon,
+        };
+        self.appender
+            .push(records, Some(Waiter { sender, reply }), urgency);
     }
 
     fn find(&self, turn: &str, sender: mpsc::UnboundedSender<LedgerReply>) {
@@ -213,7 +220,7 @@
 
     fn answer_fenced(&self, sender: mpsc::UnboundedSender<LedgerReply>, reply: LedgerReply) {
         self.appender
-            .push(Vec::new(), Some(Waiter { sender, reply }));
+            .push(Vec::new(), Some(Waiter { sender, reply }), Urgency::Now);
     }
 }
 
@@ -389,7 +396,7 @@
             if let Hold::Serving(owned) = hold {
                 let records = owned.state.borrow_mut().expire(unix_ms());
                 if !records.is_empty() {
-                    owned.appender.push(records, None);
+                    owned.appender.push(records, None, Urgency::Soon);
                 }
             }
         }
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -86,6 +86,7 @@
             answer,
             in_flight,
             sent.elapsed(),
+            reused,
         ),
         Err(error) => {
             observe(context, &server, Observation::Failed, error.name());
@@ -110,6 +111,7 @@
     answer: Answer,
     in_flight: InFlight,
     took: Duration,
+    reused: bool,
 ) -> Result<Attempt, DispatchFailure> {
     let success = (200..300).contains(&answer.head.status);
     if answer.meta.not_run {
@@ -136,7 +138,9 @@
         status = answer.head.status,
         tried = context.age_ms().saturating_sub(took.as_millis() as u64),
         took_ms = took.as_millis() as u64,
-        reused = connection.used
+        reused,
+        keep_alive_ms = answer.meta.keep_alive_ms,
+        keeps = answer.head.keep_alive
     );
     Ok(Attempt {
         server,
