Followers of rare changes wait longer

Cause: three reads each 0.7 to 2 s and daemon, a quarter of the store's calls. Change: 1.5 s for the configuration, 1.2 s for servers, 6 s for owners (a claim that meets a newer one reads it at once).

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -9,7 +9,7 @@
 
 /// How long a read waits for a change. Short, so that a connection that fell
 /// silent is left before a change on it is overdue.
-const WAIT: Duration = Duration::from_millis(700);
+const WAIT: Duration = Duration::from_millis(1_500);
 
 /// Follows the configuration for good.
 pub async fn run(daemon: Rc<Daemon>) {
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 /// How long a read waits for a change.
-const WAIT: Duration = Duration::from_millis(700);
+const WAIT: Duration = Duration::from_millis(1_200);
 /// Pause between reads: changes of several servers come in one answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep};
 
-const OWNERS_WAIT: Duration = Duration::from_millis(2_000);
+const OWNERS_WAIT: Duration = Duration::from_millis(6_000);
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 const LOAD_PAUSE: Duration = Duration::from_millis(30);
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
