Prefer engines and servers of the own zone, and warm connections

Cause: every gateway spread its programs over all engines: 240 pairs of connections, and most bytes crossed zones. Change: a program's engine is the highest rendezvous weight in the gateway's zone while it has fewer than three of the gateway's requests, then among all; opening a connection counts as 1.6 requests of load.

--- a/crates/traffic/src/balance.rs
+++ b/crates/traffic/src/balance.rs
@@ -34,9 +34,12 @@
 }
 
 /// Load, in requests, that a server of another zone counts as more.
-const OTHER_ZONE_LOAD: f64 = 0.6;
+const OTHER_ZONE_LOAD: f64 = 1.1;
 /// Load that opening a connection counts as.
-const CONNECTION_LOAD: f64 = 0.4;
+const CONNECTION_LOAD: f64 = 1.6;
+/// Requests of this gateway at an engine of its own zone from which on engines of
+/// all zones are considered.
+const OWN_ZONE_FULL: u32 = 3;
 /// Requests of this gateway at an engine from which on the next choice is taken.
 const AFFINITY_FULL: u32 = 6;
 
@@ -68,26 +71,37 @@
     random: u64,
 ) -> Option<usize> {
     match request.affinity {
-        Some(key) => by_affinity(candidates, allowed, key),
+        Some(key) => by_affinity(candidates, allowed, key, request.zone),
         None => by_load(candidates, allowed, request.zone, random),
     }
 }
 
-fn by_affinity(candidates: &[Candidate<'_>], allowed: &[usize], key: &str) -> Option<usize> {
-    let weight =
-        |index: &usize| xxh3_64_with_seed(candidates[*index].server.id.as_bytes(), hash(key));
-    let room = |index: &&usize| candidates[**index].in_flight < AFFINITY_FULL;
-    let first = allowed
+fn by_affinity(
+    candidates: &[Candidate<'_>],
+    allowed: &[usize],
+    key: &str,
+    zone: &str,
+) -> Option<usize> {
+    let key = hash(key);
+    let weight = |index: &usize| xxh3_64_with_seed(candidates[*index].server.id.as_bytes(), key);
+    let in_flight = |index: &usize| candidates[*index].in_flight;
+    let near = allowed
         .iter()
-        .filter(room)
+        .filter(|index| candidates[**index].server.zone == zone)
+        .filter(|index| in_flight(index) < OWN_ZONE_FULL)
         .max_by_key(|index| weight(index));
-    first
-        .or_else(|| {
-            allowed
-                .iter()
-                .min_by_key(|index| (candidates[**index].in_flight, weight(index)))
-        })
-        .copied()
+    let anywhere = || {
+        allowed
+            .iter()
+            .filter(|index| in_flight(index) < AFFINITY_FULL)
+            .max_by_key(|index| weight(index))
+    };
+    let least = || {
+        allowed
+            .iter()
+            .min_by_key(|index| (in_flight(index), weight(index)))
+    };
+    near.or_else(anywhere).or_else(least).copied()
 }
 
 fn by_load(
