--- /dev/null
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -0,0 +1,193 @@
+//! Chains of turns over changes of owner, against an oracle that keeps each turn's
+//! prompt and output: a chain holds exactly its own inputs and outputs, and a turn
+//! whose end was acknowledged is known within its retention.
+
+use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
+use fieldhook_ledger::partition::{OpenOutcome, Partition};
+use fieldhook_ledger::record::Record;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+const RETENTION_MS: u64 = 60_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A turn begins after one of the acknowledged ones, or anew.
+    Turn { after: Option<u8>, acknowledged: bool },
+    /// A turn names one that never was.
+    Unknown,
+    /// A new owner begins from the log.
+    ChangeOwner,
+    /// Time passes, in seconds; what is over its time is deleted.
+    Wait(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 10 {
+            0..=5 => Self::Turn {
+                after: Option::arbitrary(g),
+                acknowledged: u8::arbitrary(g) % 5 > 0,
+            },
+            6 => Self::Unknown,
+            7..=8 => Self::ChangeOwner,
+            _ => Self::Wait(u8::arbitrary(g) % 30),
+        }
+    }
+}
+
+struct Known {
+    turn: String,
+    contents: Vec<u8>,
+    ended_ms: u64,
+}
+
+#[derive(Default)]
+struct World {
+    owner: Partition,
+    log: BTreeMap<Vec<u8>, Vec<u8>>,
+    known: Vec<Known>,
+    now_ms: u64,
+    next: u64,
+}
+
+impl World {
+    fn append(&mut self, records: &[Record]) {
+        for record in records {
+            let value = record.value();
+            if value.is_empty() {
+                self.log.remove(&record.key());
+            } else {
+                self.log.insert(record.key(), value);
+            }
+        }
+    }
+
+    fn open(&mut self, turn: &str, previous: Option<String>) -> OpenOutcome {
+        let request = OpenTurn {
+            turn: turn.to_owned(),
+            program: "p".to_owned(),
+            previous,
+            wants_chain: true,
+            keeps_context: true,
+            brings_chain: false,
+            budget: None,
+            most_tokens: 10,
+        };
+        self.owner.open(&request, self.now_ms)
+    }
+
+    fn turn(&mut self, after: Option<u8>, acknowledged: bool) -> bool {
+        let turn = format!("t{}", self.next);
+        self.next += 1;
+        let previous = after
+            .and_then(|index| usize::from(index).checked_rem(self.known.len()))
+            .map(|index| &self.known[index]);
+        let expected = previous.map(|known| known.contents.clone()).unwrap_or_default();
+        let fresh = previous.is_none_or(|known| self.now_ms < known.ended_ms + RETENTION_MS);
+        let name = previous.map(|known| known.turn.clone());
+        let chain = match self.open(&turn, name.clone()) {
+            OpenOutcome::Opened { chain, .. } => chain,
+            // Over its retention a turn may be forgotten, never within it.
+            _ => return !fresh,
+        };
+        if chain != expected {
+            return false;
+        }
+        self.close(&turn, name, chain, acknowledged);
+        true
+    }
+
+    fn close(&mut self, turn: &str, previous: Option<String>, chain: Vec<u8>, acknowledged: bool) {
+        let input = format!("in-{turn};").into_bytes();
+        let output = format!("out-{turn}\n").into_bytes();
+        let close = CloseTurn {
+            turn: turn.to_owned(),
+            program: "p".to_owned(),
+            budget: None,
+            most_tokens: 10,
+            tokens: 1,
+            content: Some(TurnContent {
+                previous,
+                input: input.clone(),
+                output: output.clone(),
+                retention_ms: RETENTION_MS,
+            }),
+        };
+        let records = self.owner.close(&close, self.now_ms);
+        if !acknowledged {
+            // The owner is lost before the append: the client never gets the end.
+            self.change_owner();
+            return;
+        }
+        self.append(&records);
+        let mut contents = chain;
+        contents.extend_from_slice(&input);
+        contents.extend_from_slice(&output);
+        self.known.push(Known {
+            turn: turn.to_owned(),
+            contents,
+            ended_ms: self.now_ms,
+        });
+    }
+
+    fn change_owner(&mut self) {
+        self.owner = Partition::default();
+        for (key, value) in &self.log {
+            if let Ok(record) = Record::read(key, value) {
+                self.owner.load(record);
+            }
+        }
+        self.owner.loaded();
+    }
+
+    fn step(&mut self, step: Step) -> bool {
+        match step {
+            Step::Turn {
+                after,
+                acknowledged,
+            } => self.turn(after, acknowledged),
+            Step::Unknown => {
+                self.open("x", Some("never".to_owned())) == OpenOutcome::UnknownTurn
+            }
+            Step::ChangeOwner => {
+                self.change_owner();
+                true
+            }
+            Step::Wait(seconds) => {
+                self.now_ms += u64::from(seconds) * 1_000;
+                let records = self.owner.expire(self.now_ms);
+                self.append(&records);
+                true
+            }
+        }
+    }
+}
+
+fn chains_hold(steps: Vec<Step>) -> bool {
+    let mut world = World::default();
+    steps.into_iter().all(|step| world.step(step))
+}
+
+#[test]
+fn chains_hold_exactly_their_own_turns_over_changes_of_owner() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 31))
+        .tests(3_000)
+        .quickcheck(chains_hold as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_loop_in_a_damaged_chain_ends() {
+    let mut owner = Partition::default();
+    let mut world = World::default();
+    world.turn(None, true);
+    for (key, value) in &world.log {
+        if let Ok(Record::Turn(name, Some(mut record))) = Record::read(key, value) {
+            record.previous = Some(name.clone());
+            owner.load(Record::Turn(name, Some(record)));
+        }
+    }
+    owner.loaded();
+    assert_eq!(owner.contents("t0"), None);
+}
--- /dev/null
+++ b/crates/traffic/tests/routes.rs
@@ -0,0 +1,100 @@
+//! Looking up routes and dividing them among services.
+
+use fieldhook_traffic::config::{Route, RouteKind, TrafficConfig, WeightedService};
+use fieldhook_traffic::split::Split;
+use fieldhook_traffic::table::{RouteTable, supersedes};
+use quickcheck::{Gen, QuickCheck};
+
+fn route(name: &str, host: &str, prefix: &str, parts: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        priority: 0,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| WeightedService {
+                service: (*service).to_owned(),
+                weight: *weight,
+            })
+            .collect(),
+        max_attempts: 1,
+        keeps_context: false,
+        retention_ms: 0,
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(TrafficConfig {
+        version: 3,
+        routes: vec![
+            route("short", "a.example", "/x/", &[("one", 1)]),
+            route("long", "a.example", "/x/y/", &[("two", 1)]),
+            route("other", "b.example", "/x/", &[("three", 1)]),
+        ],
+        ..TrafficConfig::default()
+    })
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    table().find(host, path).map(|entry| entry.route.name.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    assert_eq!(found("a.example", "/x/1").as_deref(), Some("short"));
+    assert_eq!(found("a.example", "/x/y/1").as_deref(), Some("long"));
+    assert_eq!(found("b.example", "/x/y/1").as_deref(), Some("other"));
+}
+
+#[test]
+fn host_case_port_and_query_do_not_matter() {
+    assert_eq!(found("A.Example:8080", "/x/y/?q=/x/").as_deref(), Some("long"));
+    assert_eq!(found("a.example", "/z?/x/").as_deref(), None);
+}
+
+#[test]
+fn no_route_for_other_hosts_and_paths() {
+    assert_eq!(found("c.example", "/x/1"), None);
+    assert_eq!(found("a.example", "/xy/1"), None);
+}
+
+#[test]
+fn versions_only_rise() {
+    assert!(supersedes(None, 1));
+    assert!(supersedes(Some(4), 9));
+    assert!(!supersedes(Some(4), 4));
+    assert!(!supersedes(Some(4), 3));
+}
+
+/// After any number of requests no part is off its share by more than one request
+/// for each part.
+#[test]
+fn shares_follow_weights_over_short_runs() {
+    fn holds(weights: Vec<u8>, requests: u16) -> bool {
+        let weights: Vec<u32> = weights.iter().take(6).map(|w| u32::from(*w)).collect();
+        let total: u32 = weights.iter().sum();
+        let mut split = Split::new(weights.clone());
+        if total == 0 {
+            return split.next().is_none();
+        }
+        let mut counts = vec![0_u32; weights.len()];
+        for _ in 0..requests {
+            match split.next() {
+                Some(index) => counts[index] += 1,
+                None => return false,
+            }
+        }
+        counts.iter().zip(&weights).all(|(count, weight)| {
+            let wanted = f64::from(*weight) * f64::from(requests) / f64::from(total);
+            (f64::from(*count) - wanted).abs() <= weights.len() as f64
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 11))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<u8>, u16) -> bool);
+}
--- /dev/null
+++ b/crates/traffic/tests/servers.rs
@@ -0,0 +1,123 @@
+//! Which server gets a request.
+
+use fieldhook_traffic::balance::{Candidate, Request, choose};
+use fieldhook_traffic::directory::{Directory, DirectoryChange, ServerEntry};
+use fieldhook_traffic::health::{Health, Observation};
+
+fn server(id: &str, zone: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        service: "chat".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: zone.to_owned(),
+        slots: 4,
+        draining: false,
+    }
+}
+
+fn candidate(server: &ServerEntry) -> Candidate<'_> {
+    Candidate {
+        server,
+        in_flight: 0,
+        avoided: false,
+        unsound: false,
+        has_idle_connection: true,
+    }
+}
+
+fn request<'a>(affinity: Option<&'a str>, tried: &'a [String]) -> Request<'a> {
+    Request {
+        affinity,
+        zone: "z1",
+        tried,
+    }
+}
+
+#[test]
+fn a_program_keeps_its_engine_when_others_come_and_go() {
+    let servers: Vec<ServerEntry> = (0..8).map(|n| server(&format!("s{n}"), "z1")).collect();
+    for program in 0..50 {
+        let key = format!("p{program}");
+        let all: Vec<Candidate<'_>> = servers.iter().map(candidate).collect();
+        let first = choose(&all, &request(Some(&key), &[]), 1).expect("a server");
+        let without_another: Vec<Candidate<'_>> = servers
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != (first + 1) % servers.len())
+            .map(|(_, server)| candidate(server))
+            .collect();
+        let second = choose(&without_another, &request(Some(&key), &[]), 2).expect("a server");
+        assert_eq!(without_another[second].server.id, servers[first].id);
+    }
+}
+
+#[test]
+fn engines_of_the_own_zone_come_first_until_they_are_busy() {
+    let near = server("near", "z1");
+    let far = server("far", "z2");
+    let mut candidates = vec![candidate(&near), candidate(&far)];
+    for program in 0..20 {
+        let key = format!("p{program}");
+        assert_eq!(choose(&candidates, &request(Some(&key), &[]), 1), Some(0));
+    }
+    candidates[0].in_flight = 6;
+    assert_eq!(choose(&candidates, &request(Some("p"), &[]), 1), Some(1));
+}
+
+#[test]
+fn failing_and_tried_servers_come_last() {
+    let (a, b) = (server("a", "z1"), server("b", "z1"));
+    let mut candidates = vec![candidate(&a), candidate(&b)];
+    candidates[0].avoided = true;
+    assert_eq!(choose(&candidates, &request(None, &[]), 7), Some(1));
+    let tried = vec!["b".to_owned()];
+    assert_eq!(choose(&candidates, &request(None, &tried), 7), Some(0));
+    let both = vec!["a".to_owned(), "b".to_owned()];
+    assert_eq!(choose(&candidates, &request(None, &both), 7), None);
+}
+
+#[test]
+fn plain_requests_go_where_the_load_is_least() {
+    let (a, b) = (server("a", "z1"), server("b", "z1"));
+    let mut candidates = vec![candidate(&a), candidate(&b)];
+    candidates[0].in_flight = 3;
+    assert_eq!(choose(&candidates, &request(None, &[]), 3), Some(1));
+}
+
+#[test]
+fn leaving_is_final_for_an_identity() {
+    let mut directory = Directory::default();
+    assert_eq!(directory.insert(server("a", "z1")), DirectoryChange::Added);
+    let leaving = ServerEntry {
+        draining: true,
+        ..server("a", "z1")
+    };
+    assert_eq!(directory.insert(leaving), DirectoryChange::Draining);
+    assert!(!directory.takes_work("a"));
+    // An older entry, read again.
+    directory.insert(server("a", "z1"));
+    assert!(!directory.takes_work("a"));
+    assert_eq!(directory.serving("chat").count(), 0);
+}
+
+#[test]
+fn what_a_complete_listing_leaves_out_is_gone() {
+    let mut directory = Directory::default();
+    directory.insert(server("a", "z1"));
+    directory.insert(server("b", "z1"));
+    let gone = directory.retain(&|id| id == "b");
+    assert_eq!(gone, vec!["a".to_owned()]);
+    assert!(!directory.takes_work("a"));
+    assert!(directory.takes_work("b"));
+}
+
+#[test]
+fn pauses_grow_with_failures_and_end_with_an_answer() {
+    let mut health = Health::default();
+    health.observe(0, Observation::Failed);
+    assert!(health.avoided(100) && !health.avoided(400));
+    health.observe(400, Observation::Failed);
+    assert!(health.avoided(900));
+    health.observe(1_500, Observation::Answered);
+    assert!(!health.avoided(1_500) && !health.unsound());
+}
