--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,9 +5,9 @@
 use crate::ledger::owner::Owner;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
-use crate::store::api::LogStore;
-use crate::store::contact::Contact;
 use crate::upstream::pool::Pools;
+use fieldhook_log::api::LogStore;
+use fieldhook_log::contact::Contact;
 use fieldhook_traffic::directory::Directory;
 use fieldhook_traffic::table::RouteTable;
 use std::cell::{Cell, RefCell};
@@ -68,13 +68,13 @@
     /// The state of a daemon that starts.
     pub fn new(settings: GatewaySettings, adapter: Adapter) -> Rc<Self> {
         let incarnation = fastrand::u64(1..u64::MAX);
-        let owner = Rc::new(Owner::new(
+        let owner = Owner::new(
             adapter.store.clone(),
             adapter.metrics.clone(),
             settings.peers,
             incarnation,
             settings.partitions,
-        ));
+        );
         let ledger = Rc::new(LedgerClient::new(owner.clone(), adapter.contact.clone()));
         Rc::new(Self {
             settings,
@@ -120,8 +120,8 @@
         crate::serve::listener::listen(self.clone()).await?;
         ntex::rt::spawn(crate::follow::config::run(self.clone()));
         ntex::rt::spawn(crate::follow::servers::run(self.clone()));
-        ntex::rt::spawn(crate::ledger::owner::run_follow(self.owner.clone()));
-        ntex::rt::spawn(crate::ledger::owner::run_unowned(self.owner.clone()));
+        ntex::rt::spawn(self.owner.claims.clone().run_follow());
+        ntex::rt::spawn(self.owner.claims.clone().run_unowned());
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
         Ok(())
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -1,8 +1,8 @@
 //! The configuration in force.
 
-use super::topic::{Follower, Update};
 use crate::daemon::Daemon;
-use crate::store::api::{KeyedRecord, Partition};
+use fieldhook_log::api::{KeyedRecord, Partition};
+use fieldhook_log::follow::{Follower, Update};
 use fieldhook_traffic::table::{RouteTable, supersedes};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -1,8 +1,8 @@
 //! The servers that exist.
 
-use super::topic::{Follower, Update};
 use crate::daemon::Daemon;
-use crate::store::api::{KeyedRecord, Partition};
+use fieldhook_log::api::{KeyedRecord, Partition};
+use fieldhook_log::follow::{Follower, Update};
 use fieldhook_traffic::directory::DirectoryChange;
 use std::collections::HashSet;
 use std::rc::Rc;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -1,11 +1,10 @@
 //! Opening and closing turns through owners that may change meanwhile.
 
-use super::claim;
 use super::owner::Owner;
 use super::peer::Peers;
-use crate::store::contact::Contact;
 use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_ledger::partition_of;
+use fieldhook_log::contact::Contact;
 use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -107,9 +106,9 @@
         request: &OpenTurn,
         deadline: Instant,
     ) -> Result<Vec<u8>, OpenFailure> {
-        let home = partition_of(&request.program, self.owner.partitions);
+        let home = partition_of(&request.program, self.owner.claims.partitions());
         let turn = request.previous.clone().unwrap_or_default();
-        let questions: Vec<LedgerRequest> = (0..self.owner.partitions)
+        let questions: Vec<LedgerRequest> = (0..self.owner.claims.partitions())
             .filter(|partition| *partition != home)
             .map(|partition| {
                 LedgerRequest::Find(FindChain {
@@ -185,14 +184,14 @@
         answer_limit: Duration,
         deadline: Instant,
     ) -> Option<(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>)> {
-        let partition = request.partition(self.owner.partitions);
+        let partition = request.partition(self.owner.claims.partitions());
         loop {
             let exchange = self.exchange(partition, request, answer_limit);
             match timeout_at(deadline, exchange).await {
                 Err(_) => return None,
                 Ok(Exchange::Answered(reply, replies)) => return Some((reply, replies)),
                 Ok(Exchange::Again) => {
-                    let _ = timeout(CHANGE_WAIT, self.owner.changed.notified()).await;
+                    let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
                 }
                 Ok(Exchange::Suspect(epoch)) => self.replace(partition, epoch).await,
             }
@@ -208,18 +207,18 @@
         request: &LedgerRequest,
         answer_limit: Duration,
     ) -> Exchange {
-        let claim = self.owner.ownership.borrow().claim(partition);
+        let claim = self.owner.claims.claim(partition);
         let Some(claim) = claim else {
             return Exchange::Suspect(None);
         };
         let Some(address) = claim.address else {
             return Exchange::Suspect(Some(claim.epoch));
         };
-        let mut replies = if self.owner.is_mine(&claim) {
+        let mut replies = if self.owner.claims.is_mine(&claim) {
             let (sender, replies) = mpsc::unbounded_channel();
             self.owner.handle(request.clone(), sender);
             replies
-        } else if address == self.owner.address {
+        } else if address == self.owner.claims.address {
             return Exchange::Suspect(Some(claim.epoch));
         } else {
             match self.peers.connection(address).await {
@@ -237,7 +236,7 @@
         };
         match reply {
             LedgerReply::Unavailable => Exchange::Again,
-            LedgerReply::NotOwner if self.owner.is_mine(&claim) => Exchange::Again,
+            LedgerReply::NotOwner if self.owner.claims.is_mine(&claim) => Exchange::Again,
             LedgerReply::NotOwner => Exchange::Suspect(Some(claim.epoch)),
             reply => Exchange::Answered(reply, replies),
         }
@@ -248,7 +247,7 @@
     /// request claims for all that wait for the partition.
     async fn replace(&self, partition: u32, epoch: Option<u64>) {
         if self.contact.failing() || !self.claiming.borrow_mut().insert(partition) {
-            let _ = timeout(CHANGE_WAIT, self.owner.changed.notified()).await;
+            let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
             return;
         }
         // The guard ends the claim also where its request is given up.
@@ -256,10 +255,7 @@
             claiming: &self.claiming,
             partition,
         };
-        if claim::take_over(&self.owner, partition, epoch)
-            .await
-            .is_err()
-        {
+        if self.owner.claims.take_over(partition, epoch).await.is_err() {
             sleep(PAUSE).await;
         }
     }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,30 +1,34 @@
 //! The partitions owned by this daemon.
 
-use super::appender::{Appender, LEDGER_TOPIC, PRODUCER, Urgency, Waiter};
-use super::claim::{self, ClaimError};
-use super::ownership::{Claim, OWNERS_TOPIC, Ownership};
 use crate::daemon::unix_ms;
-use crate::follow::topic::{Follower, Update};
 use crate::metrics::Metrics;
-use crate::store::api::{Append, LogStore, Partition as StorePartition, Producer, StoreError};
 use fieldhook_ledger::message::{CloseTurn, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
-use std::cell::{Cell, RefCell};
+use fieldhook_log::api::{KeyedRecord, LogStore, Partition as LogPartition, StoreError};
+use fieldhook_log::appender::{Appender, Outcome, Urgency, fence};
+use fieldhook_log::claims::Claims;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-const OWNERS_WAIT: Duration = Duration::from_millis(6_000);
+/// Topic of programs and turns.
+pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
+/// Topic of the claims of its partitions.
+pub const OWNERS_TOPIC: &str = "keyed.fieldhook-owners";
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 const LOAD_PAUSE: Duration = Duration::from_millis(30);
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
-/// Wait before an unowned partition is claimed, for each partition owned already.
-const CLAIM_DELAY_PER_PARTITION: Duration = Duration::from_millis(250);
-const CLAIM_JITTER_MS: u64 = 250;
+
+/// An answer that is due once what is queued before it is durable.
+struct Waiter {
+    sender: mpsc::UnboundedSender<LedgerReply>,
+    reply: LedgerReply,
+}
 
 /// A partition that this daemon owns and has read.
 struct Owned {
@@ -38,24 +42,13 @@
     Serving(Owned),
 }
 
-/// Partitions owned here and the table of all owners.
+/// Partitions owned here.
 pub struct Owner {
-    /// The log service.
-    pub store: Rc<dyn LogStore>,
-    /// Figures.
-    pub metrics: Rc<Metrics>,
-    /// Where this daemon listens for others.
-    pub address: SocketAddr,
-    /// Life of this process.
-    pub incarnation: u64,
-    /// Number of partitions.
-    pub partitions: u32,
     /// Who owns what.
-    pub ownership: RefCell<Ownership>,
-    /// Told at each change of an owner or of a partition held here.
-    pub changed: Notify,
+    pub claims: Rc<Claims>,
+    store: Rc<dyn LogStore>,
+    metrics: Rc<Metrics>,
     held: RefCell<HashMap<u32, Hold>>,
-    released: Cell<bool>,
 }
 
 impl Owner {
@@ -66,28 +59,27 @@
         address: SocketAddr,
         incarnation: u64,
         partitions: u32,
-    ) -> Self {
-        Self {
-            store,
-            metrics,
+    ) -> Rc<Self> {
+        let claims = Claims::new(
+            store.clone(),
+            OWNERS_TOPIC,
+            partitions,
             address,
             incarnation,
-            partitions,
-            ownership: RefCell::default(),
-            changed: Notify::new(),
+        );
+        let owner = Rc::new(Self {
+            claims: Rc::new(claims),
+            store,
+            metrics,
             held: RefCell::default(),
-            released: Cell::new(false),
-        }
-    }
-
-    /// Whether a claim is this process's own.
-    pub fn is_mine(&self, claim: &Claim) -> bool {
-        claim.incarnation == self.incarnation
-    }
-
-    /// Whether no partition may be taken any more: the daemon is about to stop.
-    pub fn is_released(&self) -> bool {
-        self.released.get()
+        });
+        let weak = Rc::downgrade(&owner);
+        owner.claims.set_on_change(Rc::new(move |partition| {
+            if let Some(owner) = weak.upgrade() {
+                owner.act_on_claim(partition);
+            }
+        }));
+        owner
     }
 
     /// Whether a partition is held but not read yet.
@@ -97,7 +89,7 @@
 
     /// Answers a request; answers go to `sender`, [`LedgerReply::Durable`] last.
     pub fn handle(&self, request: LedgerRequest, sender: mpsc::UnboundedSender<LedgerReply>) {
-        let partition = request.partition(self.partitions);
+        let partition = request.partition(self.claims.partitions());
         let held = self.held.borrow();
         match held.get(&partition) {
             Some(Hold::Serving(owned)) => match request {
@@ -115,16 +107,16 @@
     }
 
     /// Acts on the newest claim of a partition: takes it up or gives it up.
-    pub fn act_on_claim(self: &Rc<Self>, partition: u32) {
-        let Some(claim) = self.ownership.borrow().claim(partition) else {
+    fn act_on_claim(self: &Rc<Self>, partition: u32) {
+        let Some(claim) = self.claims.claim(partition) else {
             return;
         };
         let held_epoch = self.held.borrow().get(&partition).map(|hold| match hold {
             Hold::Loading(epoch) => *epoch,
             Hold::Serving(owned) => owned.epoch,
         });
-        let mine = self.is_mine(&claim) && claim.address.is_some();
-        if mine && held_epoch != Some(claim.epoch) && !self.released.get() {
+        let mine = self.claims.is_mine(&claim);
+        if mine && held_epoch != Some(claim.epoch) && !self.claims.is_released() {
             self.held
                 .borrow_mut()
                 .insert(partition, Hold::Loading(claim.epoch));
@@ -134,7 +126,7 @@
                 owner = ?claim.address);
             self.drop_partition(partition, None);
         }
-        self.changed.notify_waiters();
+        self.claims.changed.notify_waiters();
     }
 
     fn drop_partition(&self, partition: u32, epoch: Option<u64>) {
@@ -151,16 +143,16 @@
             self.metrics.partitions_owned.set(held.len() as i64);
         }
         drop(held);
-        self.changed.notify_waiters();
+        self.claims.changed.notify_waiters();
     }
 
     /// Gives all partitions up, so that others may take them at once.
     pub async fn release(self: &Rc<Self>) {
-        self.released.set(true);
+        self.claims.stop_claiming();
         let partitions: Vec<u32> = self.held.borrow().keys().copied().collect();
         for partition in partitions {
             self.drop_partition(partition, None);
-            if claim::append(self, partition, None).await.is_ok() {
+            if self.claims.release(partition).await.is_ok() {
                 tracing::info!(event = "partition_released", partition);
             }
         }
@@ -188,7 +180,7 @@
                 });
                 let urgency = if durable { Urgency::Soon } else { Urgency::Now };
                 if waiter.is_some() || !records.is_empty() {
-                    self.appender.push(records, waiter, urgency);
+                    self.push(records, waiter, urgency);
                 }
             }
             // A refusal has to be true: it goes out once the fence is seen to hold.
@@ -205,8 +197,7 @@
             Some(_) => Urgency::Now,
             None => Urgency::Soon,
         };
-        self.appender
-            .push(records, Some(Waiter { sender, reply }), urgency);
+        self.push(records, Some(Waiter { sender, reply }), urgency);
     }
 
     fn find(&self, turn: &str, sender: mpsc::UnboundedSender<LedgerReply>) {
@@ -219,8 +210,41 @@
     }
 
     fn answer_fenced(&self, sender: mpsc::UnboundedSender<LedgerReply>, reply: LedgerReply) {
-        self.appender
-            .push(Vec::new(), Some(Waiter { sender, reply }), Urgency::Now);
+        self.push(Vec::new(), Some(Waiter { sender, reply }), Urgency::Now);
+    }
+
+    /// Queues records; the waiter is answered once they are durable.
+    fn push(&self, records: Vec<Record>, waiter: Option<Waiter>, urgency: Urgency) {
+        let keyed = records.iter().map(keyed_record).collect();
+        let state = self.state.clone();
+        let done = move |outcome| {
+            if outcome == Outcome::Durable {
+                let mut state = state.borrow_mut();
+                records.iter().for_each(|record| state.appended(record));
+            }
+            if let Some(waiter) = waiter {
+                let reply = match outcome {
+                    Outcome::Durable => waiter.reply,
+                    Outcome::Lost => LedgerReply::NotOwner,
+                };
+                let _ = waiter.sender.send(reply);
+            }
+        };
+        self.appender.push(keyed, urgency, Box::new(done));
+    }
+}
+
+fn keyed_record(record: &Record) -> KeyedRecord {
+    KeyedRecord {
+        key: record.key(),
+        value: record.value(),
+    }
+}
+
+fn place(partition: u32) -> LogPartition {
+    LogPartition {
+        topic: LEDGER_TOPIC.to_owned(),
+        number: partition,
     }
 }
 
@@ -241,12 +265,7 @@
         }
     };
     let state = Rc::new(RefCell::new(state));
-    let appender = Rc::new(Appender::new(
-        partition,
-        epoch,
-        owner.store.clone(),
-        owner.metrics.clone(),
-    ));
+    let appender = Rc::new(Appender::new(place(partition), epoch, owner.store.clone()));
     let current =
         matches!(owner.held.borrow().get(&partition), Some(Hold::Loading(now)) if *now == epoch);
     if !current {
@@ -273,9 +292,9 @@
         .metrics
         .partitions_owned
         .set(owner.held.borrow().len() as i64);
-    owner.changed.notify_waiters();
+    owner.claims.changed.notify_waiters();
     let end = appender
-        .run(|record| state.borrow_mut().appended(record))
+        .run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64()))
         .await;
     tracing::info!(event = "partition_given_up", partition, epoch, cause = ?end);
     owner.drop_partition(partition, Some(epoch));
@@ -284,28 +303,13 @@
 /// Fences earlier owners, then reads the newest record of each key. In this
 /// order nothing that an earlier owner had acknowledged can be missed.
 async fn load(owner: &Owner, partition: u32, epoch: u64) -> Result<Partition, StoreError> {
-    let place = StorePartition {
-        topic: LEDGER_TOPIC.to_owned(),
-        number: partition,
-    };
-    let fence = Append {
-        partition: place.clone(),
-        records: Vec::new(),
-        producer: Some(Producer {
-            name: PRODUCER.to_owned(),
-            epoch,
-            sequence: 0,
-        }),
-        expected_end: None,
-        timeout: LOAD_TIMEOUT,
-    };
-    owner.store.append(fence).await?;
+    fence(owner.store.as_ref(), place(partition), epoch, LOAD_TIMEOUT).await?;
     let mut state = Partition::default();
     let mut after = None;
     loop {
         let page = owner
             .store
-            .newest(place.clone(), after, LOAD_TIMEOUT)
+            .newest(place(partition), after, LOAD_TIMEOUT)
             .await?;
         for (_, record) in &page.records {
             match Record::read(&record.key, &record.value) {
@@ -321,73 +325,6 @@
     }
 }
 
-/// Follows the claims for good.
-pub async fn run_follow(owner: Rc<Owner>) {
-    let partition = StorePartition {
-        topic: OWNERS_TOPIC.to_owned(),
-        number: 0,
-    };
-    let mut follower = Follower::new(owner.store.clone(), partition, OWNERS_WAIT);
-    loop {
-        let (records, listed) = match follower.next_update().await {
-            Update::Listing(records) => (records, true),
-            Update::Records(records) => (records, false),
-        };
-        let changed: Vec<u32> = {
-            let mut ownership = owner.ownership.borrow_mut();
-            let changed = records
-                .iter()
-                .filter_map(|(offset, record)| ownership.take(*offset, record))
-                .collect();
-            if listed {
-                ownership.read_to(follower.position());
-            }
-            changed
-        };
-        for partition in changed {
-            owner.act_on_claim(partition);
-        }
-        owner.changed.notify_waiters();
-    }
-}
-
-/// Claims partitions that nobody owns, soon after the start of the daemons: those
-/// that own fewer come first.
-pub async fn run_unowned(owner: Rc<Owner>) {
-    loop {
-        let owned = owner.ownership.borrow().owned_by(owner.incarnation) as u32;
-        let jitter = Duration::from_millis(fastrand::u64(0..CLAIM_JITTER_MS));
-        sleep(CLAIM_DELAY_PER_PARTITION * (owned + 1) + jitter).await;
-        if owner.is_released() {
-            return;
-        }
-        let Some(partition) = unowned(&owner) else {
-            continue;
-        };
-        if let Err(ClaimError::Store(error)) = claim::take_over(&owner, partition, None).await {
-            tracing::debug!(event = "claim_failed", partition, %error);
-        }
-    }
-}
-
-/// A partition without an owner, or whose owner was an earlier life of this process.
-fn unowned(owner: &Owner) -> Option<u32> {
-    let ownership = owner.ownership.borrow();
-    if !ownership.is_known() {
-        return None;
-    }
-    let is_unowned = |partition: &u32| match ownership.claim(*partition) {
-        None => true,
-        Some(claim) => match claim.address {
-            None => true,
-            Some(address) => address == owner.address && claim.incarnation != owner.incarnation,
-        },
-    };
-    (0..owner.partitions)
-        .filter(is_unowned)
-        .min_by_key(|partition| partition.wrapping_add(owner.incarnation as u32) % owner.partitions)
-}
-
 /// Deletes what need not be kept, now and then.
 pub async fn run_expiry(owner: Rc<Owner>) {
     loop {
@@ -396,7 +333,7 @@
             if let Hold::Serving(owned) = hold {
                 let records = owned.state.borrow_mut().expire(unix_ms());
                 if !records.is_empty() {
-                    owned.appender.push(records, None, Urgency::Soon);
+                    owned.push(records, None, Urgency::Soon);
                 }
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`dialect`]: what an adapter has to tell about requests and answers.
 //! - [`settings`]: what a daemon is told at its start.
 //! - [`http`]: messages on the wire.
-//! - [`store`]: the log service.
+//! - [`store_exchange`]: connections to the log service, for adapters.
 //! - [`follow`]: configuration and servers, followed on the log.
 //! - [`ledger`]: owners of partitions and the gateways that ask them.
 //! - [`upstream`]: connections to servers.
@@ -27,5 +27,5 @@
 pub mod probes;
 pub mod serve;
 pub mod settings;
-pub mod store;
+pub mod store_exchange;
 pub mod upstream;
--- a/crates/gateway/src/store/exchange.rs
+++ b/crates/gateway/src/store_exchange.rs
@@ -1,12 +1,12 @@
 //! Connections to the log service. A call that is left without an answer gives its
 //! connection up: the service says nothing more on it.
 
-use super::api::StoreError;
-use super::contact::Contact;
 use crate::http::body::{BodyDecoder, Piece};
 use crate::http::head::{ResponseHead, take_response};
 use crate::upstream::connection::prepare;
 use bytes::{Bytes, BytesMut};
+use fieldhook_log::api::StoreError;
+use fieldhook_log::contact::Contact;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -13,7 +13,10 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// A turn begins after one of the acknowledged ones, or anew.
-    Turn { after: Option<u8>, acknowledged: bool },
+    Turn {
+        after: Option<u8>,
+        acknowledged: bool,
+    },
     /// A turn names one that never was.
     Unknown,
     /// A new owner begins from the log.
@@ -83,7 +86,9 @@
         let previous = after
             .and_then(|index| usize::from(index).checked_rem(self.known.len()))
             .map(|index| &self.known[index]);
-        let expected = previous.map(|known| known.contents.clone()).unwrap_or_default();
+        let expected = previous
+            .map(|known| known.contents.clone())
+            .unwrap_or_default();
         let fresh = previous.is_none_or(|known| self.now_ms < known.ended_ms + RETENTION_MS);
         let name = previous.map(|known| known.turn.clone());
         let chain = match self.open(&turn, name.clone()) {
@@ -147,9 +152,7 @@
                 after,
                 acknowledged,
             } => self.turn(after, acknowledged),
-            Step::Unknown => {
-                self.open("x", Some("never".to_owned())) == OpenOutcome::UnknownTurn
-            }
+            Step::Unknown => self.open("x", Some("never".to_owned())) == OpenOutcome::UnknownTurn,
             Step::ChangeOwner => {
                 self.change_owner();
                 true
--- a/crates/gateway/src/ledger/appender.rs
+++ b/crates/log/src/appender.rs
@@ -1,40 +1,23 @@
-//! Group commit: all records that wait go out in one append.
+//! Group commit: all records that wait for one owned partition go out in one
+//! append, fenced by the owner's epoch.
 
-use crate::metrics::Metrics;
-use crate::store::api::{Append, KeyedRecord, LogStore, Partition, Producer, StoreError};
-use fieldhook_ledger::message::LedgerReply;
-use fieldhook_ledger::record::Record;
+use crate::api::{Append, KeyedRecord, LogStore, Partition, Producer, StoreError};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Topic of programs and turns.
-pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
 /// Writer's name; all owners share it, so that epochs fence each other.
-pub const PRODUCER: &str = "ledger";
+pub const PRODUCER: &str = "owner";
 /// Bytes of one append at most.
 const MOST_BYTES: usize = 1 << 20;
 const FIRST_TIMEOUT: Duration = Duration::from_millis(150);
 const LONGEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FIRST_PAUSE: Duration = Duration::from_millis(15);
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
-
-/// An answer that is due once what is queued before it is durable.
-pub struct Waiter {
-    /// Where the answer goes.
-    pub sender: mpsc::UnboundedSender<LedgerReply>,
-    /// The answer.
-    pub reply: LedgerReply,
-}
-
-/// Records and answers of one request.
-#[derive(Default)]
-struct Entry {
-    records: Vec<Record>,
-    waiter: Option<Waiter>,
-}
+/// Longest time that records wait for others to share their append.
+const SHARE_WAIT: Duration = Duration::from_millis(120);
 
 /// How soon queued records have to go out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,15 +28,28 @@
     Soon,
 }
 
-/// Longest time that records wait for others to share their append.
-const SHARE_WAIT: Duration = Duration::from_millis(120);
+/// What became of queued records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// They are durable, and the fence held when they became so.
+    Durable,
+    /// A later owner is in force; they may or may not be on the log.
+    Lost,
+}
+
+/// Told of the outcome, in the order of the queue.
+pub type Done = Box<dyn FnOnce(Outcome)>;
+
+struct Entry {
+    records: Vec<KeyedRecord>,
+    done: Done,
+}
 
 /// Queue of one owned partition.
 pub struct Appender {
-    partition: u32,
+    partition: Partition,
     epoch: u64,
     store: Rc<dyn LogStore>,
-    metrics: Rc<Metrics>,
     queue: RefCell<Vec<Entry>>,
     urgent: Cell<bool>,
     wake: Notify,
@@ -70,14 +66,37 @@
     Stopped,
 }
 
+/// Sets an epoch on a partition: from then on no earlier owner's append is taken.
+///
+/// # Errors
+/// A later owner is in force, or the service did not do it.
+pub async fn fence(
+    store: &dyn LogStore,
+    partition: Partition,
+    epoch: u64,
+    timeout: Duration,
+) -> Result<(), StoreError> {
+    let append = Append {
+        partition,
+        records: Vec::new(),
+        producer: Some(Producer {
+            name: PRODUCER.to_owned(),
+            epoch,
+            sequence: 0,
+        }),
+        expected_end: None,
+        timeout,
+    };
+    store.append(append).await.map(|_| ())
+}
+
 impl Appender {
-    /// An appender of an epoch that was set already.
-    pub fn new(partition: u32, epoch: u64, store: Rc<dyn LogStore>, metrics: Rc<Metrics>) -> Self {
+    /// An appender of an epoch that was set by [`fence`].
+    pub fn new(partition: Partition, epoch: u64, store: Rc<dyn LogStore>) -> Self {
         Self {
             partition,
             epoch,
             store,
-            metrics,
             queue: RefCell::default(),
             urgent: Cell::new(false),
             wake: Notify::new(),
@@ -86,10 +105,10 @@
         }
     }
 
-    /// Queues records; `waiter` is answered once they and all before are durable.
-    /// Without records, it is answered once the fence is known to hold.
-    pub fn push(&self, records: Vec<Record>, waiter: Option<Waiter>, urgency: Urgency) {
-        self.queue.borrow_mut().push(Entry { records, waiter });
+    /// Queues records; `done` hears of them once they and all before are durable.
+    /// Without records, it hears whether the fence still holds.
+    pub fn push(&self, records: Vec<KeyedRecord>, urgency: Urgency, done: Done) {
+        self.queue.borrow_mut().push(Entry { records, done });
         if urgency == Urgency::Now {
             self.urgent.set(true);
         }
@@ -102,8 +121,13 @@
         self.wake.notify_one();
     }
 
-    /// Appends until fenced or stopped. `appended` hears of each durable record.
-    pub async fn run(&self, appended: impl Fn(&Record)) -> AppendEnd {
+    /// Records that are queued and not yet on their way.
+    pub fn waiting(&self) -> usize {
+        self.queue.borrow().len()
+    }
+
+    /// Appends until fenced or stopped. `took` hears how long each append took.
+    pub async fn run(&self, took: impl Fn(Duration)) -> AppendEnd {
         loop {
             while self.queue.borrow().is_empty() {
                 if self.stopped.get() {
@@ -113,18 +137,22 @@
             }
             self.wait_for_company().await;
             let batch = self.next_batch();
+            let started = Instant::now();
             if self.append(&batch).await.is_err() {
-                answer_all(batch, Some(&LedgerReply::NotOwner));
-                answer_all(self.queue.take(), Some(&LedgerReply::NotOwner));
+                finish(batch, Outcome::Lost);
+                self.lose_queue();
                 return AppendEnd::Fenced;
             }
-            for record in batch.iter().flat_map(|entry| &entry.records) {
-                appended(record);
-            }
-            answer_all(batch, None);
+            took(started.elapsed());
+            finish(batch, Outcome::Durable);
         }
     }
 
+    fn lose_queue(&self) {
+        let rest = self.queue.take();
+        finish(rest, Outcome::Lost);
+    }
+
     /// Waits for records that share the append, unless some are urgent.
     async fn wait_for_company(&self) {
         let until = Instant::now() + SHARE_WAIT;
@@ -143,6 +171,8 @@
         for entry in queue.iter() {
             bytes += entry.records.iter().map(size_of_record).sum::<usize>();
             if count > 0 && bytes > MOST_BYTES {
+                // What is left is as urgent as what goes.
+                self.urgent.set(true);
                 break;
             }
             count += 1;
@@ -155,42 +185,34 @@
     async fn append(&self, batch: &[Entry]) -> Result<(), StoreError> {
         let records: Vec<KeyedRecord> = batch
             .iter()
-            .flat_map(|entry| &entry.records)
-            .map(|record| KeyedRecord {
-                key: record.key(),
-                value: record.value(),
-            })
+            .flat_map(|entry| entry.records.iter().cloned())
             .collect();
         let empty = records.is_empty();
+        let sequence = self.next_sequence.get();
         let mut append = Append {
-            partition: Partition {
-                topic: LEDGER_TOPIC.to_owned(),
-                number: self.partition,
-            },
+            partition: self.partition.clone(),
             records,
             producer: Some(Producer {
                 name: PRODUCER.to_owned(),
                 epoch: self.epoch,
-                sequence: self.next_sequence.get(),
+                sequence,
             }),
             expected_end: None,
             timeout: FIRST_TIMEOUT,
         };
-        let started = Instant::now();
         let mut pause = FIRST_PAUSE;
         let mut failures = 0_u32;
         loop {
             match self.store.append(append.clone()).await {
                 Ok(_) => break,
                 Err(StoreError::Fenced) => return Err(StoreError::Fenced),
-                Err(StoreError::Sequence(wanted)) if wanted == self.next_sequence.get() + 1 => {
-                    break;
-                }
+                Err(StoreError::Sequence(wanted)) if wanted == sequence + 1 => break,
                 Err(error) => {
                     failures += 1;
                     if failures == 1 {
-                        tracing::warn!(event = "append_repeated", partition = self.partition,
-                            epoch = self.epoch, sequence = self.next_sequence.get(), %error);
+                        tracing::warn!(event = "append_repeated", topic = self.partition.topic,
+                            partition = self.partition.number, epoch = self.epoch, sequence,
+                            %error);
                     }
                     if error == StoreError::Unknown {
                         append.timeout = (append.timeout * 2).min(LONGEST_TIMEOUT);
@@ -201,22 +223,24 @@
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
         if !empty {
-            self.next_sequence.set(self.next_sequence.get() + 1);
+            self.next_sequence.set(sequence + 1);
         }
-        self.metrics
-            .append_seconds
-            .observe(started.elapsed().as_secs_f64());
         Ok(())
     }
 }
 
-fn size_of_record(record: &Record) -> usize {
-    record.key().len() + record.value().len()
+impl Drop for Appender {
+    fn drop(&mut self) {
+        self.lose_queue();
+    }
+}
+
+fn size_of_record(record: &KeyedRecord) -> usize {
+    record.key.len() + record.value.len()
 }
 
-fn answer_all(entries: Vec<Entry>, instead: Option<&LedgerReply>) {
-    for waiter in entries.into_iter().filter_map(|entry| entry.waiter) {
-        let reply = instead.cloned().unwrap_or(waiter.reply);
-        let _ = waiter.sender.send(reply);
+fn finish(entries: Vec<Entry>, outcome: Outcome) {
+    for entry in entries {
+        (entry.done)(outcome);
     }
 }
--- a/crates/gateway/src/follow/topic.rs
+++ b/crates/log/src/follow.rs
@@ -1,6 +1,6 @@
 //! Following one compacted partition: the newest of each key, then what comes.
 
-use crate::store::api::{KeyedRecord, LogStore, Partition, StoreError};
+use crate::api::{KeyedRecord, LogStore, Partition, StoreError};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,17 @@
+//! The log service as the product needs it, and what is built on it: following
+//! topics, owning partitions, appending in groups. An adapter speaks the protocol
+//! of the service at hand.
+//!
+//! - [`api`]: the calls and their outcomes.
+//! - [`contact`]: when the service last answered.
+//! - [`follow`]: following one compacted partition.
+//! - [`ownership`]: the table of owners.
+//! - [`claims`]: learning of owners and becoming one.
+//! - [`appender`]: group commit of one owned partition.
+
+pub mod api;
+pub mod appender;
+pub mod claims;
+pub mod contact;
+pub mod follow;
+pub mod ownership;
--- a/crates/gateway/src/ledger/ownership.rs
+++ b/crates/log/src/ownership.rs
@@ -4,14 +4,11 @@
 //! only where the topic ends, so two claims never both succeed unseen, and its
 //! offset gives the epoch that fences every earlier owner.
 
-use crate::store::api::KeyedRecord;
+use crate::api::KeyedRecord;
 use nanoserde::{DeBin, SerBin};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Topic of the claims.
-pub const OWNERS_TOPIC: &str = "keyed.fieldhook-owners";
-
 /// What a claim says.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 struct ClaimRecord {
--- a/crates/traffic/tests/routes.rs
+++ b/crates/traffic/tests/routes.rs
@@ -40,7 +40,9 @@
 }
 
 fn found(host: &str, path: &str) -> Option<String> {
-    table().find(host, path).map(|entry| entry.route.name.clone())
+    table()
+        .find(host, path)
+        .map(|entry| entry.route.name.clone())
 }
 
 #[test]
@@ -52,7 +54,10 @@
 
 #[test]
 fn host_case_port_and_query_do_not_matter() {
-    assert_eq!(found("A.Example:8080", "/x/y/?q=/x/").as_deref(), Some("long"));
+    assert_eq!(
+        found("A.Example:8080", "/x/y/?q=/x/").as_deref(),
+        Some("long")
+    );
     assert_eq!(found("a.example", "/z?/x/").as_deref(), None);
 }
 
