A stand-in of the log service with fences, and tests of claims and appends

The stand-in takes fenced appends, repeats by sequence, conditional appends and compacted topics; in memory for tests, over HTTP for processes, with its faults. Tests: racing claims, claims done late, former owners, and a fuzz of appends through faults and changes of owner.

--- a/crates/emulator/src/log.rs
+++ b/crates/emulator/src/log.rs
@@ -1,114 +1,15 @@
-//! The platform's log: append-only streams with offsets, append and read with
-//! wait, nothing more.
-
-use crate::faults::Faults;
-use crate::serve::serve;
-use fieldhook_http::json;
-use fieldhook_model::platform::{Appended, LogPage, LogRecord};
-use ntex::time::{Millis, sleep};
-use ntex::util::Bytes;
-use ntex::web::{self, HttpResponse, ServiceConfig, types};
-use serde::Deserialize;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::io;
-use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-const POLL: Millis = Millis(5);
-/// Most bytes in one page, so that a long stream is read in parts.
-const PAGE_BYTES: usize = 8 << 20;
-
-#[derive(Clone, Default)]
-struct Streams {
-    records: Rc<RefCell<BTreeMap<String, Vec<String>>>>,
-}
-
-impl Streams {
-    fn append(&self, name: &str, data: String) -> u64 {
-        let mut streams = self.records.borrow_mut();
-        let stream = streams.entry(name.to_owned()).or_default();
-        stream.push(data);
-        stream.len() as u64 - 1
-    }
-
-    fn page(&self, name: &str, from: u64) -> LogPage {
-        let streams = self.records.borrow();
-        let stream = streams
-            .get(name)
-            .map_or(&[][..], |stream| stream.as_slice());
-        let mut bytes = 0;
-        let mut records = Vec::new();
-        for (offset, data) in stream.iter().enumerate().skip(from as usize) {
-            bytes += data.len();
-            if bytes > PAGE_BYTES && !records.is_empty() {
-                break;
-            }
-            records.push(LogRecord {
-                offset: offset as u64,
-                data: data.clone(),
-            });
-        }
-        LogPage {
-            records,
-            end: stream.len() as u64,
-        }
-    }
-}
-
-#[derive(Deserialize)]
-struct ReadQuery {
-    #[serde(default)]
-    from: u64,
-    #[serde(default)]
-    wait_ms: u64,
-}
-
-/// Runs the stand-in.
-///
-/// # Errors
-/// The address cannot be bound.
-pub async fn run(address: &str) -> io::Result<()> {
-    serve(address, |config: &mut ServiceConfig| {
-        Faults::default().configure(config);
-        config.state(Streams::default()).service(
-            web::resource("/v1/streams/{name}")
-                .route(web::post().to(append_record))
-                .route(web::get().to(read_records)),
-        );
-    })
-    .await
-}
-
-async fn append_record(
-    streams: types::State<Streams>,
-    faults: types::State<Faults>,
-    name: types::Path<String>,
-    body: Bytes,
-) -> HttpResponse {
-    if let Err(answer) = faults.before().await {
-        return answer;
-    }
-    let offset = streams.append(&name, String::from_utf8_lossy(&body).into_owned());
-    faults.after(json(200, &Appended { offset })).await
-}
-
-async fn read_records(
-    streams: types::State<Streams>,
-    faults: types::State<Faults>,
-    name: types::Path<String>,
-    query: types::Query<ReadQuery>,
-) -> HttpResponse {
-    if let Err(answer) = faults.before().await {
-        return answer;
-    }
-    let begun = Instant::now();
-    let wait = Duration::from_millis(query.wait_ms);
-    loop {
-        let page = streams.page(&name, query.from);
-        if !page.records.is_empty() || begun.elapsed() >= wait {
-            return json(200, &page);
-        }
-        sleep(POLL).await;
-    }
-}
+//! Stand-ins of the log service.
+//!
+//! - [`core`]: partitions with fences, repeats, conditions and compaction; no I/O.
+//! - [`memory`]: the core in the process of a test, with faults.
+//! - [`topics`]: the core over HTTP.
+//! - [`streams`]: plain streams over HTTP, for the configuration.
+//! - [`service`]: the process that serves both.
+
+pub mod core;
+pub mod memory;
+pub mod service;
+pub mod streams;
+pub mod topics;
+
+pub use service::run;
--- /dev/null
+++ b/crates/emulator/src/log/memory.rs
@@ -0,0 +1,162 @@
+//! The log core in the process of a test: many clients of one log, with faults that
+//! can be set for each client.
+
+use super::core::LogCore;
+use fieldhook_log::api::{
+    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+};
+use futures_util::future::LocalBoxFuture;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// What goes wrong with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls fail at once, without effect.
+    Down,
+    /// Calls are not answered and have no effect.
+    Silent,
+    /// Appends have their effect and are not answered.
+    AnswerLost,
+    /// Appends are not answered and have their effect after this time.
+    DoneLate(Duration),
+    /// Every call takes this long.
+    Slow(Duration),
+}
+
+/// One log with the news of its changes.
+#[derive(Default)]
+pub struct SharedLog {
+    /// The log.
+    pub core: RefCell<LogCore>,
+    changed: Notify,
+}
+
+/// One client of a shared log.
+pub struct MemoryLog {
+    log: Rc<SharedLog>,
+    fault: Cell<LogFault>,
+    /// Calls made so far.
+    pub calls: Cell<u64>,
+}
+
+impl MemoryLog {
+    /// A client without faults.
+    pub fn new(log: Rc<SharedLog>) -> Self {
+        Self {
+            log,
+            fault: Cell::default(),
+            calls: Cell::new(0),
+        }
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: LogFault) {
+        self.fault.set(fault);
+    }
+
+    async fn begin(&self, limit: Duration) -> Result<(), StoreError> {
+        self.calls.set(self.calls.get() + 1);
+        match self.fault.get() {
+            LogFault::Down => Err(StoreError::NotDone),
+            LogFault::Silent => {
+                sleep(limit).await;
+                Err(StoreError::Unknown)
+            }
+            LogFault::Slow(time) if time > limit => {
+                sleep(limit).await;
+                Err(StoreError::Unknown)
+            }
+            LogFault::Slow(time) => {
+                sleep(time).await;
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn append_call(&self, append: Append) -> Result<Appended, StoreError> {
+        self.begin(append.timeout).await?;
+        if let LogFault::DoneLate(delay) = self.fault.get() {
+            let log = self.log.clone();
+            let late = append.clone();
+            ntex::rt::spawn(async move {
+                sleep(delay).await;
+                let _ = log.core.borrow_mut().append(&late);
+                log.changed.notify_waiters();
+            });
+            sleep(append.timeout).await;
+            return Err(StoreError::Unknown);
+        }
+        let appended = self.log.core.borrow_mut().append(&append);
+        self.log.changed.notify_waiters();
+        if self.fault.get() == LogFault::AnswerLost {
+            sleep(append.timeout).await;
+            return Err(StoreError::Unknown);
+        }
+        appended
+    }
+
+    async fn read_call(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        self.begin(limit).await?;
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.log.changed.notified();
+            let batch = self.log.core.borrow_mut().read(&partition, from)?;
+            if !batch.records.is_empty() || timeout_at(until, changed).await.is_err() {
+                return Ok(batch);
+            }
+        }
+    }
+
+    async fn newest_call(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        self.begin(limit).await?;
+        Ok(self
+            .log
+            .core
+            .borrow_mut()
+            .newest(&partition, after.as_deref()))
+    }
+}
+
+impl LogStore for MemoryLog {
+    fn append(&self, append: Append) -> LocalBoxFuture<'_, Result<Appended, StoreError>> {
+        Box::pin(self.append_call(append))
+    }
+
+    fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>> {
+        Box::pin(self.read_call(partition, from, wait, timeout))
+    }
+
+    fn newest(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>> {
+        Box::pin(self.newest_call(partition, after, timeout))
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/log/topics.rs
@@ -0,0 +1,78 @@
+//! Compacted topics over HTTP, in the binary form of `fieldhook_log::wire`.
+
+use super::core::LogCore;
+use crate::faults::Faults;
+use fieldhook_log::api::{Append, Partition};
+use fieldhook_log::wire::{NewestCall, ReadCall, StoreCall, StoreReply};
+use nanoserde::{DeBin, SerBin};
+use ntex::time::{Millis, sleep};
+use ntex::util::Bytes;
+use ntex::web::{HttpResponse, types};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const POLL: Millis = Millis(5);
+
+/// The topics, shared by the handlers.
+#[derive(Clone, Default)]
+pub struct Topics {
+    core: Rc<RefCell<LogCore>>,
+}
+
+/// Serves a call.
+pub async fn call(
+    topics: types::State<Topics>,
+    faults: types::State<Faults>,
+    body: Bytes,
+) -> HttpResponse {
+    if let Err(answer) = faults.before().await {
+        return answer;
+    }
+    let Ok(call) = StoreCall::deserialize_bin(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match call {
+        StoreCall::Append(call) => {
+            let append = Append::from(call);
+            let appended = topics.core.borrow_mut().append(&append);
+            let reply = appended.map_or_else(StoreReply::from, StoreReply::from);
+            faults.after(answer(&reply)).await
+        }
+        StoreCall::Read(call) => answer(&read(&topics, &call).await),
+        StoreCall::Newest(call) => answer(&newest(&topics, &call)),
+    }
+}
+
+fn answer(reply: &StoreReply) -> HttpResponse {
+    HttpResponse::Ok().body(reply.serialize_bin())
+}
+
+async fn read(topics: &Topics, call: &ReadCall) -> StoreReply {
+    let partition = Partition {
+        topic: call.topic.clone(),
+        number: call.partition,
+    };
+    let begun = Instant::now();
+    let wait = Duration::from_millis(call.wait_ms);
+    loop {
+        let read = topics.core.borrow_mut().read(&partition, call.from);
+        match read {
+            Ok(batch) if batch.records.is_empty() && begun.elapsed() < wait => sleep(POLL).await,
+            Ok(batch) => return batch.into(),
+            Err(error) => return error.into(),
+        }
+    }
+}
+
+fn newest(topics: &Topics, call: &NewestCall) -> StoreReply {
+    let partition = Partition {
+        topic: call.topic.clone(),
+        number: call.partition,
+    };
+    let page = topics
+        .core
+        .borrow_mut()
+        .newest(&partition, call.after.as_deref());
+    page.into()
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`ownership`]: the table of owners.
 //! - [`claims`]: learning of owners and becoming one.
 //! - [`appender`]: group commit of one owned partition.
+//! - [`wire`]: the calls in binary form, for the stand-in.
 
 pub mod api;
 pub mod appender;
@@ -15,3 +16,4 @@
 pub mod contact;
 pub mod follow;
 pub mod ownership;
+pub mod wire;
--- /dev/null
+++ b/crates/log/tests/owners.rs
@@ -0,0 +1,299 @@
+//! Owners of partitions over a log with faults: two claims never both succeed
+//! unseen, a former owner's append is never taken, and what was acknowledged is
+//! there once, in order.
+
+use fieldhook_emulator::log::memory::{LogFault, MemoryLog, SharedLog};
+use fieldhook_log::api::{KeyedRecord, LogStore, Partition};
+use fieldhook_log::appender::{AppendEnd, Appender, Outcome, Urgency, fence};
+use fieldhook_log::claims::{ClaimError, Claims};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const TOPIC: &str = "keyed.owners";
+const PARTITIONS: u32 = 4;
+const SHORT: Duration = Duration::from_millis(20);
+
+fn run<F: Future<Output = ()> + 'static>(test: F) {
+    ntex::rt::System::new("log-tests", ntex::rt::DefaultRuntime).block_on(test);
+}
+
+struct Daemon {
+    store: Rc<MemoryLog>,
+    claims: Rc<Claims>,
+}
+
+fn daemon(log: &Rc<SharedLog>, number: u16) -> Daemon {
+    let store = Rc::new(MemoryLog::new(log.clone()));
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000 + number));
+    let claims = Claims::new(store.clone(), TOPIC, PARTITIONS, address, u64::from(number));
+    let claims = Rc::new(claims);
+    ntex::rt::spawn(claims.clone().run_follow());
+    Daemon { store, claims }
+}
+
+fn place() -> Partition {
+    Partition {
+        topic: "keyed.work".to_owned(),
+        number: 0,
+    }
+}
+
+fn record(key: &str, value: &str) -> KeyedRecord {
+    KeyedRecord {
+        key: key.as_bytes().to_vec(),
+        value: value.as_bytes().to_vec(),
+    }
+}
+
+#[test]
+fn of_racing_claims_one_wins() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let daemons: Vec<Daemon> = (1..=6).map(|number| daemon(&log, number)).collect();
+        sleep(SHORT).await;
+        for partition in 0..PARTITIONS {
+            let claiming = daemons
+                .iter()
+                .map(|daemon| daemon.claims.take_over(partition, None));
+            let results = futures_util::future::join_all(claiming).await;
+            let won = results.iter().filter(|result| result.is_ok()).count();
+            assert_eq!(won, 1, "{results:?}");
+        }
+        sleep(SHORT).await;
+        for partition in 0..PARTITIONS {
+            let seen: Vec<_> = daemons
+                .iter()
+                .map(|daemon| daemon.claims.claim(partition))
+                .collect();
+            assert!(
+                seen.iter()
+                    .all(|claim| claim.is_some() && *claim == seen[0])
+            );
+        }
+    });
+}
+
+#[test]
+fn a_suspicion_that_is_out_of_date_takes_nothing_over() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let (a, b, c) = (daemon(&log, 1), daemon(&log, 2), daemon(&log, 3));
+        sleep(SHORT).await;
+        a.claims.take_over(0, None).await.expect("claims");
+        let first = a.claims.claim(0).map(|claim| claim.epoch);
+        sleep(SHORT).await;
+        b.claims.take_over(0, first).await.expect("takes over");
+        // The third one has not read that yet.
+        assert_eq!(
+            c.claims.take_over(0, first).await,
+            Err(ClaimError::Overtaken)
+        );
+    });
+}
+
+#[test]
+fn a_claim_that_is_done_late_is_heard_of() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let a = daemon(&log, 1);
+        sleep(SHORT).await;
+        a.store
+            .set_fault(LogFault::DoneLate(Duration::from_millis(350)));
+        assert_eq!(
+            a.claims.take_over(0, None).await,
+            Err(ClaimError::NotAppended)
+        );
+        a.store.set_fault(LogFault::None);
+        sleep(Duration::from_millis(200)).await;
+        let claim = a.claims.claim(0).expect("follows its own late claim");
+        assert!(a.claims.is_mine(&claim));
+    });
+}
+
+#[test]
+fn unowned_partitions_are_shared_out() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let daemons: Vec<Daemon> = (1..=4).map(|number| daemon(&log, number)).collect();
+        for daemon in &daemons {
+            ntex::rt::spawn(daemon.claims.clone().run_unowned());
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        for partition in 0..PARTITIONS {
+            assert!(
+                daemons[0].claims.claim(partition).is_some(),
+                "nobody owns {partition}"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_former_owners_records_are_lost_and_it_hears_so() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let store = Rc::new(MemoryLog::new(log.clone()));
+        fence(store.as_ref(), place(), 1, SHORT)
+            .await
+            .expect("sets the epoch");
+        let old = Rc::new(Appender::new(place(), 1, store.clone()));
+        fence(store.as_ref(), place(), 2, SHORT)
+            .await
+            .expect("sets the epoch");
+        let heard = Rc::new(RefCell::new(Vec::new()));
+        for urgency in [Urgency::Now, Urgency::Soon] {
+            let heard = heard.clone();
+            let done = move |outcome| heard.borrow_mut().push(outcome);
+            old.push(vec![record("k", "old")], urgency, Box::new(done));
+        }
+        assert_eq!(old.run(|_| {}).await, AppendEnd::Fenced);
+        assert_eq!(*heard.borrow(), vec![Outcome::Lost, Outcome::Lost]);
+        let page = store.newest(place(), None, SHORT).await.expect("read");
+        assert!(page.records.is_empty());
+    });
+}
+
+#[test]
+fn a_check_without_records_hears_of_a_later_owner() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let store = Rc::new(MemoryLog::new(log.clone()));
+        let appender = Rc::new(Appender::new(place(), 5, store.clone()));
+        ntex::rt::spawn({
+            let appender = appender.clone();
+            async move {
+                appender.run(|_| {}).await;
+            }
+        });
+        let check = |appender: &Rc<Appender>| {
+            let (sender, receiver) = tokio::sync::oneshot::channel();
+            let done = move |outcome| {
+                let _ = sender.send(outcome);
+            };
+            appender.push(Vec::new(), Urgency::Now, Box::new(done));
+            receiver
+        };
+        assert_eq!(check(&appender).await, Ok(Outcome::Durable));
+        fence(store.as_ref(), place(), 6, SHORT)
+            .await
+            .expect("sets the epoch");
+        assert_eq!(check(&appender).await, Ok(Outcome::Lost));
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push,
+    Fault(u8),
+    Wait,
+    NewOwner,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=4 => Self::Push,
+            5 => Self::Fault(u8::arbitrary(g)),
+            6 => Self::Wait,
+            _ => Self::NewOwner,
+        }
+    }
+}
+
+fn fault(number: u8) -> LogFault {
+    match number % 5 {
+        0 => LogFault::Down,
+        1 => LogFault::AnswerLost,
+        2 => LogFault::Slow(Duration::from_millis(5)),
+        _ => LogFault::None,
+    }
+}
+
+/// Pushes numbered records through changing owners and faults; every record that was
+/// told durable stands on the log exactly once, and each owner's in order.
+fn acknowledged_records_stand_once(steps: Vec<Step>) -> bool {
+    let holds = Rc::new(RefCell::new(true));
+    let result = holds.clone();
+    run(async move {
+        let log = Rc::new(SharedLog::default());
+        let durable: Rc<RefCell<Vec<u64>>> = Rc::default();
+        let mut epoch = 0;
+        let mut next = 0_u64;
+        let mut store = Rc::new(MemoryLog::new(log.clone()));
+        let mut appender: Option<Rc<Appender>> = None;
+        for step in steps {
+            match (step, &appender) {
+                (Step::NewOwner, _) | (_, None) => {
+                    epoch += 1;
+                    store = Rc::new(MemoryLog::new(log.clone()));
+                    let _ = fence(store.as_ref(), place(), epoch, SHORT).await;
+                    let fresh = Rc::new(Appender::new(place(), epoch, store.clone()));
+                    let running = fresh.clone();
+                    ntex::rt::spawn(async move {
+                        running.run(|_| {}).await;
+                    });
+                    appender = Some(fresh);
+                }
+                (Step::Push, Some(appender)) => {
+                    let number = next;
+                    next += 1;
+                    let durable = durable.clone();
+                    let done = move |outcome| {
+                        if outcome == Outcome::Durable {
+                            durable.borrow_mut().push(number);
+                        }
+                    };
+                    let record = record(&format!("{number}"), "v");
+                    appender.push(vec![record], Urgency::Now, Box::new(done));
+                }
+                (Step::Fault(number), _) => store.set_fault(fault(number)),
+                (Step::Wait, _) => sleep(Duration::from_millis(3)).await,
+            }
+        }
+        store.set_fault(LogFault::None);
+        let last = next;
+        if let Some(appender) = &appender {
+            let (sender, receiver) = tokio::sync::oneshot::channel();
+            let done = move |outcome| {
+                let _ = sender.send(outcome);
+            };
+            appender.push(
+                vec![record(&format!("{last}"), "v")],
+                Urgency::Now,
+                Box::new(done),
+            );
+            let ended = timeout(Duration::from_secs(5), receiver).await;
+            *result.borrow_mut() &= matches!(ended, Ok(Ok(Outcome::Durable)));
+        }
+        let batch = log
+            .core
+            .borrow_mut()
+            .read(&place(), 0)
+            .expect("all history");
+        let on_log: Vec<u64> = batch
+            .records
+            .iter()
+            .filter_map(|(_, record)| std::str::from_utf8(&record.key).ok()?.parse().ok())
+            .collect();
+        let once = durable
+            .borrow()
+            .iter()
+            .all(|number| on_log.iter().filter(|found| *found == number).count() == 1);
+        let ordered = on_log.windows(2).all(|pair| pair[0] < pair[1]);
+        *result.borrow_mut() &= once && ordered;
+    });
+    let holds = *holds.borrow();
+    holds
+}
+
+#[test]
+fn acknowledged_records_stand_once_and_in_order() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(24, 41))
+        .tests(40)
+        .quickcheck(acknowledged_records_stand_once as fn(Vec<Step>) -> bool);
+}
