--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -25,7 +25,7 @@
 pub enum Command {
     /// Check, publish and look back on the configuration.
     Config(ConfigArguments),
-    /// Show daemons, configuration, archive lag and engines.
+    /// Show daemons, configuration, commands that wait for the log, and engines.
     Status(NoArguments),
     /// Show shards with their leaders and members.
     Shards(NoArguments),
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -5,7 +5,7 @@
 use crate::output::{Form, print};
 use fieldhook_model::operator::{DaemonStatus, EngineStatus, ShardStatus};
 
-/// Shows daemons, configuration, archive lag and engines.
+/// Shows daemons, configuration, commands that wait for the log, and engines.
 pub async fn show_status(connection: &Connection) -> Result<(), ClientError> {
     let status = connection.status().await?;
     if connection.form == Form::Json {
@@ -14,9 +14,12 @@
     }
     println!("asked          {}", status.address);
     println!("configuration  version {}", status.config_version);
-    println!("archive lag    {} commands", status.archive_lag);
     println!(
-        "shards         {} with a known leader\n",
+        "log            {} commands waiting",
+        status.commands_waiting
+    );
+    println!(
+        "shards         {} with a known owner\n",
         status.shards.len()
     );
     let daemons: Vec<Vec<String>> = status.daemons.iter().map(daemon_row).collect();
@@ -67,11 +70,11 @@
     ]
 }
 
-/// Shows shards with their leaders and members.
+/// Shows shards with their owners.
 pub async fn show_shards(connection: &Connection) -> Result<(), ClientError> {
     let status = connection.status().await?;
     let rows: Vec<Vec<String>> = status.shards.iter().map(shard_row).collect();
-    let head = ["SHARD", "EPOCH", "TERM", "LEADER", "MEMBERS"];
+    let head = ["SHARD", "EPOCH", "OWNER"];
     print(connection.form, &status.shards, &head, &rows);
     Ok(())
 }
@@ -80,8 +83,6 @@
     vec![
         shard.shard.to_string(),
         shard.epoch.to_string(),
-        shard.term.to_string(),
-        shard.leader.clone(),
-        shard.members.join(","),
+        shard.owner.clone().unwrap_or_else(|| "none".to_owned()),
     ]
 }
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -1,8 +1,8 @@
-//! The planned stop: take nothing new, hand leadership over, finish what is
+//! The planned stop: take nothing new, hand the shards over, finish what is
 //! under way, and only then go.
 
 use crate::node::{Node, Phase};
-use crate::shard::{ShardHost, carry_out};
+use crate::shard::ShardHost;
 use fieldhook_program::CallState;
 use ntex::time::{Millis, sleep};
 use std::rc::Rc;
@@ -22,6 +22,7 @@
     tracing::info!("planned stop begins");
     node.set_phase(Phase::Draining);
     let begun = Instant::now();
+    node.claims.stop_claiming();
     let handovers = node
         .hosts()
         .into_iter()
@@ -35,17 +36,18 @@
     tracing::info!(seconds = begun.elapsed().as_secs_f64(), "planned stop done");
 }
 
-/// Hands a shard's leadership to another replica. Streams of engines go on
-/// there; a request that must not run twice has to end here first, because its
-/// answer can only be recorded by the leader that waits for it.
+/// Hands a shard over. Streams of engines go on at the next owner; a request that
+/// must not run twice has to end here first, because its answer can only be recorded
+/// by the owner that waits for it.
 async fn hand_over(node: Rc<Node>, host: Rc<ShardHost>) {
     let begun = Instant::now();
     host.holding.set(true);
-    while host.is_leader() && runs_unrepeatable(&host) && begun.elapsed() < HOLD_LIMIT {
+    while host.owns() && runs_unrepeatable(&host) && begun.elapsed() < HOLD_LIMIT {
         sleep(CHECK).await;
     }
-    while host.is_leader() && begun.elapsed() < HOLD_LIMIT {
-        transfer(&node, &host);
+    while host.owns() && begun.elapsed() < HOLD_LIMIT {
+        // Another claim may have moved the end of the topic: the next try knows it.
+        let _ = node.claims.release(u32::from(host.shard)).await;
         sleep(CHECK).await;
     }
 }
@@ -61,26 +63,3 @@
         record.is_some_and(|call| !call.repeatable && call.state == CallState::Running)
     })
 }
-
-fn transfer(node: &Rc<Node>, host: &Rc<ShardHost>) {
-    let successor = {
-        let core = host.core.borrow();
-        let detector = node.detector.borrow();
-        let is_alive = |id: &fieldhook_model::address::ReplicaId| {
-            let member = detector.table().member(id.address);
-            member.is_some_and(|member| {
-                member.id == *id && member.state == fieldhook_membership::MemberState::Alive
-            })
-        };
-        let voters = core.members().voters.iter();
-        voters
-            .filter(|id| **id != node.id && core.is_caught_up(**id))
-            .find(|id| is_alive(id))
-            .copied()
-    };
-    let Some(successor) = successor else { return };
-    let started = host.core.borrow_mut().transfer(successor);
-    if let Ok(actions) = started {
-        carry_out(node, host, actions);
-    }
-}
--- a/crates/daemon/src/gateway/calls.rs
+++ b/crates/daemon/src/gateway/calls.rs
@@ -177,7 +177,9 @@
         StreamEvent::Done(answer) => encode_event("", "done", &answer),
         StreamEvent::Failed(error) => encode_event("", "error", &error),
         // A comment, which event streams ignore.
-        StreamEvent::KeepAlive | StreamEvent::NotLeader(_) => ": alive\n\n".to_owned(),
+        StreamEvent::KeepAlive | StreamEvent::NotOwner | StreamEvent::OwnerLost => {
+            ": alive\n\n".to_owned()
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 mod source;
 
 pub use calls::post_call;
-pub use commands::ask_leader;
+pub use commands::ask_owner;
 pub use input::{failure, parse_program};
 pub use programs::{delete_program, post_program, show_program};
 pub use source::encode_frame;
--- a/crates/daemon/src/gateway/programs.rs
+++ b/crates/daemon/src/gateway/programs.rs
@@ -1,6 +1,6 @@
 //! Routes to open, show and end programs.
 
-use crate::gateway::commands::ask_leader;
+use crate::gateway::commands::ask_owner;
 use crate::gateway::input::{
     check_admission, check_key, failure, invalid, parse_program, read_json,
 };
@@ -43,7 +43,7 @@
     let request: OpenProgram = read_json(node, payload).await?;
     let open = checked_open(node, request)?;
     let program = open.program;
-    ask_leader(node, CommandMessage::Open(open)).await?;
+    ask_owner(node, CommandMessage::Open(open)).await?;
     Ok(program)
 }
 
@@ -80,7 +80,7 @@
 /// `GET /v1/programs/{id}`.
 pub async fn show_program(node: types::State<Rc<Node>>, id: types::Path<String>) -> HttpResponse {
     let asked = match parse_program(&node, &id) {
-        Ok(program) => ask_leader(&node, CommandMessage::View(program)).await,
+        Ok(program) => ask_owner(&node, CommandMessage::View(program)).await,
         Err(error) => Err(error),
     };
     match asked {
@@ -98,7 +98,7 @@
                 program,
                 reason: EndReason::Caller,
             };
-            ask_leader(&node, message).await
+            ask_owner(&node, message).await
         }
         Err(error) => Err(error),
     };
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -1,10 +1,10 @@
-//! Relaying one call, through changes of leader, to its closing event.
+//! Relaying one call, through changes of owner, to its closing event.
 //!
 //! Invariants: the reader gets exactly one closing event; text of two lineages
 //! is never joined; `executed: no` is only said where no copy of the message
 //! can still run.
 
-use crate::gateway::routing::LeaderSearch;
+use crate::gateway::routing::OwnerSearch;
 use crate::gateway::source::EventSource;
 use crate::node::Node;
 use crate::sequencer::{CallMessage, Position};
@@ -19,13 +19,13 @@
 const RETRY_PAUSE: Millis = Millis(25);
 const GIVE_UP_RETRY_MS: u64 = 1_000;
 
-/// How following one leader ended.
+/// How following one owner ended.
 enum Followed {
     /// With the closing event, which the reader has.
     Closed,
     /// The reader is gone.
     ReaderGone,
-    /// The leader does not lead, or was lost.
+    /// The daemon asked does not own the shard, or was lost.
     AskAgain,
 }
 
@@ -33,14 +33,14 @@
     node: Rc<Node>,
     call: CallMessage,
     out: mpsc::Sender<StreamEvent>,
-    search: LeaderSearch,
+    search: OwnerSearch,
     last_contact: Instant,
     sent_before: bool,
 }
 
 /// Relays a call until its closing event or until the reader is gone.
 pub async fn relay(node: Rc<Node>, call: CallMessage, out: mpsc::Sender<StreamEvent>) {
-    let search = LeaderSearch::new(node.clone(), call.program.shard);
+    let search = OwnerSearch::new(node.clone(), call.program.shard);
     let mut relay = Relay {
         node,
         call,
@@ -63,7 +63,7 @@
             if self.out.is_closed() {
                 return;
             }
-            self.node.metrics.leader_retries.inc();
+            self.node.metrics.owner_retries.inc();
             sleep(RETRY_PAUSE).await;
         }
         let error = self.gave_up();
@@ -71,11 +71,11 @@
     }
 
     async fn ask_once(&mut self) -> Followed {
-        let Some(leader) = self.search.next() else {
+        let Some(owner) = self.search.next() else {
             return Followed::AskAgain;
         };
         self.call.copied = self.sent_before;
-        match EventSource::open(&self.node, leader, &self.call).await {
+        match EventSource::open(&self.node, owner, &self.call).await {
             Ok(source) => self.follow(source).await,
             Err(SendError::NotSent(_)) => Followed::AskAgain,
             Err(_) => {
@@ -88,11 +88,10 @@
     async fn follow(&mut self, mut source: EventSource) -> Followed {
         loop {
             match source.next().await {
-                Some(StreamEvent::NotLeader(leader)) => {
-                    // The message was read and dropped, or its intent is in the
-                    // log: either way this copy is not under way any more.
-                    self.sent_before |= leader.is_none();
-                    self.search.take_hint(leader);
+                // The message was read and dropped.
+                Some(StreamEvent::NotOwner) => return Followed::AskAgain,
+                Some(StreamEvent::OwnerLost) => {
+                    self.sent_before = true;
                     return Followed::AskAgain;
                 }
                 Some(event) => {
@@ -114,7 +113,7 @@
         }
     }
 
-    /// Keeps what the reader has, for the next leader to go on from.
+    /// Keeps what the reader has, for the next owner to go on from.
     fn note(&mut self, event: &StreamEvent) {
         match event {
             StreamEvent::Delta {
@@ -145,7 +144,7 @@
     fn gave_up(&self) -> CallError {
         let error = CallError::not_run(
             ErrorKind::Unavailable,
-            "ask again under the same request key; the program's shard has no leader now",
+            "ask again under the same request key; the program's shard has no owner now",
         );
         let executed = if self.sent_before {
             Executed::Unknown
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,11 +3,11 @@
 
 use fieldhook_daemon::drain::drain;
 use fieldhook_daemon::node::{Node, Phase};
-use fieldhook_daemon::platform::{archive, claims, config_follow, fleet, recovery};
+use fieldhook_daemon::platform::{config_follow, fleet};
 use fieldhook_daemon::sequencer::run_upkeep;
 use fieldhook_daemon::server;
 use fieldhook_daemon::settings::{Flags, Settings, SettingsError};
-use fieldhook_daemon::shard::{run_management, run_shards};
+use fieldhook_daemon::shard::{act_on_claim, run_management};
 use fieldhook_daemon::transport::run_datagrams;
 use fieldhook_http::HttpClient;
 use gumdrop::Options;
@@ -105,13 +105,13 @@
     if let Err(error) = run_datagrams(node.clone()).await {
         tracing::error!(%error, "cannot bind UDP; check that the port is free");
     }
-    ntex::rt::spawn(run_shards(node.clone()));
+    let claimed = node.clone();
+    node.claims
+        .set_on_change(Rc::new(move |shard| act_on_claim(&claimed, shard as u16)));
+    ntex::rt::spawn(node.claims.clone().run_follow());
+    ntex::rt::spawn(node.claims.clone().run_unowned());
     ntex::rt::spawn(run_management(node.clone()));
     ntex::rt::spawn(run_upkeep(node.clone()));
-    ntex::rt::spawn(claims::run_claims(node.clone()));
-    ntex::rt::spawn(claims::run_member_records(node.clone()));
-    ntex::rt::spawn(archive::run_archive(node.clone()));
-    ntex::rt::spawn(recovery::run_recovery(node.clone()));
     ntex::rt::spawn(config_follow::run_config_from_log(node.clone()));
     ntex::rt::spawn(config_follow::run_config_from_peers(node.clone()));
     ntex::rt::spawn(fleet::run_machine_list(node.clone()));
@@ -120,16 +120,25 @@
     Ok(node)
 }
 
-/// Serves once every shard has a known leader and the configuration is known.
+/// Serves once the configuration is known and every shard has a known owner. A
+/// daemon that starts while the log is down has its configuration from peers and
+/// cannot know owners yet; calls wait for them.
 async fn become_ready(node: Rc<Node>) {
-    let shards = usize::from(node.settings.shards);
-    while node.detector.borrow().table().routes().count() < shards || !node.config_known.get() {
+    while !(node.config_known.get() && owners_are_known(&node)) {
         sleep(READY_CHECK).await;
     }
     node.set_phase(Phase::Serving);
     tracing::info!("serves");
 }
 
+fn owners_are_known(node: &Node) -> bool {
+    let is_owned = |shard| {
+        let claim = node.claims.claim(u32::from(shard));
+        claim.is_some_and(|claim| claim.address.is_some())
+    };
+    !node.claims.is_known() || (0..node.settings.shards).all(is_owned)
+}
+
 async fn stop_on_signal(node: Rc<Node>, drained: oneshot::Sender<()>) {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -11,27 +11,21 @@
     pub in_flight: IntGauge,
     /// Answers that ended in an error.
     pub errors: IntCounter,
-    /// Calls asked again at another or a new leader.
-    pub leader_retries: IntCounter,
+    /// Calls asked again at another or a new owner.
+    pub owner_retries: IntCounter,
     /// Attempts of calls after the first.
     pub further_attempts: IntCounter,
-    /// Shards led here.
-    pub shards_led: IntGauge,
-    /// Voters that the shards led here lack, counting those known to be gone.
-    pub missing_voters: IntGauge,
-    /// Replicas here.
-    pub replicas: IntGauge,
-    /// Committed commands that the platform's log does not have yet.
-    pub archive_lag: IntGauge,
+    /// Shards owned here.
+    pub shards_owned: IntGauge,
+    /// Commands that the platform's log does not have yet.
+    pub commands_waiting: IntGauge,
     /// Version of the configuration in force here.
     pub config_version: IntGauge,
     /// Daemons held alive here.
     pub live_members: IntGauge,
     /// Bytes sent between daemons for control, without calls and their entries.
     pub control_bytes: IntCounter,
-    /// Bytes of replicated entries and snapshots sent between daemons.
-    pub replication_bytes: IntCounter,
-    /// Programs in replicas here.
+    /// Programs in shards owned here.
     pub programs: IntGauge,
 }
 
@@ -59,23 +53,17 @@
                 "fieldhook_errors_total",
                 "Answers that ended in an error",
             ),
-            leader_retries: counter(r, "fieldhook_leader_retries_total", "Calls asked again"),
+            owner_retries: counter(r, "fieldhook_owner_retries_total", "Calls asked again"),
             further_attempts: counter(
                 r,
                 "fieldhook_further_attempts_total",
                 "Attempts of calls after the first",
             ),
-            shards_led: gauge(r, "fieldhook_shards_led", "Shards led here"),
-            missing_voters: gauge(
+            shards_owned: gauge(r, "fieldhook_shards_owned", "Shards owned here"),
+            commands_waiting: gauge(
                 r,
-                "fieldhook_missing_voters",
-                "Voters that the shards led here lack",
-            ),
-            replicas: gauge(r, "fieldhook_replicas", "Replicas here"),
-            archive_lag: gauge(
-                r,
-                "fieldhook_archive_lag_commands",
-                "Committed commands not yet in the platform's log",
+                "fieldhook_commands_waiting",
+                "Commands that the platform's log does not have yet",
             ),
             config_version: gauge(r, "fieldhook_config_version", "Configuration in force here"),
             live_members: gauge(r, "fieldhook_live_members", "Daemons held alive here"),
@@ -84,12 +72,7 @@
                 "fieldhook_control_bytes_total",
                 "Bytes sent between daemons for control",
             ),
-            replication_bytes: counter(
-                r,
-                "fieldhook_replication_bytes_total",
-                "Bytes of entries and snapshots sent between daemons",
-            ),
-            programs: gauge(r, "fieldhook_programs", "Programs in replicas here"),
+            programs: gauge(r, "fieldhook_programs", "Programs in shards owned here"),
             registry,
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,14 +1,17 @@
 //! The daemon's shared state, on one thread.
 
 use crate::metrics::Metrics;
+use crate::platform::contact::LogContact;
 use crate::platform::fleet::Fleet;
+use crate::platform::log_store::HttpLog;
 use crate::settings::Settings;
 use crate::shard::ShardHost;
-use crate::transport::Outbox;
+use crate::shard::storage::SHARD_OWNERS_TOPIC;
 use fieldhook_http::HttpClient;
+use fieldhook_log::api::LogStore;
+use fieldhook_log::claims::Claims;
 use fieldhook_membership::{Detector, Fact};
 use fieldhook_model::address::{Address, ReplicaId};
-use fieldhook_model::claims::ClaimTable;
 use fieldhook_model::config_log::ConfigState;
 use fieldhook_model::ids::ShardId;
 use std::cell::{Cell, RefCell};
@@ -43,23 +46,21 @@
     pub metrics: Metrics,
     /// Failure detector and known facts.
     pub detector: RefCell<Detector>,
-    /// Replicas here.
+    /// Shards owned here.
     pub shards: RefCell<BTreeMap<ShardId, Rc<ShardHost>>>,
-    /// Replicas of superseded epochs, kept for the re-formed group to read.
-    pub retired: RefCell<BTreeMap<ShardId, Rc<ShardHost>>>,
     /// Configuration in force.
     pub config: RefCell<ConfigState>,
     /// Whether that has been learnt from the log's end or from a peer; a daemon
     /// that has just started must not serve by an empty one.
     pub config_known: Cell<bool>,
+    /// The platform's log.
+    pub store: Rc<dyn LogStore>,
     /// Claims of shards, from the platform's log.
-    pub claims: RefCell<ClaimTable>,
+    pub claims: Rc<Claims>,
     /// Machines and their load.
     pub fleet: RefCell<Fleet>,
-    /// Messages to other daemons.
-    pub outbox: Outbox,
     /// When the log last answered.
-    pub log_contact: Cell<Option<Instant>>,
+    pub log_contact: Rc<LogContact>,
     /// When most peers were last in touch.
     pub peer_contact: Cell<Instant>,
     phase: Cell<Phase>,
@@ -81,6 +82,16 @@
             address,
             incarnation: since_epoch.as_millis() as u64,
         };
+        let log_contact = Rc::new(LogContact::default());
+        let log = HttpLog::new(&settings.platform.log, client.clone(), log_contact.clone());
+        let store: Rc<dyn LogStore> = Rc::new(log);
+        let claims = Claims::new(
+            store.clone(),
+            SHARD_OWNERS_TOPIC,
+            u32::from(settings.shards),
+            address.socket().into(),
+            id.incarnation,
+        );
         let seed = fastrand::u64(..);
         let detector = Detector::new(id, &settings.zone, seeds, settings.membership_core(), seed);
         Self {
@@ -89,13 +100,12 @@
             metrics: Metrics::default(),
             detector: RefCell::new(detector),
             shards: RefCell::default(),
-            retired: RefCell::default(),
             config: RefCell::default(),
             config_known: Cell::new(false),
-            claims: RefCell::default(),
+            store,
+            claims: Rc::new(claims),
             fleet: RefCell::default(),
-            outbox: Outbox::default(),
-            log_contact: Cell::new(None),
+            log_contact,
             peer_contact: Cell::new(Instant::now()),
             phase: Cell::new(Phase::Starting),
             started: Instant::now(),
@@ -120,12 +130,12 @@
         }
     }
 
-    /// The replica of a shard here.
+    /// A shard, if it is owned here.
     pub fn shard(&self, shard: ShardId) -> Option<Rc<ShardHost>> {
         self.shards.borrow().get(&shard).cloned()
     }
 
-    /// All replicas here.
+    /// All shards owned here.
     pub fn hosts(&self) -> Vec<Rc<ShardHost>> {
         self.shards.borrow().values().cloned().collect()
     }
@@ -139,10 +149,7 @@
     /// touch with the log or with most peers, from whom it would have heard of
     /// a newer configuration.
     pub fn may_admit(&self) -> bool {
-        let log_recent = self
-            .log_contact
-            .get()
-            .is_some_and(|contact| contact.elapsed() < ISOLATION_LIMIT);
+        let log_recent = self.log_contact.within(ISOLATION_LIMIT);
         let peers_recent = self.peer_contact.get().elapsed() < ISOLATION_LIMIT;
         self.phase() == Phase::Serving && (log_recent || peers_recent)
     }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,18 +1,16 @@
 //! Routes for the operators' client. They show; they place nothing.
 
-use crate::gateway::{ask_leader, failure, parse_program};
+use crate::gateway::{ask_owner, failure, parse_program};
 use crate::node::Node;
 use crate::platform::fleet::engine_views;
 use crate::sequencer::CommandMessage;
-use crate::shard::ShardHost;
-use fieldhook_consensus::Role;
 use fieldhook_http::json;
 use fieldhook_membership::MemberState;
 use fieldhook_model::api::ProgramView;
 use fieldhook_model::error::CallError;
 use fieldhook_model::operator::{
-    ConfigStatus, DaemonStatus, EngineStatus, Explanation, FollowerStatus, ProgramLine,
-    ReplicaStatus, ShardStatus, Status,
+    ConfigStatus, DaemonStatus, EngineStatus, Explanation, OwnedShardStatus, ProgramLine,
+    ShardStatus, Status,
 };
 use fieldhook_placement::{EngineView, Need, estimate, judge};
 use fieldhook_program::EndReason;
@@ -27,7 +25,7 @@
     config
         .route("/v1/status", web::get().to(show_status))
         .route("/v1/config", web::get().to(show_config))
-        .route("/v1/operator/replicas", web::get().to(list_replicas))
+        .route("/v1/operator/shards", web::get().to(list_owned))
         .route("/v1/operator/programs", web::get().to(list_programs))
         .route(
             "/v1/operator/programs/{id}",
@@ -56,7 +54,7 @@
             address: node.id.address.to_string(),
             process: node.id.to_string(),
             config_version: node.config.borrow().version,
-            archive_lag: node.metrics.archive_lag.get(),
+            commands_waiting: node.metrics.commands_waiting.get(),
             daemons: daemons(&node),
             shards: shards(&node),
             engines: engines(&node),
@@ -86,19 +84,15 @@
 }
 
 fn shards(node: &Node) -> Vec<ShardStatus> {
-    let detector = node.detector.borrow();
-    let routes = detector.table().routes();
-    routes
-        .map(|route| ShardStatus {
-            shard: route.shard,
-            epoch: route.epoch,
-            term: route.term,
-            leader: route.leader.address.to_string(),
-            members: route
-                .members
-                .iter()
-                .map(|id| id.address.to_string())
-                .collect(),
+    let claims = (0..node.settings.shards).filter_map(|shard| {
+        let claim = node.claims.claim(u32::from(shard))?;
+        Some((shard, claim))
+    });
+    claims
+        .map(|(shard, claim)| ShardStatus {
+            shard,
+            epoch: claim.epoch,
+            owner: claim.address.map(|address| address.to_string()),
         })
         .collect()
 }
@@ -118,10 +112,10 @@
         .collect()
 }
 
-/// Programs of the shards led here.
+/// Programs of the shards owned here.
 async fn list_programs(node: types::State<Rc<Node>>) -> HttpResponse {
     let mut lines = Vec::new();
-    for host in node.hosts().into_iter().filter(|host| host.leads()) {
+    for host in node.hosts() {
         let state = host.state.borrow();
         lines.extend(state.programs.iter().map(|(id, program)| ProgramLine {
             program: id.to_string(),
@@ -141,7 +135,7 @@
                 program,
                 reason: EndReason::Operator,
             };
-            ask_leader(&node, message).await
+            ask_owner(&node, message).await
         }
         Err(error) => Err(error),
     };
@@ -160,7 +154,7 @@
 
 async fn find_program(node: &Rc<Node>, id: &str) -> Result<ProgramView, CallError> {
     let program = parse_program(node, id)?;
-    let view = ask_leader(node, CommandMessage::View(program)).await?;
+    let view = ask_owner(node, CommandMessage::View(program)).await?;
     view.ok_or_else(|| {
         CallError::not_run(
             fieldhook_model::error::ErrorKind::ProgramUnknown,
@@ -202,48 +196,17 @@
     engine_views(node).into_iter().map(explain_engine).collect()
 }
 
-/// Replicas on this daemon.
-async fn list_replicas(node: types::State<Rc<Node>>) -> HttpResponse {
-    let replicas: Vec<ReplicaStatus> = node
+/// Shards owned by this daemon.
+async fn list_owned(node: types::State<Rc<Node>>) -> HttpResponse {
+    let owned: Vec<OwnedShardStatus> = node
         .hosts()
         .iter()
-        .map(|host| replica_status(host))
+        .map(|host| OwnedShardStatus {
+            shard: host.shard,
+            epoch: host.epoch,
+            applied: host.applied(),
+            waiting: host.waiting(),
+        })
         .collect();
-    json(200, &replicas)
-}
-
-fn replica_status(host: &ShardHost) -> ReplicaStatus {
-    let core = host.core.borrow();
-    let followers = core.matched().into_iter();
-    ReplicaStatus {
-        shard: host.shard,
-        epoch: host.epoch,
-        role: role_name(core.role()).to_owned(),
-        leads: host.leads(),
-        term: core.term(),
-        commit: core.commit_index(),
-        last: core.last_entry().1,
-        applied: host.applied(),
-        voters: core
-            .members()
-            .voters
-            .iter()
-            .map(ToString::to_string)
-            .collect(),
-        followers: followers
-            .map(|(replica, matched)| FollowerStatus {
-                replica: replica.to_string(),
-                matched,
-            })
-            .collect(),
-    }
-}
-
-fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Leader => "leader",
-        Role::Follower => "follower",
-        Role::Candidate => "candidate",
-        Role::PreCandidate => "pre_candidate",
-    }
+    json(200, &owned)
 }
--- a/crates/daemon/src/platform/log_client.rs
+++ b/crates/daemon/src/platform/log_client.rs
@@ -4,14 +4,14 @@
 use fieldhook_http::SendError;
 use fieldhook_model::platform::{Appended, LogPage};
 use ntex::http::Method;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
 const READ_MARGIN: Duration = Duration::from_secs(3);
 
 fn note_contact<T>(node: &Node, result: &Result<T, SendError>) {
     if result.is_ok() {
-        node.log_contact.set(Some(Instant::now()));
+        node.log_contact.note();
     }
 }
 
@@ -52,21 +52,3 @@
     note_contact(node, &page);
     page
 }
-
-/// Reads a stream from an offset to its present end.
-///
-/// # Errors
-/// No answer.
-pub async fn read_to_end(node: &Node, stream: &str, from: u64) -> Result<Vec<String>, SendError> {
-    let mut records = Vec::new();
-    let mut next = from;
-    loop {
-        let page = read(node, stream, next, 0).await?;
-        next += page.records.len() as u64;
-        let at_end = next >= page.end || page.records.is_empty();
-        records.extend(page.records.into_iter().map(|record| record.data));
-        if at_end {
-            return Ok(records);
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/platform/log_store.rs
@@ -0,0 +1,97 @@
+//! The log service as the product's own stand-in speaks it.
+
+use crate::platform::contact::LogContact;
+use fieldhook_http::{HttpClient, SendError};
+use fieldhook_log::api::{
+    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+};
+use fieldhook_log::wire::{AppendCall, NewestCall, ReadCall, StoreCall, StoreReply};
+use futures_util::future::LocalBoxFuture;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The log at an address.
+pub struct HttpLog {
+    url: String,
+    client: HttpClient,
+    contact: Rc<LogContact>,
+}
+
+impl HttpLog {
+    /// A client of the log.
+    pub fn new(address: &str, client: HttpClient, contact: Rc<LogContact>) -> Self {
+        Self {
+            url: format!("http://{address}/v1/topics"),
+            client,
+            contact,
+        }
+    }
+
+    async fn call(&self, call: StoreCall, timeout: Duration) -> Result<StoreReply, StoreError> {
+        let reply = self
+            .client
+            .post_binary::<StoreCall, StoreReply>(&self.url, &call, timeout)
+            .await;
+        match reply {
+            Ok(reply) => {
+                self.contact.note();
+                Ok(reply)
+            }
+            Err(SendError::NotSent(_) | SendError::Status { .. }) => Err(StoreError::NotDone),
+            Err(SendError::Unknown(_)) => Err(StoreError::Unknown),
+        }
+    }
+
+    async fn append_call(&self, append: Append) -> Result<Appended, StoreError> {
+        let call = StoreCall::Append(AppendCall::from(&append));
+        self.call(call, append.timeout).await?.appended()
+    }
+
+    async fn read_call(&self, call: ReadCall, timeout: Duration) -> Result<ReadBatch, StoreError> {
+        self.call(StoreCall::Read(call), timeout).await?.batch()
+    }
+
+    async fn newest_call(
+        &self,
+        call: NewestCall,
+        timeout: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        self.call(StoreCall::Newest(call), timeout).await?.page()
+    }
+}
+
+impl LogStore for HttpLog {
+    fn append(&self, append: Append) -> LocalBoxFuture<'_, Result<Appended, StoreError>> {
+        Box::pin(self.append_call(append))
+    }
+
+    fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>> {
+        let call = ReadCall {
+            topic: partition.topic,
+            partition: partition.number,
+            from,
+            wait_ms: wait.as_millis() as u64,
+        };
+        Box::pin(self.read_call(call, timeout))
+    }
+
+    fn newest(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>> {
+        let call = NewestCall {
+            topic: partition.topic,
+            partition: partition.number,
+            after,
+        };
+        Box::pin(self.newest_call(call, timeout))
+    }
+}
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -1,9 +1,8 @@
 //! What the daemon reads from and writes to the platform: its log, its list of
 //! machines, and the engines' reports.
 
-pub mod archive;
-pub mod claims;
 pub mod config_follow;
+pub mod contact;
 pub mod fleet;
 pub mod log_client;
-pub mod recovery;
+pub mod log_store;
--- a/crates/daemon/src/sequencer/admission.rs
+++ b/crates/daemon/src/sequencer/admission.rs
@@ -5,8 +5,7 @@
 use crate::sequencer::follow::follow;
 use crate::sequencer::message::CallMessage;
 use crate::sequencer::place::place;
-use crate::shard::{ShardHost, Unsettled, propose};
-use fieldhook_model::address::ReplicaId;
+use crate::shard::{ShardHost, Unsettled};
 use fieldhook_model::api::StreamEvent;
 use fieldhook_model::error::{CallError, Executed};
 use fieldhook_program::{Admission, Begin, Command, Reply};
@@ -21,31 +20,36 @@
 enum Stop {
     /// Refused; the refusal may still have to be recorded.
     Refused(CallError),
-    /// Ask the leader.
-    NotLeader(Option<ReplicaId>),
+    /// Ask the owner.
+    NotOwner,
+    /// The shard was lost on the way: the call may be recorded.
+    OwnerLost,
 }
 
 impl From<Unsettled> for Stop {
     fn from(unsettled: Unsettled) -> Self {
         match unsettled {
-            Unsettled::NotLeader(leader) => Self::NotLeader(leader),
-            Unsettled::Lost => Self::NotLeader(None),
+            Unsettled::NotOwner => Self::NotOwner,
+            Unsettled::Lost => Self::OwnerLost,
         }
     }
 }
 
-/// Serves a call as leader; the events end with a closing one.
+/// Serves a call as owner; the events end with a closing one.
 pub async fn serve_call(node: Rc<Node>, call: CallMessage, out: mpsc::Sender<StreamEvent>) {
     let Some(host) = node.shard(call.program.shard) else {
-        let _ = out.send(StreamEvent::NotLeader(None)).await;
+        let _ = out.send(StreamEvent::NotOwner).await;
         return;
     };
     let closing = match admit(&node, &host, &call, &out).await {
-        Ok(()) => return follow(&node, &host, &call, &out).await,
-        Err(Stop::NotLeader(leader)) => StreamEvent::NotLeader(leader),
-        Err(Stop::Refused(error)) => match settle_refusal(&node, &host, &call, error).await {
+        Ok(()) => return follow(&host, &call, &out).await,
+        Err(Stop::NotOwner) => StreamEvent::NotOwner,
+        Err(Stop::OwnerLost) => StreamEvent::OwnerLost,
+        // What a former owner believes is no reason to refuse anything.
+        Err(Stop::Refused(_)) if !host.confirm().await => StreamEvent::NotOwner,
+        Err(Stop::Refused(error)) => match settle_refusal(&host, &call, error).await {
             Ok(event) => event,
-            Err(()) => return follow(&node, &host, &call, &out).await,
+            Err(()) => return follow(&host, &call, &out).await,
         },
     };
     let _ = out.send(closing).await;
@@ -59,8 +63,8 @@
     out: &mpsc::Sender<StreamEvent>,
 ) -> Result<(), Stop> {
     loop {
-        if !host.leads() {
-            return Err(Stop::NotLeader(host.leader()));
+        if !host.owns() {
+            return Err(Stop::NotOwner);
         }
         let ended = host.call_ended.notified();
         let admission =
@@ -71,12 +75,12 @@
             Admission::Recorded => return Ok(()),
             Admission::AfterRunning => {
                 let _ = timeout(WAIT_CHECK, ended).await;
-                // Says that this leader lives; fails once the reader is gone.
+                // Says that this owner lives; fails once the reader is gone.
                 if out.send(StreamEvent::KeepAlive).await.is_err() {
-                    return Err(Stop::NotLeader(None));
+                    return Err(Stop::NotOwner);
                 }
             }
-            Admission::Next if host.holding.get() => return Err(Stop::NotLeader(None)),
+            Admission::Next if host.holding.get() => return Err(Stop::NotOwner),
             Admission::Next => return begin(node, host, call).await,
         }
     }
@@ -92,7 +96,7 @@
         repeatable: call.repeatable,
         target: target.address,
     });
-    match propose(node, host, command).await? {
+    match host.propose(command).await? {
         Reply::Dispatch(attempt) => {
             start_call(
                 node,
@@ -113,7 +117,6 @@
 /// may be under way, only a recorded refusal of its key does that. `Err` says
 /// that the call is recorded after all.
 async fn settle_refusal(
-    node: &Rc<Node>,
     host: &Rc<ShardHost>,
     call: &CallMessage,
     error: CallError,
@@ -126,10 +129,10 @@
         call_number: call.call_number,
         request_key: call.request_key.clone(),
     };
-    match propose(node, host, command).await {
+    match host.propose(command).await {
         Ok(Reply::Known) => Err(()),
         Ok(_) => Ok(StreamEvent::Failed(error)),
-        Err(Unsettled::NotLeader(leader)) => Ok(StreamEvent::NotLeader(leader)),
-        Err(Unsettled::Lost) => Ok(StreamEvent::NotLeader(None)),
+        Err(Unsettled::NotOwner) => Ok(StreamEvent::NotOwner),
+        Err(Unsettled::Lost) => Ok(StreamEvent::OwnerLost),
     }
 }
--- a/crates/daemon/src/sequencer/attempt.rs
+++ b/crates/daemon/src/sequencer/attempt.rs
@@ -4,7 +4,7 @@
 use crate::sequencer::model_attempt::{self, Start};
 use crate::sequencer::place::place;
 use crate::sequencer::server_attempt;
-use crate::shard::{LiveCall, ShardHost, propose};
+use crate::shard::{LiveCall, ShardHost};
 use fieldhook_model::api::{Answer, CallSpec, StreamEvent, Usage};
 use fieldhook_model::config::DEFAULT_PRIORITY;
 use fieldhook_model::error::{CallError, ErrorKind, Executed};
@@ -15,7 +15,6 @@
 use ntex::time::{Millis, sleep};
 use std::rc::Rc;
 
-const LEASE_CHECK: Millis = Millis(10);
 const PLACE_RETRY: Millis = Millis(100);
 const PLACE_TRIES: u32 = 20;
 const FAILED_RETRY_MS: u64 = 1_000;
@@ -38,7 +37,7 @@
     Lost,
     /// A request that is not repeatable may have run, and nobody can say.
     Unknown,
-    /// This replica no longer leads: the next leader goes on.
+    /// This daemon no longer owns the shard: the next owner goes on.
     Deposed,
 }
 
@@ -46,7 +45,7 @@
 pub struct RunningCall {
     /// The daemon.
     pub node: Rc<Node>,
-    /// The replica that leads.
+    /// The owned shard.
     pub host: Rc<ShardHost>,
     /// What readers follow.
     pub live: Rc<LiveCall>,
@@ -65,19 +64,11 @@
 }
 
 impl RunningCall {
-    /// Waits until this replica surely leads; false once it does not any more.
-    /// A lease can lapse for a moment and be renewed without a new leader: the
-    /// call then goes on here, and nobody else would go on with it.
+    /// Whether this daemon surely owns the shard and the call still runs here. A
+    /// process that was frozen asks the log first.
     pub async fn may_act(&self) -> bool {
-        loop {
-            if !self.host.is_leader() || self.host.live_call(self.program, self.number).is_none() {
-                return false;
-            }
-            if self.host.leads() {
-                return true;
-            }
-            sleep(LEASE_CHECK).await;
-        }
+        let runs_here = || self.host.live_call(self.program, self.number).is_some();
+        runs_here() && self.host.confirm().await && runs_here()
     }
 }
 
@@ -95,7 +86,7 @@
     }
 }
 
-/// Goes on with the calls that a former leader left running.
+/// Goes on with the calls that a former owner left running.
 pub fn take_over(node: &Rc<Node>, host: &Rc<ShardHost>) {
     let left: Vec<(ProgramId, u64, Attempt)> = {
         let state = host.state.borrow();
@@ -223,7 +214,7 @@
         target,
         prefix,
     });
-    match propose(&call.node, &call.host, command).await {
+    match call.host.propose(command).await {
         Ok(Reply::Dispatch(attempt)) => Some(attempt),
         Ok(Reply::Refused(error)) => {
             close(call, StreamEvent::Failed(error));
@@ -242,7 +233,7 @@
     }
 }
 
-/// Text that readers may have: what this leader delivered, or what a gateway
+/// Text that readers may have: what this owner delivered, or what a gateway
 /// brought along from a former one.
 fn delivered(call: &RunningCall, given_up: &Attempt) -> String {
     let own = call.live.text().clone();
@@ -295,7 +286,7 @@
         attempt: attempt.number,
         outcome,
     });
-    match propose(&call.node, &call.host, command).await {
+    match call.host.propose(command).await {
         Ok(Reply::Done) => close(call, event),
         Ok(_) => {
             call.host.end_live(call.program, call.number);
--- a/crates/daemon/src/sequencer/commands.rs
+++ b/crates/daemon/src/sequencer/commands.rs
@@ -2,23 +2,21 @@
 
 use crate::node::Node;
 use crate::sequencer::message::{CommandMessage, CommandReply};
-use crate::shard::{ShardHost, Unsettled, propose};
+use crate::shard::{ShardHost, Unsettled};
 use fieldhook_program::{Command, Reply};
 use std::rc::Rc;
 
-/// Carries out a message at the leader.
+/// Carries out a message at the owner.
 pub async fn serve_command(node: &Rc<Node>, message: CommandMessage) -> CommandReply {
     let Some(host) = node.shard(message.program().shard) else {
-        return CommandReply::NotLeader(None);
+        return CommandReply::NotOwner;
     };
-    if !host.leads() {
-        return CommandReply::NotLeader(host.leader());
-    }
     match message {
-        CommandMessage::Open(open) => commit(node, &host, Command::Open(open)).await,
+        CommandMessage::Open(open) => commit(&host, Command::Open(open)).await,
         CommandMessage::End { program, reason } => {
-            commit(node, &host, Command::End { program, reason }).await
+            commit(&host, Command::End { program, reason }).await
         }
+        CommandMessage::View(_) if !host.confirm().await => CommandReply::NotOwner,
         CommandMessage::View(program) => match host.state.borrow().view(program) {
             Ok(view) => CommandReply::View(view),
             Err(error) => CommandReply::Failed(error),
@@ -26,13 +24,12 @@
     }
 }
 
-async fn commit(node: &Rc<Node>, host: &Rc<ShardHost>, command: Command) -> CommandReply {
-    match propose(node, host, command).await {
+async fn commit(host: &Rc<ShardHost>, command: Command) -> CommandReply {
+    match host.propose(command).await {
         Ok(Reply::Refused(error)) => CommandReply::Failed(error),
         // Ending a program that is not recorded leaves nothing to end.
         Ok(_) => CommandReply::Done,
-        // Opening and ending are repeatable: the gateway asks the next leader.
-        Err(Unsettled::NotLeader(leader)) => CommandReply::NotLeader(leader),
-        Err(Unsettled::Lost) => CommandReply::NotLeader(None),
+        // Opening and ending are repeatable: the gateway asks the next owner.
+        Err(Unsettled::NotOwner | Unsettled::Lost) => CommandReply::NotOwner,
     }
 }
--- a/crates/daemon/src/sequencer/follow.rs
+++ b/crates/daemon/src/sequencer/follow.rs
@@ -1,6 +1,5 @@
 //! Letting a reader follow a recorded call to its end, from wherever it is.
 
-use crate::node::Node;
 use crate::sequencer::message::{CallMessage, Position};
 use crate::shard::{LiveCall, ShardHost};
 use fieldhook_model::api::StreamEvent;
@@ -16,17 +15,12 @@
 struct ReaderGone;
 
 /// Sends a recorded call's events until its closing one.
-pub async fn follow(
-    node: &Rc<Node>,
-    host: &Rc<ShardHost>,
-    call: &CallMessage,
-    out: &mpsc::Sender<StreamEvent>,
-) {
+pub async fn follow(host: &Rc<ShardHost>, call: &CallMessage, out: &mpsc::Sender<StreamEvent>) {
     let mut position = call.position;
     offer_seen(host, call);
     loop {
         let Some(live) = host.live_call(call.program, call.call_number) else {
-            send_record(node, host, call, position, out).await;
+            send_record(host, call, position, out).await;
             return;
         };
         let changed = live.changed();
@@ -116,7 +110,6 @@
 
 /// Answers from the record of a call that no longer runs.
 async fn send_record(
-    node: &Rc<Node>,
     host: &Rc<ShardHost>,
     call: &CallMessage,
     mut position: Position,
@@ -129,9 +122,9 @@
             .and_then(|program| program.call(call.call_number))
             .cloned()
     };
-    let leads = host.leads();
+    let owns = host.owns();
     let closing = match record {
-        Some(record) if leads => match record.state {
+        Some(record) if owns => match record.state {
             CallState::Answered(answer) => {
                 let lineage = record.attempt.lineage;
                 if move_to_lineage(&mut position, lineage, out).await.is_err() {
@@ -150,9 +143,9 @@
                 StreamEvent::Done(answer)
             }
             CallState::Failed(error) => StreamEvent::Failed(error),
-            CallState::Running => StreamEvent::NotLeader(None),
+            CallState::Running => StreamEvent::OwnerLost,
         },
-        _ => StreamEvent::NotLeader(host.leader().filter(|leader| *leader != node.id)),
+        _ => StreamEvent::OwnerLost,
     };
     let _ = out.send(closing).await;
 }
--- a/crates/daemon/src/sequencer/message.rs
+++ b/crates/daemon/src/sequencer/message.rs
@@ -1,6 +1,5 @@
-//! What gateways ask of leaders.
+//! What gateways ask of owners.
 
-use fieldhook_model::address::ReplicaId;
 use fieldhook_model::api::{CallSpec, ProgramView};
 use fieldhook_model::error::CallError;
 use fieldhook_model::ids::ProgramId;
@@ -72,6 +71,6 @@
     View(ProgramView),
     /// Refused or failed.
     Failed(CallError),
-    /// This replica does not lead; who does, as far as it knows.
-    NotLeader(Option<ReplicaId>),
+    /// This daemon does not own the shard.
+    NotOwner,
 }
--- a/crates/daemon/src/sequencer/upkeep.rs
+++ b/crates/daemon/src/sequencer/upkeep.rs
@@ -1,8 +1,8 @@
-//! What a leader does between calls: deadlines, release of engine memory,
+//! What an owner does between calls: deadlines, release of engine memory,
 //! dropping old records, and the sweep for memory that nobody accounts for.
 
 use crate::node::Node;
-use crate::shard::{ShardHost, propose};
+use crate::shard::ShardHost;
 use fieldhook_model::ids::ProgramId;
 use fieldhook_placement::Rotation;
 use fieldhook_program::{Command, EndReason};
@@ -19,16 +19,16 @@
 const SWEPT_ENGINES: usize = 4;
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Looks after all shards led here, for as long as the process lives.
+/// Looks after all shards owned here, for as long as the process lives.
 pub async fn run_upkeep(node: Rc<Node>) {
     let mut round = 0_u64;
     let mut rotation = Rotation::default();
     loop {
         for host in node.hosts() {
-            if host.leads() {
-                end_overdue(&node, &host).await;
+            if host.owns() {
+                end_overdue(&host).await;
                 release_ended(&node, &host);
-                forget_old(&node, &host).await;
+                forget_old(&host).await;
             }
         }
         round += 1;
@@ -39,7 +39,7 @@
     }
 }
 
-async fn end_overdue(node: &Rc<Node>, host: &Rc<ShardHost>) {
+async fn end_overdue(host: &Rc<ShardHost>) {
     let now_ms = host.shard_now_ms();
     let overdue: Vec<ProgramId> = {
         let state = host.state.borrow();
@@ -54,7 +54,7 @@
             program,
             reason: EndReason::Deadline,
         };
-        let _ = propose(node, host, command).await;
+        let _ = host.propose(command).await;
     }
 }
 
@@ -88,7 +88,7 @@
             program,
             engine: engine.clone(),
         };
-        let _ = propose(&node, &host, command).await;
+        let _ = host.propose(command).await;
     }
     host.releasing.borrow_mut().remove(&(program, engine));
 }
@@ -112,15 +112,15 @@
             .any(|machine| machine.address == engine)
 }
 
-async fn forget_old(node: &Rc<Node>, host: &Rc<ShardHost>) {
+async fn forget_old(host: &Rc<ShardHost>) {
     let due = host.state.borrow().is_forget_due(host.shard_now_ms());
     if due {
-        let _ = propose(node, host, Command::Forget).await;
+        let _ = host.propose(Command::Forget).await;
     }
 }
 
 /// Compares what engines hold with what lives, which also catches the work of
-/// a leader that woke too late. Each leader answers for its own shards.
+/// an owner that woke too late. Each owner answers for its own shards.
 async fn sweep(node: &Rc<Node>, rotation: &mut Rotation) {
     let all = node.fleet.borrow().engines();
     let engines = rotation.take(&all, SWEPT_ENGINES, |limit| fastrand::usize(..limit));
@@ -147,7 +147,7 @@
     let Some(host) = node.shard(program.shard) else {
         return false;
     };
-    if !host.leads() {
+    if !host.owns() {
         return false;
     }
     let state = host.state.borrow();
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,11 +4,8 @@
 use crate::node::{Node, Phase};
 use crate::operator;
 use crate::platform::config_follow::PeerConfig;
-use crate::platform::recovery::survivor;
 use crate::sequencer::{CallMessage, CommandMessage, serve_call, serve_command};
-use crate::transport::{Batch, exchange_batch};
 use fieldhook_http::text;
-use fieldhook_model::ids::ShardId;
 use futures_util::stream;
 use nanoserde::{DeBin, SerBin};
 use ntex::util::Bytes;
@@ -36,11 +33,9 @@
         .route("/healthz", web::get().to(healthz))
         .route("/readyz", web::get().to(readyz))
         .route("/metrics", web::get().to(metrics))
-        .route("/internal/consensus", web::post().to(internal_consensus))
         .route("/internal/call", web::post().to(internal_call))
         .route("/internal/command", web::post().to(internal_command))
-        .route("/internal/config", web::post().to(internal_config))
-        .route("/internal/survivor", web::post().to(internal_survivor));
+        .route("/internal/config", web::post().to(internal_config));
     operator::configure(config);
 }
 
@@ -69,13 +64,6 @@
     text(400, "does not decode; run the same version on all daemons")
 }
 
-async fn internal_consensus(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
-    match Batch::deserialize_bin(&body) {
-        Ok(batch) => binary(&exchange_batch(&node, batch)),
-        Err(_) => undecodable(),
-    }
-}
-
 async fn internal_call(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
     let Ok(call) = CallMessage::deserialize_bin(&body) else {
         return undecodable();
@@ -104,10 +92,3 @@
         state,
     })
 }
-
-async fn internal_survivor(node: types::State<Rc<Node>>, body: Bytes) -> HttpResponse {
-    match ShardId::deserialize_bin(&body) {
-        Ok(shard) => binary(&survivor(&node, shard)),
-        Err(_) => undecodable(),
-    }
-}
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -30,9 +30,6 @@
     /// Number of shards.
     #[options(meta = "N")]
     pub shards: Option<u16>,
-    /// Replicas of each shard.
-    #[options(meta = "N")]
-    pub replicas: Option<u16>,
     /// Only check the settings and say what they are.
     pub check: bool,
 }
@@ -66,7 +63,6 @@
         set(table, "address", self.address.clone());
         set(table, "zone", self.zone.clone());
         set(table, "shards", self.shards.map(i64::from));
-        set(table, "replicas", self.replicas.map(i64::from));
         if !self.seed.is_empty() {
             set(table, "seeds", Some(self.seed.clone()));
         }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -20,29 +20,6 @@
     pub machines: String,
 }
 
-/// Timing of the groups, in milliseconds.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct ConsensusSettings {
-    /// Time between heartbeats.
-    pub heartbeat_ms: u64,
-    /// Shortest silence after which a new leader is elected.
-    pub election_ms: u64,
-    /// Clock drift allowed within a lease.
-    pub drift_ms: u64,
-}
-
-impl Default for ConsensusSettings {
-    fn default() -> Self {
-        let core = fieldhook_consensus::Settings::default();
-        Self {
-            heartbeat_ms: core.heartbeat_ms,
-            election_ms: core.election_ms,
-            drift_ms: core.drift_ms,
-        }
-    }
-}
-
 /// Timing of the failure detector, in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -53,8 +30,6 @@
     pub answer_ms: u64,
     /// Time that a suspected member has to object.
     pub suspicion_ms: u64,
-    /// Silence after which a member's replicas are replaced elsewhere.
-    pub replace_after_ms: u64,
 }
 
 impl Default for MembershipSettings {
@@ -64,7 +39,6 @@
             probe_ms: core.probe_ms,
             answer_ms: core.answer_ms,
             suspicion_ms: core.suspicion_ms,
-            replace_after_ms: 10_000,
         }
     }
 }
@@ -85,7 +59,7 @@
     pub stall_ms: u64,
     /// Dispatches of one call.
     pub attempts: u32,
-    /// Time without a leader after which a call is given up, in milliseconds.
+    /// Time without an owner after which a call is given up, in milliseconds.
     pub give_up_ms: u64,
 }
 
@@ -117,14 +91,8 @@
     /// Number of shards; the same on every daemon, never changed.
     #[serde(default = "default_shards")]
     pub shards: u16,
-    /// Replicas of each shard, 3 or 5.
-    #[serde(default = "default_replicas")]
-    pub replicas: usize,
     /// The platform.
     pub platform: PlatformSettings,
-    /// Timing of the groups.
-    #[serde(default)]
-    pub consensus: ConsensusSettings,
     /// Timing of the failure detector.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -137,10 +105,6 @@
     16
 }
 
-fn default_replicas() -> usize {
-    3
-}
-
 impl Settings {
     /// Checks every value.
     ///
@@ -167,18 +131,7 @@
             "1 to 4096",
             "use the same number on every daemon",
         )?;
-        check(
-            "replicas",
-            self.replicas,
-            matches!(self.replicas, 1 | 3 | 5),
-            "1, 3 or 5",
-            "use 3, or 5 to bear the loss of two machines at once",
-        )?;
         self.check_limits()?;
-        let consensus = self.consensus_core();
-        consensus
-            .validate()
-            .map_err(|error| SettingsError::Relation(format!("consensus: {error}")))?;
         let membership = self.membership_core();
         membership
             .validate()
@@ -217,16 +170,6 @@
         )
     }
 
-    /// Timing for the consensus core.
-    pub fn consensus_core(&self) -> fieldhook_consensus::Settings {
-        fieldhook_consensus::Settings {
-            heartbeat_ms: self.consensus.heartbeat_ms,
-            election_ms: self.consensus.election_ms,
-            drift_ms: self.consensus.drift_ms,
-            ..fieldhook_consensus::Settings::default()
-        }
-    }
-
     /// Timing for the membership core.
     pub fn membership_core(&self) -> fieldhook_membership::Settings {
         fieldhook_membership::Settings {
--- a/crates/daemon/src/shard/host.rs
+++ b/crates/daemon/src/shard/host.rs
@@ -1,46 +1,39 @@
-//! One replica of a shard: the consensus core, the state machine, and those
-//! who wait for a commit.
+//! One shard owned here: its state, its commands on their way to the log, and the
+//! calls that run under this owner.
 
-use crate::platform::archive::ArchiveQueue;
 use crate::shard::live_call::LiveCall;
-use fieldhook_consensus::{Members, Replica, Role, Settings};
-use fieldhook_model::address::ReplicaId;
+use crate::shard::storage::{Recovered, SNAPSHOT_COMMANDS, Snapshot, command_record};
+use fieldhook_log::appender::{Appender, Outcome, Urgency};
 use fieldhook_model::ids::{ProgramId, ShardId};
 use fieldhook_program::{Command, Reply, ShardState, TimedCommand};
-use nanoserde::SerBin;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot};
 
-/// A proposal whose fate this daemon cannot tell, or that was not taken.
+/// Time since the log last took an append or a check under this epoch, up to which
+/// an owner acts without asking again. A process that was frozen is past it.
+const CHECKED_FOR: Duration = Duration::from_millis(400);
+
+/// A command whose fate this daemon cannot tell, or that was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unsettled {
-    /// Not taken: this replica does not lead. It never happened.
-    NotLeader(Option<ReplicaId>),
-    /// Taken, but leadership was lost before it committed: it may yet happen.
+    /// Not taken: this daemon does not own the shard. It never happened.
+    NotOwner,
+    /// Taken, but the shard was lost before the log had it: it may yet stand there.
     Lost,
 }
 
-struct Waiter {
-    term: u64,
-    done: oneshot::Sender<Reply>,
-}
-
-/// One replica of a shard.
+/// One shard owned here.
 pub struct ShardHost {
     /// The shard.
     pub shard: ShardId,
-    /// Epoch of the group.
+    /// Epoch of this ownership.
     pub epoch: u64,
-    /// The consensus core.
-    pub core: RefCell<Replica>,
-    /// The state machine.
+    /// The state after the last durable command.
     pub state: RefCell<ShardState>,
-    /// Committed commands that the platform's log does not have yet.
-    pub archive: RefCell<ArchiveQueue>,
-    /// Calls that run under this leader.
+    /// Calls that run under this owner.
     pub live: RefCell<BTreeMap<(ProgramId, u64), Rc<LiveCall>>>,
     /// Resolves waits for the end of any call.
     pub call_ended: Notify,
@@ -48,78 +41,72 @@
     pub holding: Cell<bool>,
     /// Releases of engine memory under way.
     pub releasing: RefCell<BTreeSet<(ProgramId, String)>>,
-    waiters: RefCell<BTreeMap<u64, Waiter>>,
+    /// Records on their way to the log.
+    pub appender: Rc<Appender>,
+    next_index: Cell<u64>,
     applied: Cell<u64>,
-    needs_restore: Cell<bool>,
+    snapshot: RefCell<Snapshot>,
+    lost: Cell<bool>,
+    checked: Cell<Instant>,
     clock_read: Cell<Instant>,
-    created: Instant,
-    created_ms: u64,
 }
 
 impl ShardHost {
-    /// A replica of a newly formed or joined group. `needs_restore` says that
-    /// the shard has a history from former epochs.
-    pub fn new(
-        shard: ShardId,
-        epoch: u64,
-        id: ReplicaId,
-        members: Members,
-        needs_restore: bool,
-        settings: Settings,
-        now_ms: u64,
-    ) -> Self {
-        let core = Replica::new(id, members, settings, now_ms, fastrand::u64(..));
+    /// A shard that was just read from the log, after its fence was set.
+    pub fn new(shard: ShardId, epoch: u64, recovered: Recovered, appender: Rc<Appender>) -> Self {
         Self {
             shard,
             epoch,
-            core: RefCell::new(core),
-            state: RefCell::default(),
-            archive: RefCell::default(),
+            state: RefCell::new(recovered.state),
             live: RefCell::default(),
             call_ended: Notify::new(),
             holding: Cell::new(false),
             releasing: RefCell::default(),
-            waiters: RefCell::default(),
-            applied: Cell::new(0),
-            needs_restore: Cell::new(needs_restore),
+            appender,
+            next_index: Cell::new(recovered.index + 1),
+            applied: Cell::new(recovered.index),
+            snapshot: RefCell::new(recovered.snapshot),
+            lost: Cell::new(false),
+            checked: Cell::new(Instant::now()),
             clock_read: Cell::new(Instant::now()),
-            created: Instant::now(),
-            created_ms: now_ms,
         }
     }
 
-    /// Whether this replica leads and its reads are up to date.
-    pub fn leads(&self) -> bool {
-        !self.needs_restore.get() && self.core.borrow().holds_lease_at(self.now_ms())
+    /// Whether this daemon still owns the shard, as far as it knows.
+    pub fn owns(&self) -> bool {
+        !self.lost.get()
     }
 
-    /// Whether this replica leads but must first recover the former state.
-    pub fn must_restore(&self) -> bool {
-        self.needs_restore.get() && self.core.borrow().holds_lease_at(self.now_ms())
-    }
-
-    fn now_ms(&self) -> u64 {
-        self.created_ms + self.age_ms()
-    }
-
-    /// Whether this replica leads at all.
-    pub fn is_leader(&self) -> bool {
-        self.core.borrow().role() == Role::Leader
-    }
-
-    /// The leader as far as known here.
-    pub fn leader(&self) -> Option<ReplicaId> {
-        self.core.borrow().leader()
+    /// Whether this daemon still owns the shard, asked of the log if the last answer
+    /// is not recent. In an outage of the log nobody else can have taken it, but that
+    /// cannot be seen from here: the question waits.
+    pub async fn confirm(&self) -> bool {
+        if self.lost.get() {
+            return false;
+        }
+        if self.checked.get().elapsed() < CHECKED_FOR {
+            return true;
+        }
+        let (sender, checked) = oneshot::channel();
+        let done = move |outcome| {
+            let _ = sender.send(outcome);
+        };
+        self.appender.push(Vec::new(), Urgency::Now, Box::new(done));
+        let holds = matches!(checked.await, Ok(Outcome::Durable)) && !self.lost.get();
+        if holds {
+            self.checked.set(Instant::now());
+        }
+        holds
     }
 
-    /// Index of the last applied entry.
+    /// Index of the last applied command.
     pub fn applied(&self) -> u64 {
         self.applied.get()
     }
 
-    /// How long this replica has existed, in milliseconds.
-    pub fn age_ms(&self) -> u64 {
-        self.created.elapsed().as_millis() as u64
+    /// Commands that the log does not have yet.
+    pub fn waiting(&self) -> u64 {
+        self.next_index.get() - 1 - self.applied.get()
     }
 
     /// The shard's clock: that of the last command, carried on by this machine.
@@ -128,61 +115,72 @@
         self.state.borrow().clock_ms + elapsed
     }
 
-    /// Encodes a command with the leader's time.
-    pub fn timed(&self, command: Command) -> Vec<u8> {
-        TimedCommand {
+    /// Sends a command to the log and applies it once it is durable, in order.
+    ///
+    /// # Errors
+    /// Not taken here, or the shard was lost before it was durable.
+    pub async fn propose(self: &Rc<Self>, command: Command) -> Result<Reply, Unsettled> {
+        if self.lost.get() {
+            return Err(Unsettled::NotOwner);
+        }
+        let command = TimedCommand {
             at_ms: self.shard_now_ms(),
             command,
-        }
-        .serialize_bin()
-    }
-
-    /// Waits for an entry of this term at this index.
-    pub fn wait_for(&self, index: u64, term: u64) -> oneshot::Receiver<Reply> {
-        let (done, committed) = oneshot::channel();
-        self.waiters
-            .borrow_mut()
-            .insert(index, Waiter { term, done });
-        committed
-    }
-
-    /// Applies a command and tells who waits for it.
-    pub fn apply(&self, index: u64, term: u64, command: Option<TimedCommand>) {
+        };
+        let index = self.next_index.get();
+        self.next_index.set(index + 1);
+        let record = command_record(index, &command);
+        let (sender, reply) = oneshot::channel();
+        let host = self.clone();
+        let done = move |outcome| {
+            if outcome == Outcome::Durable {
+                let _ = sender.send(host.apply(index, command));
+            }
+        };
+        self.appender
+            .push(vec![record], Urgency::Now, Box::new(done));
+        let reply = reply.await.map_err(|_| Unsettled::Lost)?;
+        self.snapshot_if_due();
+        Ok(reply)
+    }
+
+    fn apply(&self, index: u64, command: TimedCommand) -> Reply {
         self.applied.set(index);
-        let Some(command) = command else { return };
+        self.checked.set(Instant::now());
         let before_ms = self.state.borrow().clock_ms;
         let reply = self.state.borrow_mut().apply(command);
         if self.state.borrow().clock_ms > before_ms {
             self.clock_read.set(Instant::now());
         }
-        self.needs_restore.set(false);
-        if let Some(waiter) = self.waiters.borrow_mut().remove(&index)
-            && waiter.term == term
-        {
-            let _ = waiter.done.send(reply);
-        }
+        reply
     }
 
-    /// Takes over a whole state.
-    pub fn install(&self, index: u64, state: ShardState) {
-        *self.state.borrow_mut() = state;
-        self.applied.set(index);
-        self.needs_restore.set(false);
-        self.clock_read.set(Instant::now());
+    /// Appends a snapshot of what changed, now and then. Commands that are already
+    /// queued stand behind it and have greater indexes.
+    fn snapshot_if_due(&self) {
+        let index = self.applied.get();
+        let covered = self.snapshot.borrow().index;
+        if self.lost.get() || index < covered + SNAPSHOT_COMMANDS {
+            return;
+        }
+        let (records, snapshot) = self.snapshot.borrow().advance(&self.state.borrow(), index);
+        *self.snapshot.borrow_mut() = snapshot;
+        self.appender
+            .push(records, Urgency::Soon, Box::new(|_outcome| {}));
     }
 
-    /// Gives up everything that only a leader may do.
-    pub fn depose(&self) {
-        self.waiters.borrow_mut().clear();
+    /// Gives up everything that only an owner may do.
+    pub fn lose(&self) {
+        self.lost.set(true);
         for live in std::mem::take(&mut *self.live.borrow_mut()).values() {
             live.wake();
         }
-        self.archive.borrow_mut().stop();
+        self.appender.stop();
         self.holding.set(false);
         self.call_ended.notify_waiters();
     }
 
-    /// The running call, if it runs under this leader.
+    /// The running call, if it runs under this owner.
     pub fn live_call(&self, program: ProgramId, number: u64) -> Option<Rc<LiveCall>> {
         self.live.borrow().get(&(program, number)).cloned()
     }
--- a/crates/daemon/src/shard/manage.rs
+++ b/crates/daemon/src/shard/manage.rs
@@ -1,83 +1,140 @@
-//! Forming groups, keeping them at size, and letting go of replicas that no
-//! longer belong to one.
+//! Taking shards up and giving them up, as the claims on the log say, and claiming
+//! those whose owner is gone.
 
 use crate::node::Node;
-use crate::shard::drive::carry_out;
+use crate::sequencer::take_over;
 use crate::shard::host::ShardHost;
-use fieldhook_consensus::{Candidates, Members, plan_change};
-use fieldhook_membership::{Fact, FactTable, MemberState, ShardRoute};
+use crate::shard::storage::{SHARDS_TOPIC, recover};
+use fieldhook_log::api::{Partition, StoreError};
+use fieldhook_log::appender::{AppendEnd, Appender, fence};
+use fieldhook_log::ownership::Claim;
+use fieldhook_membership::MemberState;
 use fieldhook_model::address::ReplicaId;
 use fieldhook_model::ids::ShardId;
 use ntex::time::{Millis, sleep};
-use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-const MANAGE: Millis = Millis(200);
-/// Silence after which a replica asks whether it still belongs to its group.
-const ORPHAN_MS: u64 = 5_000;
+const MANAGE: Millis = Millis(100);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
+const LOAD_PAUSE: Millis = Millis(50);
+/// The process of an owner, as a claim names it.
+pub fn owner_of(claim: &Claim) -> Option<ReplicaId> {
+    let address = claim.address?.to_string().parse().ok()?;
+    Some(ReplicaId {
+        address,
+        incarnation: claim.incarnation,
+    })
+}
 
-/// Starts this daemon's replica of a group that a claim names it in.
-pub fn form_group(
-    node: &Rc<Node>,
-    shard: ShardId,
-    epoch: u64,
-    members: Vec<ReplicaId>,
-    has_history: bool,
-) {
-    if node.shard(shard).is_some_and(|host| host.epoch >= epoch) {
+fn place(shard: ShardId) -> Partition {
+    Partition {
+        topic: SHARDS_TOPIC.to_owned(),
+        number: u32::from(shard),
+    }
+}
+
+/// Acts on the newest claim of a shard.
+pub fn act_on_claim(node: &Rc<Node>, shard: ShardId) {
+    let Some(claim) = node.claims.claim(u32::from(shard)) else {
         return;
+    };
+    let held_epoch = node.shard(shard).map(|host| host.epoch);
+    let mine = node.claims.is_mine(&claim);
+    if held_epoch.is_some() && held_epoch != Some(claim.epoch) {
+        tracing::info!(event = "shard_lost", shard, epoch = claim.epoch, owner = ?claim.address);
+        give_up(node, shard);
+    }
+    if mine && held_epoch != Some(claim.epoch) && !node.claims.is_released() {
+        ntex::rt::spawn(hold(node.clone(), shard, claim.epoch));
     }
-    retire_host(node, shard);
-    let host = ShardHost::new(
-        shard,
-        epoch,
-        node.id,
-        Members::of_voters(members),
-        has_history,
-        node.settings.consensus_core(),
-        node.now_ms(),
-    );
-    node.shards.borrow_mut().insert(shard, Rc::new(host));
 }
 
-/// Takes a replica out of service; its state stays readable for recovery.
-pub fn retire_host(node: &Node, shard: ShardId) {
+fn give_up(node: &Node, shard: ShardId) {
     if let Some(host) = node.shards.borrow_mut().remove(&shard) {
-        host.depose();
-        node.retired.borrow_mut().insert(shard, host);
+        host.lose();
     }
 }
 
-/// Tells the others who leads a shard.
-pub fn announce_route(node: &Node, host: &ShardHost) {
-    let core = host.core.borrow();
-    let members = core.members();
-    let route = ShardRoute {
-        shard: host.shard,
-        epoch: host.epoch,
-        term: core.term(),
-        index: core.commit_index(),
-        leader: node.id,
-        members: members
-            .voters
-            .iter()
-            .chain(&members.learners)
-            .copied()
-            .collect(),
+fn is_claimed(node: &Node, shard: ShardId, epoch: u64) -> bool {
+    let claim = node.claims.claim(u32::from(shard));
+    claim.is_some_and(|claim| claim.epoch == epoch)
+}
+
+/// Reads a claimed shard from the log and serves it until it is lost.
+async fn hold(node: Rc<Node>, shard: ShardId, epoch: u64) {
+    let records = loop {
+        if !is_claimed(&node, shard, epoch) {
+            return;
+        }
+        match load(&node, shard, epoch).await {
+            Ok(records) => break records,
+            Err(StoreError::Fenced) => return,
+            Err(_) => sleep(LOAD_PAUSE).await,
+        }
     };
-    node.announce(Fact::Route(route));
+    let recovered = recover(&records);
+    tracing::info!(
+        event = "shard_owned",
+        shard,
+        epoch,
+        index = recovered.index,
+        programs = recovered.state.programs.len()
+    );
+    let appender = Rc::new(Appender::new(place(shard), epoch, node.store.clone()));
+    let host = Rc::new(ShardHost::new(shard, epoch, recovered, appender.clone()));
+    if !is_claimed(&node, shard, epoch) {
+        return;
+    }
+    node.shards.borrow_mut().insert(shard, host.clone());
+    node.claims.changed.notify_waiters();
+    take_over(&node, &host);
+    let end = appender.run(|_took| {}).await;
+    host.lose();
+    if end == AppendEnd::Fenced {
+        tracing::info!(event = "shard_fenced", shard, epoch);
+        let current = node.shard(shard).is_some_and(|held| held.epoch == epoch);
+        if current {
+            node.shards.borrow_mut().remove(&shard);
+        }
+    }
 }
 
-/// Keeps the groups that this daemon leads at size, and drops its replicas
-/// that were removed from theirs.
+/// Fences earlier owners, then reads the newest record of each key. In this order
+/// nothing that an earlier owner had acknowledged can be missed.
+async fn load(
+    node: &Node,
+    shard: ShardId,
+    epoch: u64,
+) -> Result<Vec<fieldhook_log::api::KeyedRecord>, StoreError> {
+    let store = node.store.as_ref();
+    fence(store, place(shard), epoch, LOAD_TIMEOUT).await?;
+    let mut records = Vec::new();
+    let mut after = None;
+    loop {
+        let page = store.newest(place(shard), after, LOAD_TIMEOUT).await?;
+        records.extend(page.records.into_iter().map(|(_, record)| record));
+        after = page.more_after;
+        if after.is_none() {
+            return Ok(records);
+        }
+    }
+}
+
+/// Claims shards whose owner is gone, for as long as the process lives.
 pub async fn run_management(node: Rc<Node>) {
     loop {
-        for host in node.hosts() {
-            if host.leads() {
-                reconcile(&node, &host);
-            } else if is_orphan(&node, &host) {
-                tracing::info!(shard = host.shard, "replica was removed from its group");
-                node.shards.borrow_mut().remove(&host.shard);
+        for shard in 0..node.settings.shards {
+            let claim = node.claims.claim(u32::from(shard));
+            let Some(claim) = claim.filter(|claim| is_orphaned(&node, claim)) else {
+                continue;
+            };
+            if is_heir(&node, shard) {
+                let epoch = Some(claim.epoch);
+                if let Err(error) = node.claims.take_over(u32::from(shard), epoch).await {
+                    tracing::debug!(event = "claim_failed", shard, ?error);
+                }
             }
         }
         update_metrics(&node);
@@ -85,107 +142,41 @@
     }
 }
 
-fn reconcile(node: &Rc<Node>, host: &Rc<ShardHost>) {
-    let candidates = candidates(node, host);
-    let change = plan_change(&host.core.borrow(), &candidates);
-    let Some(change) = change else { return };
-    let proposed = host.core.borrow_mut().propose_change(change);
-    if let Ok(actions) = proposed {
-        tracing::info!(shard = host.shard, ?change, "changes members");
-        carry_out(node, host, actions);
-    }
-}
-
-fn candidates(node: &Node, host: &ShardHost) -> Candidates {
+/// Whether a claim's owner is held dead, or is surely gone. A mistake costs a move
+/// of the shard, no more: the fence decides who owns it.
+fn is_orphaned(node: &Node, claim: &Claim) -> bool {
+    let Some(owner) = owner_of(claim) else {
+        return false;
+    };
     let detector = node.detector.borrow();
     let table = detector.table();
-    let core = host.core.borrow();
-    let members = core.members();
-    let replace_after_ms = node.settings.membership.replace_after_ms;
-    let is_gone = |id: &ReplicaId| {
-        table.is_surely_gone(*id)
-            || detector
-                .dead_for_ms(*id)
-                .is_some_and(|dead_ms| dead_ms >= replace_after_ms)
-    };
-    let all = members.voters.iter().chain(&members.learners);
-    let gone: Vec<ReplicaId> = all.filter(|id| is_gone(id)).copied().collect();
-    let stay: Vec<ReplicaId> = members
-        .voters
-        .iter()
-        .filter(|id| !gone.contains(id))
-        .copied()
-        .collect();
-    Candidates {
-        joining: rank_joining(table, &stay),
-        gone,
-        size: node.settings.replicas,
-    }
+    let dead = table
+        .member(owner.address)
+        .is_some_and(|member| member.id == owner && member.state >= MemberState::Dead);
+    dead || table.is_surely_gone(owner)
 }
 
-/// Daemons that could join, best first: from zones without a replica, then
-/// with the fewest replicas.
-fn rank_joining(table: &FactTable, stay: &[ReplicaId]) -> Vec<ReplicaId> {
-    let zone_of = |id: &ReplicaId| table.member(id.address).map(|member| member.zone.clone());
-    let taken: Vec<String> = stay.iter().filter_map(zone_of).collect();
-    let mut replicas: BTreeMap<ReplicaId, usize> = BTreeMap::new();
-    for member in table.routes().flat_map(|route| &route.members) {
-        *replicas.entry(*member).or_insert(0) += 1;
-    }
-    let mut joining: Vec<(bool, usize, ReplicaId)> = table
-        .members()
-        .filter(|member| member.state == MemberState::Alive && !stay.contains(&member.id))
-        .map(|member| {
-            let load = replicas.get(&member.id).copied().unwrap_or(0);
-            (taken.contains(&member.zone), load, member.id)
-        })
-        .collect();
-    joining.sort();
-    joining.into_iter().map(|(_, _, id)| id).collect()
-}
-
-/// A removed replica is not told so: it hears no leader any more, while the
-/// others know a newer member list without it.
-fn is_orphan(node: &Node, host: &ShardHost) -> bool {
-    let core = host.core.borrow();
-    let heard_ms = core.leader_contact_ms().unwrap_or(0);
-    if host.age_ms() < ORPHAN_MS || node.now_ms() < heard_ms + ORPHAN_MS {
-        return false;
-    }
+/// One daemon claims a shard, to spare the log a race: the live one that the shard
+/// hashes to. Racing claims would still have one winner.
+fn is_heir(node: &Node, shard: ShardId) -> bool {
     let detector = node.detector.borrow();
-    detector.table().route(host.shard).is_some_and(|route| {
-        let newer = route.epoch > host.epoch
-            || (route.epoch == host.epoch && route.index > core.commit_index());
-        newer && !route.members.contains(&node.id)
-    })
+    let live = detector
+        .table()
+        .members()
+        .filter(|member| member.state == MemberState::Alive);
+    let weight =
+        |id: &ReplicaId| xxh3_64_with_seed(id.address.to_string().as_bytes(), u64::from(shard));
+    live.map(|member| member.id).max_by_key(weight) == Some(node.id)
 }
 
 fn update_metrics(node: &Node) {
     let hosts = node.hosts();
-    let led = hosts.iter().filter(|host| host.leads()).count();
     let programs: usize = hosts
         .iter()
         .map(|host| host.state.borrow().programs.len())
         .sum();
-    let lag: usize = hosts.iter().map(|host| host.archive.borrow().lag()).sum();
-    let missing: usize = hosts
-        .iter()
-        .filter(|host| host.leads())
-        .map(|host| missing_voters(node, host))
-        .sum();
-    node.metrics.missing_voters.set(missing as i64);
-    node.metrics.shards_led.set(led as i64);
-    node.metrics.replicas.set(hosts.len() as i64);
+    let waiting: u64 = hosts.iter().map(|host| host.waiting()).sum();
+    node.metrics.shards_owned.set(hosts.len() as i64);
     node.metrics.programs.set(programs as i64);
-    node.metrics.archive_lag.set(lag as i64);
-}
-
-fn missing_voters(node: &Node, host: &ShardHost) -> usize {
-    let detector = node.detector.borrow();
-    let core = host.core.borrow();
-    let voters = core.members().voters.iter();
-    let present = voters
-        .filter(|id| !detector.table().is_surely_gone(**id))
-        .count();
-    node.settings.replicas.saturating_sub(present)
+    node.metrics.commands_waiting.set(waiting as i64);
 }
--- a/crates/daemon/src/transport/datagram.rs
+++ b/crates/daemon/src/transport/datagram.rs
@@ -1,8 +1,7 @@
-//! Datagrams: the failure detector's packets, heartbeats and votes. Each may
-//! be lost, doubled or late; all are written to bear it.
+//! Datagrams: the failure detector's packets. Each may be lost, doubled or late;
+//! all are written to bear it.
 
 use crate::node::Node;
-use crate::transport::outbox::{Batch, receive_batch};
 use fieldhook_membership::{Outgoing, Packet};
 use fieldhook_model::address::Address;
 use nanoserde::{DeBin, SerBin};
@@ -23,8 +22,6 @@
 pub enum Datagram {
     /// Of the failure detector.
     Membership(Packet),
-    /// Small messages of groups.
-    Consensus(Batch),
 }
 
 thread_local! {
@@ -68,7 +65,6 @@
                 let outgoing = node.detector.borrow_mut().receive(packet);
                 send_all(&node, outgoing);
             }
-            Ok(Datagram::Consensus(batch)) => receive_batch(&node, batch),
             Err(error) => tracing::debug!(%error, "datagram dropped"),
         }
     }
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -87,9 +87,10 @@
         self.ownership.borrow().claim(partition)
     }
 
-    /// Whether a claim is this process's own and not released.
+    /// Whether a claim is this process's own and not released. Processes that
+    /// started at the same moment may have the same incarnation.
     pub fn is_mine(&self, claim: &Claim) -> bool {
-        claim.incarnation == self.incarnation && claim.address.is_some()
+        claim.incarnation == self.incarnation && claim.address == Some(self.address)
     }
 
     /// Whether the claims were read at all.
@@ -234,7 +235,7 @@
     /// that own fewer come first.
     pub async fn run_unowned(self: Rc<Self>) {
         loop {
-            let owned = self.ownership.borrow().owned_by(self.incarnation) as u32;
+            let owned = self.ownership.borrow().count(|claim| self.is_mine(claim)) as u32;
             let jitter = Duration::from_millis(fastrand::u64(0..DELAY_JITTER_MS));
             sleep(DELAY_PER_PARTITION * (owned + 1) + jitter).await;
             if self.released.get() {
--- a/crates/log/src/ownership.rs
+++ b/crates/log/src/ownership.rs
@@ -91,11 +91,11 @@
         self.claims.get(&partition).copied()
     }
 
-    /// Partitions whose newest claim is that of this life of a process.
-    pub fn owned_by(&self, incarnation: u64) -> usize {
+    /// Partitions whose newest claim meets a condition.
+    pub fn count(&self, condition: impl Fn(&Claim) -> bool) -> usize {
         self.claims
             .values()
-            .filter(|claim| claim.incarnation == incarnation && claim.address.is_some())
+            .filter(|claim| condition(claim))
             .count()
     }
 }
--- a/crates/membership/src/fact.rs
+++ b/crates/membership/src/fact.rs
@@ -1,7 +1,6 @@
 //! What daemons tell each other, and which of two statements is newer.
 
 use fieldhook_model::address::{Address, ReplicaId};
-use fieldhook_model::ids::ShardId;
 use nanoserde::{DeBin, SerBin};
 
 /// State of a member, in the order in which equal claims override each other.
@@ -36,23 +35,6 @@
     }
 }
 
-/// Who leads a shard.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, SerBin, DeBin)]
-pub struct ShardRoute {
-    /// The shard.
-    pub shard: ShardId,
-    /// Epoch of its group.
-    pub epoch: u64,
-    /// Term of its leader.
-    pub term: u64,
-    /// Commit index at the time, which orders statements of one leader.
-    pub index: u64,
-    /// The leader.
-    pub leader: ReplicaId,
-    /// Voters and learners.
-    pub members: Vec<ReplicaId>,
-}
-
 /// An engine or server that is going away. The mark holds for one incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub struct LeavingMachine {
@@ -67,8 +49,6 @@
 pub enum Fact {
     /// About a daemon.
     Member(Member),
-    /// About a shard.
-    Route(ShardRoute),
     /// Length of the configuration log's folded prefix, at the sender.
     ConfigOffset(u64),
     /// About a leaving machine.
@@ -80,8 +60,6 @@
 pub enum Subject {
     /// A daemon's address.
     Member(Address),
-    /// A shard.
-    Route(ShardId),
     /// The configuration.
     Config,
     /// A machine's address.
@@ -93,7 +71,6 @@
     pub fn subject(&self) -> Subject {
         match self {
             Self::Member(member) => Subject::Member(member.id.address),
-            Self::Route(route) => Subject::Route(route.shard),
             Self::ConfigOffset(_) => Subject::Config,
             Self::Leaving(machine) => Subject::Leaving(machine.address.clone()),
         }
@@ -103,9 +80,6 @@
     pub fn replaces(&self, other: &Fact) -> bool {
         match (self, other) {
             (Self::Member(new), Self::Member(old)) => new.rank() > old.rank(),
-            (Self::Route(new), Self::Route(old)) => {
-                (new.epoch, new.term, new.index) > (old.epoch, old.term, old.index)
-            }
             (Self::ConfigOffset(new), Self::ConfigOffset(old)) => new > old,
             (Self::Leaving(new), Self::Leaving(old)) => new.incarnation > old.incarnation,
             _ => false,
@@ -117,7 +91,6 @@
         const REPLICA: usize = 14;
         match self {
             Self::Member(member) => 8 + REPLICA + 8 + member.zone.len() + 4,
-            Self::Route(route) => 32 + REPLICA + 8 + REPLICA * route.members.len(),
             Self::ConfigOffset(_) => 9,
             Self::Leaving(machine) => 24 + machine.address.len(),
         }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -1,8 +1,7 @@
 //! All facts known here, newest per subject.
 
-use crate::fact::{Fact, Member, MemberState, ShardRoute, Subject};
+use crate::fact::{Fact, Member, MemberState, Subject};
 use fieldhook_model::address::{Address, ReplicaId};
-use fieldhook_model::ids::ShardId;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -101,22 +100,6 @@
             .filter(|member| member.state <= MemberState::Suspect)
     }
 
-    /// The newest route of a shard.
-    pub fn route(&self, shard: ShardId) -> Option<&ShardRoute> {
-        match self.facts.get(&Subject::Route(shard)) {
-            Some(Fact::Route(route)) => Some(route),
-            _ => None,
-        }
-    }
-
-    /// All known routes.
-    pub fn routes(&self) -> impl Iterator<Item = &ShardRoute> {
-        self.facts.values().filter_map(|fact| match fact {
-            Fact::Route(route) => Some(route),
-            _ => None,
-        })
-    }
-
     /// The longest folded prefix of the configuration log that anyone has.
     pub fn config_offset(&self) -> u64 {
         match self.facts.get(&Subject::Config) {
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -1,6 +1,5 @@
 //! The caller interface: JSON bodies of `/v1/programs` and its calls.
 
-use crate::address::ReplicaId;
 use crate::error::CallError;
 use crate::labels::Labels;
 use nanoserde::{DeBin, SerBin};
@@ -155,9 +154,10 @@
     KeepAlive,
     /// The whole answer. Nothing follows.
     Done(Answer),
-    /// The sender does not lead the shard; who does, as far as it knows. Nothing
-    /// follows.
-    NotLeader(Option<ReplicaId>),
+    /// The sender does not own the shard and dropped the call. Nothing follows.
+    NotOwner,
+    /// The owner was lost on the way: the call may be recorded. Nothing follows.
+    OwnerLost,
     /// The call failed or was refused. Nothing follows.
     Failed(CallError),
 }
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -1,4 +1,4 @@
-//! Commands that replicas apply, and what applying them says.
+//! Commands that an owner applies, and what applying them says.
 
 use crate::call::Attempt;
 use fieldhook_model::api::{Answer, CallSpec};
@@ -140,15 +140,9 @@
     },
     /// Drops ended programs whose retention is over.
     Forget,
-    /// Replaces the state by one recovered from the archive; the first entry
-    /// of a re-formed group.
-    Restore {
-        /// An encoded `ShardState`.
-        state: Vec<u8>,
-    },
 }
 
-/// A command with the leader's time.
+/// A command with the owner's time.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct TimedCommand {
     /// Milliseconds of the shard's own clock, which only moves by commands.
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -1,6 +1,6 @@
 //! The state machine of a shard: its programs, their order, history, budget
-//! and answers. Pure: a group of replicas applies the same commands in the
-//! same order and so holds the same state.
+//! and answers. Pure: an owner that applies the same commands in the same order
+//! holds the same state.
 
 mod admission;
 mod budget;
--- a/crates/program/src/machine.rs
+++ b/crates/program/src/machine.rs
@@ -46,7 +46,6 @@
             Command::End { program, reason } => self.end(program, reason),
             Command::Released { program, engine } => self.released(program, &engine),
             Command::Forget => self.forget(),
-            Command::Restore { state } => self.restore(&state),
         }
     }
 
@@ -227,16 +226,6 @@
             call.state = state;
         }
     }
-
-    fn restore(&mut self, state: &[u8]) -> Reply {
-        match Self::deserialize_bin(state) {
-            Ok(state) => {
-                *self = state;
-                Reply::Done
-            }
-            Err(_) => Reply::Stale,
-        }
-    }
 }
 
 fn over_budget(reservation: u64) -> CallError {
