--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -116,6 +116,14 @@
     /// A listener cannot be bound.
     pub async fn start(self: &Rc<Self>, dropped: ErrorCounter) -> std::io::Result<()> {
         crate::probes::serve(self, dropped)?;
+        self.start_without_probes().await
+    }
+
+    /// Starts all tasks except the servers of readiness and metrics.
+    ///
+    /// # Errors
+    /// A listener cannot be bound.
+    pub async fn start_without_probes(self: &Rc<Self>) -> std::io::Result<()> {
         crate::ledger::peer::listen(self.owner.clone(), self.settings.peers).await?;
         crate::serve::listener::listen(self.clone()).await?;
         ntex::rt::spawn(crate::follow::config::run(self.clone()));
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! The gateway with a log in memory, an adapter of its own spelling, and stand-ins of
+//! servers on loopback.
+
+mod forwarding;
+mod input;
+mod ownership;
+mod support;
+mod turns;
--- /dev/null
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -0,0 +1,101 @@
+//! Several gateways on one log: owners that are lost, cut off or late.
+
+use crate::support::{Act, Gateway, Server, World, run};
+use fieldhook_emulator::log::memory::LogFault;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn events() -> Act {
+    Act::Events(vec!["one".to_owned()], None)
+}
+
+async fn turn(gateway: &Gateway, turn: &str, previous: Option<&str>) -> (u16, bool) {
+    let previous = previous.map_or(String::new(), |turn| format!("Previous: {turn}\r\n"));
+    let fields = format!("Request: {turn}\r\nProgram: p\r\n{previous}");
+    let reply = gateway
+        .ask("POST", "/chat/1", &fields, &format!("{turn};"))
+        .await;
+    (reply.head.status, reply.whole)
+}
+
+/// The gateway that owns the partition of program `p`, and the other one.
+fn owner_first(a: Gateway, b: Gateway) -> (Gateway, Gateway) {
+    let partition = fieldhook_ledger::partition_of("p", 2);
+    let claim = a.daemon.owner.claims.claim(partition).expect("an owner");
+    if a.daemon.owner.claims.is_mine(&claim) {
+        (a, b)
+    } else {
+        (b, a)
+    }
+}
+
+async fn two_gateways(world: &World, server: &Server) -> (Gateway, Gateway) {
+    let a = world.ready(&[server]).await;
+    let b = world.gateway("g2").await;
+    b.wait_ready(1).await;
+    sleep(Duration::from_millis(900)).await;
+    assert_eq!(turn(&a, "t1", None).await, (200, true));
+    owner_first(a, b)
+}
+
+#[test]
+fn any_gateway_knows_the_turns_of_all() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        assert_eq!(turn(&owner, "t3", Some("t2")).await, (200, true));
+        assert_eq!(turn(&other, "t4", Some("never")).await, (404, true));
+        let seen = server.seen.borrow();
+        assert_eq!(seen[2].body, b"t1;one\nt2;one\nt3;");
+    });
+}
+
+#[test]
+fn an_owner_without_the_log_is_replaced_and_its_late_word_is_not_taken() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        owner.store.set_fault(LogFault::Silent);
+        // The other one has the log: it waits for the owner, then takes over.
+        let begun = Instant::now();
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        assert!(begun.elapsed() < Duration::from_secs(2));
+        owner.store.set_fault(LogFault::None);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(turn(&owner, "t3", Some("t2")).await, (200, true));
+        assert_eq!(turn(&other, "t4", Some("t3")).await, (200, true));
+    });
+}
+
+#[test]
+fn an_owner_that_stops_hands_over() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        fieldhook_gateway::drain::run(owner.daemon.clone()).await;
+        let begun = Instant::now();
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        assert!(begun.elapsed() < Duration::from_millis(500));
+    });
+}
+
+#[test]
+fn a_former_owner_that_wakes_refuses_nothing_by_old_beliefs() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        // Cut off the log, the owner does not hear that it was replaced.
+        owner.store.set_fault(LogFault::Silent);
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        // It still believes in its partition, where no t2 is: it must not say 404.
+        let fields = "Request: t3\r\nProgram: p\r\nPrevious: t2\r\nDeadline: 600\r\n";
+        let reply = owner.ask("POST", "/chat/1", fields, "x").await;
+        assert_ne!(reply.head.status, 404);
+        assert_ne!(reply.head.status, 402);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/turns.rs
@@ -0,0 +1,160 @@
+//! Turns of programs: chains, budgets, streams that break off or are resumed.
+
+use crate::support::{Act, Server, World, run};
+use fieldhook_emulator::log::memory::LogFault;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn events(texts: &[&str]) -> Act {
+    Act::Events(texts.iter().map(|text| (*text).to_owned()).collect(), None)
+}
+
+#[test]
+fn a_turn_goes_on_from_the_whole_chain_before_it() {
+    run(async {
+        let server = Server::start("s1", events(&["one", "two"])).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let first = gateway
+            .ask("POST", "/chat/1", "Request: t1\r\nProgram: p\r\n", "A;")
+            .await;
+        assert!(first.whole);
+        assert_eq!(first.text(), "id: 0\ndata: one\n\nid: 1\ndata: two\n\n");
+        server.set(events(&["three"]));
+        let fields = "Request: t2\r\nProgram: p\r\nPrevious: t1\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "B;").await.whole);
+        let fields = "Request: t3\r\nProgram: p\r\nPrevious: t2\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "C;").await.whole);
+        // A branch, and another program that goes on from there.
+        let fields = "Request: t4\r\nProgram: p\r\nPrevious: t1\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "D;").await.whole);
+        let fields = "Request: t5\r\nProgram: other\r\nPrevious: t2\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "E;").await.whole);
+        let fields = "Request: t6\r\nProgram: other\r\nPrevious: t5\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "F;").await.whole);
+        let bodies: Vec<String> = server
+            .seen
+            .borrow()
+            .iter()
+            .map(|seen| String::from_utf8_lossy(&seen.body).into_owned())
+            .collect();
+        let wanted = [
+            "A;",
+            "A;one\ntwo\nB;",
+            "A;one\ntwo\nB;three\nC;",
+            "A;one\ntwo\nD;",
+            "A;one\ntwo\nB;three\nE;",
+            "A;one\ntwo\nB;three\nE;three\nF;",
+        ];
+        assert_eq!(bodies, wanted);
+    });
+}
+
+#[test]
+fn a_turn_that_broke_off_is_no_turn() {
+    run(async {
+        let broken = Act::Events(vec!["one".to_owned(), "two".to_owned()], Some(1));
+        let server = Server::start("s1", broken).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let reply = gateway
+            .ask("POST", "/chat/1", "Request: t1\r\nProgram: p\r\n", "A;")
+            .await;
+        assert!(!reply.whole, "a broken stream looks whole");
+        assert_eq!(reply.text(), "id: 0\ndata: one\n\n");
+        assert_eq!(server.count(), 1, "run twice");
+        let fields = "Request: t2\r\nProgram: p\r\nPrevious: t1\r\n";
+        let reply = gateway.ask("POST", "/chat/1", fields, "B;").await;
+        assert_eq!(reply.head.status, 404);
+    });
+}
+
+#[test]
+fn a_resumable_stream_goes_on_at_another_server_without_a_seam() {
+    run(async {
+        let texts: Vec<String> = (0..5).map(|number| format!("e{number}")).collect();
+        let a = Server::start("a", Act::Events(texts.clone(), Some(2))).await;
+        let b = Server::start("b", Act::Events(texts.clone(), Some(2))).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&a, &b]).await;
+        let both = [&a, &b];
+        let asking = gateway.ask("POST", "/resume/1", "Request: t1\r\nProgram: p\r\n", "A;");
+        let mending = async {
+            while a.count() + b.count() == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let other = both.iter().find(|server| server.count() == 0).expect("one");
+            other.set(Act::Events(texts.clone(), None));
+        };
+        let (reply, ()) = futures_util::future::join(asking, mending).await;
+        assert!(reply.whole);
+        let wanted: String = texts
+            .iter()
+            .enumerate()
+            .map(|(id, text)| format!("id: {id}\ndata: {text}\n\n"))
+            .collect();
+        assert_eq!(reply.text(), wanted);
+    });
+}
+
+#[test]
+fn a_spent_budget_is_a_promise_that_the_turn_does_not_run() {
+    run(async {
+        let server = Server::start("s1", events(&["one", "two", "three"])).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let mut served = 0;
+        for number in 0..6 {
+            let fields = format!("Request: t{number}\r\nProgram: p\r\nBudget: 100\r\nMost: 40\r\n");
+            match gateway
+                .ask("POST", "/chat/1", &fields, "A;")
+                .await
+                .head
+                .status
+            {
+                200 => served += 1,
+                status => assert_eq!(status, 402),
+            }
+        }
+        // Three events of ten tokens a turn: a third turn would need 60 + 40.
+        assert_eq!(served, 3);
+        assert_eq!(server.count(), 3);
+    });
+}
+
+#[test]
+fn a_turn_ends_only_once_it_is_recorded() {
+    run(async {
+        let server = Server::start("s1", events(&["one"])).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        // The partition has an owner, then the log falls silent.
+        assert!(
+            gateway
+                .ask("POST", "/chat/1", "Request: t0\r\nProgram: p\r\n", "A;")
+                .await
+                .whole
+        );
+        gateway.store.set_fault(LogFault::Silent);
+        let mut client = gateway.client().await;
+        let begun = Instant::now();
+        client
+            .send("POST", "/chat/1", "Request: t1\r\nProgram: p\r\n", "B;")
+            .await;
+        let store = gateway.store.clone();
+        ntex::rt::spawn(async move {
+            sleep(Duration::from_millis(500)).await;
+            store.set_fault(LogFault::None);
+        });
+        let reply = client.reply().await;
+        assert!(reply.whole);
+        assert!(
+            begun.elapsed() > Duration::from_millis(450),
+            "ended before its record"
+        );
+        // Down for longer than the turn has: no end at all.
+        gateway.store.set_fault(LogFault::Down);
+        let fields = "Request: t2\r\nProgram: p\r\nDeadline: 400\r\n";
+        assert!(!gateway.ask("POST", "/chat/1", fields, "C;").await.whole);
+    });
+}
