--- a/crates/gateway/tests/gateway/turns.rs
+++ b/crates/gateway/tests/gateway/turns.rs
@@ -188,3 +188,63 @@
         assert_eq!(reply.head.status, 502);
     });
 }
+
+/// A client gives a stream up some time after its latest event. While the log is in
+/// trouble the last event is held, so that the end may come that much later.
+#[test]
+fn the_last_event_waits_for_the_record_while_the_log_is_in_trouble() {
+    run(async {
+        let server = Server::start("s1", events(&["one", "two"])).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        assert!(
+            gateway
+                .ask("POST", "/chat/1", "Request: t0\r\nProgram: p\r\n", "A;")
+                .await
+                .whole
+        );
+        gateway.store.set_fault(LogFault::Down);
+        sleep(Duration::from_millis(300)).await;
+        let mut client = gateway.client().await;
+        let begun = Instant::now();
+        client
+            .send("POST", "/chat/1", "Request: t1\r\nProgram: p\r\n", "B;")
+            .await;
+        let first = client.until("data: one\n\n").await;
+        assert!(!first.contains("two"), "the last event was not held");
+        assert!(
+            begun.elapsed() < Duration::from_millis(300),
+            "the first event was held"
+        );
+        let store = gateway.store.clone();
+        ntex::rt::spawn(async move {
+            sleep(Duration::from_millis(600)).await;
+            store.set_fault(LogFault::None);
+        });
+        let rest = client.until("0\r\n\r\n").await;
+        assert!(rest.contains("data: two"));
+        assert!(begun.elapsed() > Duration::from_millis(550));
+    });
+}
+
+#[test]
+fn a_held_event_goes_out_before_the_client_would_give_up() {
+    run(async {
+        let server = Server::start("s1", events(&["one", "two"])).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        assert!(
+            gateway
+                .ask("POST", "/chat/1", "Request: t0\r\nProgram: p\r\n", "A;")
+                .await
+                .whole
+        );
+        gateway.store.set_fault(LogFault::Down);
+        sleep(Duration::from_millis(300)).await;
+        let reply = gateway
+            .ask("POST", "/chat/1", "Request: t1\r\nProgram: p\r\n", "B;")
+            .await;
+        assert!(!reply.whole, "ended without its record");
+        assert!(reply.text().contains("data: two"));
+    });
+}
