--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -6,8 +6,8 @@
 use fieldhook_ledger::partition_of;
 use fieldhook_log::contact::Contact;
 use futures_util::future::join_all;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -17,8 +17,6 @@
 const OPEN_ANSWER_LIMIT: Duration = Duration::from_millis(250);
 /// The same for an end, which waits for an append.
 const CLOSE_ANSWER_LIMIT: Duration = Duration::from_millis(900);
-/// An end with content that waits longer than this shows that the log is in trouble.
-const SLOW_CLOSE: Duration = Duration::from_millis(250);
 /// Longest wait for news of the owners before looking again.
 const CHANGE_WAIT: Duration = Duration::from_millis(40);
 /// A time-out that fires this much late shows that the process did not run.
@@ -59,20 +57,6 @@
     contact: Rc<Contact>,
     peers: Peers,
     claiming: RefCell<HashSet<u32>>,
-    closing: RefCell<BTreeMap<u64, Instant>>,
-    next_close: Cell<u64>,
-}
-
-/// Notes an end as told when it is dropped.
-struct ClosingGuard<'a> {
-    client: &'a LedgerClient,
-    number: u64,
-}
-
-impl Drop for ClosingGuard<'_> {
-    fn drop(&mut self) {
-        self.client.closing.borrow_mut().remove(&self.number);
-    }
 }
 
 struct ClaimGuard<'a> {
@@ -105,8 +89,6 @@
             contact,
             peers: Peers::default(),
             claiming: RefCell::default(),
-            closing: RefCell::default(),
-            next_close: Cell::new(0),
         }
     }
 
@@ -207,27 +189,8 @@
         partition_of(program, self.owner.claims.partitions())
     }
 
-    /// Whether ends of turns cannot be recorded as usual: the log fails, or an end has
-    /// waited for long.
-    pub fn in_trouble(&self) -> bool {
-        let closing = self.closing.borrow();
-        let oldest = closing.first_key_value().map(|(_, since)| since.elapsed());
-        self.contact.failing() || oldest.is_some_and(|age| age > SLOW_CLOSE)
-    }
-
-    fn note_closing(&self) -> ClosingGuard<'_> {
-        let number = self.next_close.get();
-        self.next_close.set(number + 1);
-        self.closing.borrow_mut().insert(number, Instant::now());
-        ClosingGuard {
-            client: self,
-            number,
-        }
-    }
-
     /// Records the end of a turn. True once it is durable.
     pub async fn close(&self, request: &CloseTurn, deadline: Instant) -> bool {
-        let _noted = request.content.is_some().then(|| self.note_closing());
         let request = LedgerRequest::Close(request.clone());
         let answer = self.ask(&request, CLOSE_ANSWER_LIMIT, deadline).await;
         matches!(answer, Some((LedgerReply::Closed, _)))
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -13,15 +13,12 @@
 use crate::upstream::connection::ExchangeError;
 use fieldhook_traffic::attempt::{AttemptFailure, Attempts, NextStep};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{sleep, timeout_at};
 
 const ANSWER_LIMIT: usize = 1 << 20;
 const LEAST_TIME_MS: u64 = 40;
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(20);
 const NO_SERVER_PATIENCE_MS: u64 = 120;
-/// Longest time that an event is held: clients give a stream up two seconds after its
-/// latest event.
-const HOLD_LIMIT: Duration = Duration::from_millis(1_700);
 
 /// What the client has of the answer.
 #[derive(Default)]
@@ -29,10 +26,8 @@
     head_sent: bool,
     last_event: Option<u64>,
     events: u64,
-    /// The latest event, held back until the next one or the record of the turn.
-    held: Option<Event>,
-    /// When the client last got something.
-    last_write: Option<Instant>,
+    /// A server may have begun to run it.
+    may_have_run: bool,
 }
 
 /// How passing a stream on ended.
@@ -108,9 +103,11 @@
     loop {
         let failure = match dispatch(context, &mut tried, delivery.last_event).await {
             Ok(attempt) if !is_stream(&attempt) => {
+                delivery.may_have_run = true;
                 return pass_other(context, delivery, attempt, writer).await;
             }
             Ok(mut attempt) => {
+                delivery.may_have_run = true;
                 let end = pass_events(context, &mut attempt, turn, delivery, writer).await;
                 match end {
                     StreamEnd::Complete => {
@@ -137,6 +134,7 @@
                 return Err(no_server(counted));
             }
         };
+        delivery.may_have_run |= failure == AttemptFailure::MayHaveRun;
         let time_left = context.left_ms() > LEAST_TIME_MS;
         match counted.after(route.kind, route.max_attempts, failure, time_left) {
             NextStep::Retry => {}
@@ -211,7 +209,6 @@
         {
             return StreamEnd::NotDurable;
         }
-        hold_back(context, turn, delivery, &mut batch);
         if !deliver(context, attempt, turn, delivery, &batch, writer).await {
             return StreamEnd::ClientGone;
         }
@@ -234,24 +231,6 @@
     }
 }
 
-/// While the log is in trouble, the latest event of a turn that will be recorded waits:
-/// the client gives up some time after it, and the end cannot come before its record.
-fn hold_back(
-    context: &RequestContext,
-    turn: &Option<&mut Turn>,
-    delivery: &mut Delivery,
-    batch: &mut Vec<Event>,
-) {
-    if let Some(held) = delivery.held.take() {
-        batch.insert(0, held);
-    }
-    let recorded = turn.as_ref().is_some_and(|turn| turn.keeps_context());
-    let first = !delivery.head_sent && batch.len() == 1;
-    if recorded && !first && context.daemon.ledger.in_trouble() {
-        delivery.held = batch.pop();
-    }
-}
-
 async fn deliver(
     context: &RequestContext,
     attempt: &Attempt,
@@ -285,8 +264,7 @@
         delivery.events += 1;
         bytes.extend_from_slice(&chunk(&event.raw));
     }
-    delivery.last_write = Some(Instant::now());
-    bytes.is_empty() || writer.write(&bytes).await.is_ok()
+    writer.write(&bytes).await.is_ok()
 }
 
 fn stream_head(context: &RequestContext, attempt: &Attempt) -> Vec<u8> {
@@ -308,14 +286,14 @@
 async fn finish(
     context: &RequestContext,
     turn: &mut Option<&mut Turn>,
-    delivery: &mut Delivery,
+    delivery: &Delivery,
     writer: &mut ClientWriter,
 ) -> Result<Served, OwnAnswer> {
     if !delivery.head_sent {
         return Err(OwnAnswer::new(502, "the engine sent no event"));
     }
     if let Some(turn) = turn
-        && !record(context, turn, delivery, writer).await
+        && !turn.complete(context.deadline).await
     {
         return Err(OwnAnswer::not_run(
             "the turn could not be recorded",
@@ -337,42 +315,8 @@
         events = delivery.events,
         age_ms = context.age_ms()
     );
-    let mut bytes = take_held(delivery);
-    bytes.extend_from_slice(LAST_CHUNK);
-    match writer.write(&bytes).await {
+    match writer.write(LAST_CHUNK).await {
         Ok(()) => Ok(Served::KeepOpen),
         Err(_) => Ok(Served::Abandon),
     }
 }
-
-/// Records a turn. An event that is held goes out alone where the record takes longer
-/// than the client would wait.
-async fn record(
-    context: &RequestContext,
-    turn: &mut Turn,
-    delivery: &mut Delivery,
-    writer: &mut ClientWriter,
-) -> bool {
-    let Some(held) = &delivery.held else {
-        return turn.complete(context.deadline).await;
-    };
-    turn.hand_out(held);
-    let last_write = delivery.last_write.unwrap_or(context.started);
-    let hold_until = context.deadline.min(last_write + HOLD_LIMIT);
-    if turn.complete(hold_until).await {
-        return true;
-    }
-    let bytes = take_held(delivery);
-    writer.write(&bytes).await.is_ok() && turn.complete(context.deadline).await
-}
-
-/// The held event as it goes out.
-fn take_held(delivery: &mut Delivery) -> Vec<u8> {
-    match delivery.held.take() {
-        Some(event) => {
-            delivery.events += 1;
-            chunk(&event.raw)
-        }
-        None => Vec::new(),
-    }
-}
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -139,11 +139,6 @@
         prompt
     }
 
-    /// Whether its end waits for a record.
-    pub fn keeps_context(&self) -> bool {
-        self.request.keeps_context
-    }
-
     /// Waits until output may reach the client.
     pub async fn wait_durable(&mut self, deadline: Instant) -> bool {
         self.ledger
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -558,22 +558,6 @@
         self.stream.write_all(bytes).await.expect("sent");
     }
 
-    /// Reads raw bytes until some text came.
-    pub async fn until(&mut self, text: &str) -> String {
-        let reading = async {
-            loop {
-                let so_far = String::from_utf8_lossy(&self.buffer).into_owned();
-                if so_far.contains(text) {
-                    self.buffer.clear();
-                    return so_far;
-                }
-                let read = self.stream.read_buf(&mut self.buffer).await;
-                assert!(read.is_ok_and(|size| size > 0), "closed after {so_far}");
-            }
-        };
-        timeout(LIMIT, reading).await.expect("the text in time")
-    }
-
     /// Whether the gateway closes without a word.
     pub async fn is_closed(&mut self) -> bool {
         let mut byte = [0; 1];
