--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -86,12 +86,13 @@
     let keep_alive = request.head.keep_alive;
     daemon.in_flight.set(daemon.in_flight.get() + 1);
     daemon.metrics.in_flight.inc();
-    let target = request.head.target.clone();
+    let read = daemon.dialect.request(&request.head.headers);
+    let id = read.map(|meta| meta.id).unwrap_or_default();
     // The client's close drops the request with its connection to the server.
     let served = tokio::select! {
         served = request::handle(daemon, request, writer) => served,
         () = reader.wait_closed() => {
-            tracing::info!(event = "client_gone", target,
+            tracing::info!(event = "client_gone", request = id,
                 after_ms = started.elapsed().as_millis() as u64);
             Served::Abandon
         }
