A gateway that is cut off the log learns of owners from other daemons

Excluded: slow owners (others' turns of the same partitions took 1 ms). Change: a daemon that does not own a partition says who does; without the log, three other owners are asked.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -2,9 +2,12 @@
 
 use super::owner::Owner;
 use super::peer::Peers;
-use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{
+    CloseTurn, FindChain, KnownOwner, LedgerReply, LedgerRequest, OpenTurn,
+};
 use fieldhook_ledger::partition_of;
 use fieldhook_log::contact::Contact;
+use fieldhook_log::ownership::Claim;
 use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -17,6 +20,10 @@
 const OPEN_ANSWER_LIMIT: Duration = Duration::from_millis(250);
 /// The same for an end, which waits for an append.
 const CLOSE_ANSWER_LIMIT: Duration = Duration::from_millis(900);
+/// Daemons that are asked who owns a partition.
+const PEERS_ASKED: usize = 3;
+/// Time that they have to answer.
+const PEER_ANSWER_LIMIT: Duration = Duration::from_millis(120);
 /// Longest wait for news of the owners before looking again.
 const CHANGE_WAIT: Duration = Duration::from_millis(40);
 /// A time-out that fires this much late shows that the process did not run.
@@ -258,18 +265,62 @@
         };
         match reply {
             LedgerReply::Unavailable => Exchange::Again,
-            LedgerReply::NotOwner if self.owner.claims.is_mine(&claim) => Exchange::Again,
-            LedgerReply::NotOwner => Exchange::Suspect(Some(claim.epoch)),
+            LedgerReply::NotOwner(Some(known)) if self.learn(partition, &known) => Exchange::Again,
+            LedgerReply::NotOwner(_) if self.owner.claims.is_mine(&claim) => Exchange::Again,
+            LedgerReply::NotOwner(_) => Exchange::Suspect(Some(claim.epoch)),
             reply => Exchange::Answered(reply, replies),
         }
     }
 
+    /// Takes in what another daemon knows of an owner. True if it was news.
+    fn learn(&self, partition: u32, known: &KnownOwner) -> bool {
+        let Ok(address) = known.address.parse() else {
+            return false;
+        };
+        let claim = Claim {
+            address: Some(address),
+            incarnation: known.incarnation,
+            epoch: known.epoch,
+        };
+        self.owner.claims.learn(partition, claim)
+    }
+
+    /// Asks some other owners who owns a partition: a daemon that is cut off the log
+    /// does not hear of claims. True if one knew a newer owner.
+    async fn learn_from_peers(&self, partition: u32, epoch: Option<u64>) -> bool {
+        let suspected = self
+            .owner
+            .claims
+            .claim(partition)
+            .and_then(|claim| claim.address);
+        let mut others = self.owner.claims.addresses();
+        others.retain(|other| *other != self.owner.claims.address && Some(*other) != suspected);
+        fastrand::shuffle(&mut others);
+        let asked = others
+            .into_iter()
+            .take(PEERS_ASKED)
+            .map(|other| async move {
+                let connection = self.peers.connection(other).await.ok()?;
+                let mut replies = connection.call(LedgerRequest::WhoOwns(partition));
+                match timeout(PEER_ANSWER_LIMIT, replies.recv()).await {
+                    Ok(Some(LedgerReply::NotOwner(known))) => known,
+                    _ => None,
+                }
+            });
+        let known = join_all(asked).await;
+        let mut news = false;
+        for known in known.into_iter().flatten() {
+            news |= Some(known.epoch) > epoch && self.learn(partition, &known);
+        }
+        news
+    }
+
     /// Takes a partition from an owner that does not answer, unless the log itself was
     /// in trouble a moment ago: the owner may be about to append what waits.
     async fn replace_silent(&self, partition: u32, epoch: u64) {
         if self.contact.steady_for(STEADY) {
             self.replace(partition, Some(epoch)).await;
-        } else {
+        } else if !self.learn_from_peers(partition, Some(epoch)).await {
             let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
         }
     }
@@ -278,6 +329,9 @@
     /// the log service nobody can; the owner's own appends wait as well then. One
     /// request claims for all that wait for the partition.
     async fn replace(&self, partition: u32, epoch: Option<u64>) {
+        if self.contact.failing() && self.learn_from_peers(partition, epoch).await {
+            return;
+        }
         if self.contact.failing() || !self.claiming.borrow_mut().insert(partition) {
             let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
             return;
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -2,7 +2,7 @@
 
 use crate::daemon::unix_ms;
 use crate::metrics::Metrics;
-use fieldhook_ledger::message::{CloseTurn, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{CloseTurn, KnownOwner, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
 use fieldhook_log::api::{KeyedRecord, LogStore, Partition as LogPartition, StoreError};
@@ -100,16 +100,29 @@
                 LedgerRequest::Open(open) => owned.open(&open, sender),
                 LedgerRequest::Close(close) => owned.close(&close, sender),
                 LedgerRequest::Find(find) => owned.find(&find.turn, sender),
+                LedgerRequest::WhoOwns(_) => {
+                    let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
+                }
             },
             Some(Hold::Loading(_)) => {
                 let _ = sender.send(LedgerReply::Unavailable);
             }
             None => {
-                let _ = sender.send(LedgerReply::NotOwner);
+                let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
             }
         }
     }
 
+    /// Who owns a partition, for a daemon that may not know.
+    fn known_owner(&self, partition: u32) -> Option<KnownOwner> {
+        let claim = self.claims.claim(partition)?;
+        Some(KnownOwner {
+            address: claim.address?.to_string(),
+            incarnation: claim.incarnation,
+            epoch: claim.epoch,
+        })
+    }
+
     /// Acts on the newest claim of a partition: takes it up or gives it up.
     fn act_on_claim(self: &Rc<Self>, partition: u32) {
         let Some(claim) = self.claims.claim(partition) else {
@@ -229,7 +242,7 @@
             if let Some(waiter) = waiter {
                 let reply = match outcome {
                     Outcome::Durable => waiter.reply,
-                    Outcome::Lost => LedgerReply::NotOwner,
+                    Outcome::Lost => LedgerReply::NotOwner(None),
                 };
                 let _ = waiter.sender.send(reply);
             }
--- a/crates/gateway/tests/gateway/ownership.rs
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -101,3 +101,27 @@
         assert_ne!(reply.head.status, 402);
     });
 }
+
+#[test]
+fn a_gateway_without_the_log_learns_of_new_owners_from_others() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        let cut = world.gateway("g3").await;
+        cut.wait_ready(1).await;
+        sleep(Duration::from_millis(100)).await;
+        cut.store.set_fault(LogFault::Silent);
+        cut.daemon.contact.failed();
+        // The partition moves twice, once with its old owner still there to say so.
+        fieldhook_gateway::drain::run(owner.daemon.clone()).await;
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        let begun = Instant::now();
+        assert_eq!(turn(&cut, "t3", Some("t2")).await, (200, true));
+        assert!(
+            begun.elapsed() < Duration::from_millis(800),
+            "{:?}",
+            begun.elapsed()
+        );
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -72,6 +72,8 @@
     Close(CloseTurn),
     /// Find a chain of another program.
     Find(FindChain),
+    /// Tell who owns a partition, as far as known.
+    WhoOwns(u32),
 }
 
 impl LedgerRequest {
@@ -81,10 +83,22 @@
             Self::Open(open) => partition_of(&open.program, partitions),
             Self::Close(close) => partition_of(&close.program, partitions),
             Self::Find(find) => find.partition,
+            Self::WhoOwns(partition) => *partition,
         }
     }
 }
 
+/// An owner as another daemon knows it.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct KnownOwner {
+    /// IP and port.
+    pub address: String,
+    /// Life of its process.
+    pub incarnation: u64,
+    /// Epoch of its claim.
+    pub epoch: u64,
+}
+
 /// Answer of an owner.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum LedgerReply {
@@ -106,8 +120,8 @@
     UnknownTurn,
     /// The end of the turn is durable.
     Closed,
-    /// This daemon does not own the partition.
-    NotOwner,
+    /// This daemon does not own the partition; who does, as far as it knows.
+    NotOwner(Option<KnownOwner>),
     /// The owner cannot tell now; nothing was done.
     Unavailable,
 }
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -87,6 +87,21 @@
         self.ownership.borrow().claim(partition)
     }
 
+    /// Takes in a claim that another daemon told: one that is cut off the log learns
+    /// of new owners so. True if it is new.
+    pub fn learn(&self, partition: u32, claim: Claim) -> bool {
+        let is_new = self.ownership.borrow_mut().learn(partition, claim);
+        if is_new {
+            self.tell(vec![partition]);
+        }
+        is_new
+    }
+
+    /// Where the owners listen, each once.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.ownership.borrow().addresses()
+    }
+
     /// Whether a claim is this process's own and not released. Processes that
     /// started at the same moment may have the same incarnation.
     pub fn is_mine(&self, claim: &Claim) -> bool {
--- a/crates/log/src/ownership.rs
+++ b/crates/log/src/ownership.rs
@@ -70,6 +70,28 @@
         Some(partition)
     }
 
+    /// Takes in a claim that another daemon told; true if it is new.
+    pub fn learn(&mut self, partition: u32, claim: Claim) -> bool {
+        let former = self.claims.get(&partition).map_or(0, |claim| claim.epoch);
+        let is_new = claim.epoch > former;
+        if is_new {
+            self.claims.insert(partition, claim);
+        }
+        is_new
+    }
+
+    /// Where the owners listen, each once.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .claims
+            .values()
+            .filter_map(|claim| claim.address)
+            .collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
     /// The topic was read up to here.
     pub fn read_to(&mut self, end: u64) {
         self.end = self.end.max(end);
