--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,8 @@
 //!
 //! Place in the request path: first. [`listener`] accepts, [`connection`] reads
 //! requests one after another, [`request`] decides what a request may do,
-//! [`buffered`] and [`stream`] bring its answer, with [`turn`] around a turn of a
+//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
+//! with [`turn`] around a turn of a
 //! program.
 
 pub mod answer;
@@ -12,5 +13,6 @@
 pub mod dispatch;
 pub mod listener;
 pub mod request;
+pub mod retry;
 pub mod stream;
 pub mod turn;
--- a/crates/gateway/src/serve/buffered.rs
+++ b/crates/gateway/src/serve/buffered.rs
@@ -4,20 +4,15 @@
 use super::answer::OwnAnswer;
 use super::client::ClientWriter;
 use super::dispatch::{Attempt, DispatchFailure, Tried, dispatch};
-use super::request::{RETRY_SOON_MS, RequestContext, Served};
+use super::request::{RequestContext, Served};
+use super::retry::Retries;
 use crate::http::write::{AnswerBody, response_head};
 use bytes::Bytes;
-use fieldhook_traffic::attempt::{AttemptFailure, Attempts, NextStep};
-use std::time::Duration;
-use tokio::time::{sleep, timeout_at};
+use fieldhook_traffic::attempt::AttemptFailure;
+use tokio::time::timeout_at;
 
 /// Largest answer that is held in memory, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
-/// Time that another attempt needs at least, in milliseconds.
-const LEAST_TIME_MS: u64 = 15;
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(20);
-/// How long a request waits for a server to appear.
-const NO_SERVER_PATIENCE_MS: u64 = 120;
 
 /// A whole answer.
 pub struct WholeAnswer {
@@ -29,8 +24,7 @@
 
 /// Serves a request with a buffered answer.
 pub async fn serve(context: &RequestContext, writer: &mut ClientWriter) -> Served {
-    let mut may_have_run = false;
-    let outcome = timeout_at(context.deadline, attempts(context, &mut may_have_run)).await;
+    let outcome = timeout_at(context.deadline, attempts(context)).await;
     match outcome {
         Ok(Ok(answer)) => pass_on(context, answer, writer).await,
         Ok(Err(answer)) => context.answer(answer, writer).await,
@@ -42,47 +36,16 @@
     }
 }
 
-async fn attempts(
-    context: &RequestContext,
-    may_have_run: &mut bool,
-) -> Result<WholeAnswer, OwnAnswer> {
-    let mut tried = Tried::default();
-    let mut counted = Attempts::default();
+async fn attempts(context: &RequestContext) -> Result<WholeAnswer, OwnAnswer> {
+    let mut retries = Retries::default();
     loop {
-        let failure = match attempt(context, &mut tried).await {
+        match attempt(context, &mut retries.tried).await {
             Ok(answer) => return Ok(answer),
-            Err(DispatchFailure::Attempt(failure)) => failure,
-            Err(DispatchFailure::NoServer) => {
-                let nothing_sent = counted == Attempts::default();
-                if nothing_sent && context.age_ms() < NO_SERVER_PATIENCE_MS {
-                    sleep(NO_SERVER_PAUSE).await;
-                    continue;
-                }
-                return Err(no_server(counted));
-            }
-        };
-        *may_have_run |= failure == AttemptFailure::MayHaveRun;
-        let route = &context.entry.route;
-        let time_left = context.left_ms() > LEAST_TIME_MS;
-        match counted.after(route.kind, route.max_attempts, failure, time_left) {
-            NextStep::Retry => {}
-            NextStep::Refuse => {
-                return Err(OwnAnswer::not_run("no server took it", RETRY_SOON_MS));
-            }
-            NextStep::BadGateway => return Err(OwnAnswer::new(502, "the outcome is not known")),
+            Err(failure) => retries.after(context, failure).await?,
         }
     }
 }
 
-/// The answer where every server was tried, or there is none.
-pub fn no_server(counted: Attempts) -> OwnAnswer {
-    if counted.may_have_run > 0 {
-        OwnAnswer::new(502, "the outcome is not known")
-    } else {
-        OwnAnswer::not_run("no server takes work", RETRY_SOON_MS)
-    }
-}
-
 async fn attempt(
     context: &RequestContext,
     tried: &mut Tried,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -2,23 +2,20 @@
 //! on at another server after the last event that the client has.
 
 use super::answer::OwnAnswer;
-use super::buffered::{self, WholeAnswer, no_server};
+use super::buffered::{self, WholeAnswer};
 use super::client::ClientWriter;
-use super::dispatch::{Attempt, DispatchFailure, Tried, dispatch};
-use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext, Served};
+use super::dispatch::{Attempt, DispatchFailure, dispatch};
+use super::request::{RETRY_LATER_MS, RequestContext, Served};
+use super::retry::Retries;
 use super::turn::Turn;
 use crate::http::body::Piece;
 use crate::http::events::{Event, EventReader};
 use crate::http::write::{AnswerBody, LAST_CHUNK, chunk, response_head};
 use crate::upstream::connection::ExchangeError;
-use fieldhook_traffic::attempt::{AttemptFailure, Attempts, NextStep};
-use std::time::Duration;
-use tokio::time::{sleep, timeout_at};
+use fieldhook_traffic::attempt::AttemptFailure;
+use tokio::time::timeout_at;
 
 const ANSWER_LIMIT: usize = 1 << 20;
-const LEAST_TIME_MS: u64 = 40;
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(20);
-const NO_SERVER_PATIENCE_MS: u64 = 120;
 
 /// What the client has of the answer.
 #[derive(Default)]
@@ -26,8 +23,6 @@
     head_sent: bool,
     last_event: Option<u64>,
     events: u64,
-    /// A server may have begun to run it.
-    may_have_run: bool,
 }
 
 /// How passing a stream on ended.
@@ -97,17 +92,13 @@
     delivery: &mut Delivery,
     writer: &mut ClientWriter,
 ) -> Result<Served, OwnAnswer> {
-    let route = &context.entry.route;
-    let mut tried = Tried::default();
-    let mut counted = Attempts::default();
+    let mut retries = Retries::default();
     loop {
-        let failure = match dispatch(context, &mut tried, delivery.last_event).await {
+        let failure = match dispatch(context, &mut retries.tried, delivery.last_event).await {
             Ok(attempt) if !is_stream(&attempt) => {
-                delivery.may_have_run = true;
                 return pass_other(context, delivery, attempt, writer).await;
             }
             Ok(mut attempt) => {
-                delivery.may_have_run = true;
                 let end = pass_events(context, &mut attempt, turn, delivery, writer).await;
                 match end {
                     StreamEnd::Complete => {
@@ -120,27 +111,13 @@
                     }
                     StreamEnd::Broken(error) => {
                         attempt.fail(context, error);
-                        AttemptFailure::MayHaveRun
+                        DispatchFailure::Attempt(AttemptFailure::MayHaveRun)
                     }
                 }
             }
-            Err(DispatchFailure::Attempt(failure)) => failure,
-            Err(DispatchFailure::NoServer) => {
-                let nothing_sent = counted == Attempts::default();
-                if nothing_sent && context.age_ms() < NO_SERVER_PATIENCE_MS {
-                    sleep(NO_SERVER_PAUSE).await;
-                    continue;
-                }
-                return Err(no_server(counted));
-            }
+            Err(failure) => failure,
         };
-        delivery.may_have_run |= failure == AttemptFailure::MayHaveRun;
-        let time_left = context.left_ms() > LEAST_TIME_MS;
-        match counted.after(route.kind, route.max_attempts, failure, time_left) {
-            NextStep::Retry => {}
-            NextStep::Refuse => return Err(OwnAnswer::not_run("no engine took it", RETRY_SOON_MS)),
-            NextStep::BadGateway => return Err(OwnAnswer::new(502, "the engine broke off")),
-        }
+        retries.after(context, failure).await?;
     }
 }
 
