Whoever hears from the log again wakes what hangs; a fenced owner reads the claims

Cause: the in-memory log answered reads that were waiting when it fell silent; with that mended, an owner cut off the log could not serve its former partitions until its read of the claims timed out (6.7 s): fenced, it believed in its own claim. Change: followers leave a hanging read once any call is answered; a fenced owner reads the claims at once. Test that failed first: an_owner_without_the_log_is_replaced_and_ its_late_word_is_not_taken (with the mended stand-in). The process tests' check for waiting commands read a metric that does not exist (a replacement had doubled the suffix) and so passed always: mended. Names: ProcessId for ReplicaId, owner for leader.

--- a/crates/bench/src/cluster/shape.rs
+++ b/crates/bench/src/cluster/shape.rs
@@ -370,7 +370,7 @@
     }
 
     /// Index of the daemon that leads a shard, as daemons say.
-    pub async fn leader_of(&self, shard: u16) -> Option<usize> {
+    pub async fn owner_of(&self, shard: u16) -> Option<usize> {
         for daemon in self
             .daemons
             .iter()
--- a/crates/bench/src/hollow.rs
+++ b/crates/bench/src/hollow.rs
@@ -5,7 +5,7 @@
 use crate::report::{memory_kb, processor_ms};
 use fieldhook_daemon::transport::Datagram;
 use fieldhook_membership::{Detector, Fact, MemberState, Outgoing, Settings as MembershipSettings};
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use nanoserde::{DeBin, SerBin};
 use serde::Serialize;
 use std::cmp::Reverse;
@@ -59,7 +59,7 @@
 }
 
 struct HollowDaemon {
-    id: ReplicaId,
+    id: ProcessId,
     zone: usize,
     running: bool,
     detector: Detector,
@@ -136,8 +136,8 @@
 
 impl Hollow {
     fn new(shape: HollowShape) -> Self {
-        let ids: Vec<ReplicaId> = (0..shape.daemons)
-            .map(|index| ReplicaId {
+        let ids: Vec<ProcessId> = (0..shape.daemons)
+            .map(|index| ProcessId {
                 address: address(index),
                 incarnation: 1,
             })
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -133,8 +133,6 @@
     pub address: String,
     /// Bytes for control (membership, heartbeats, votes) since its start.
     pub control_bytes: u64,
-    /// Bytes of replicated entries and snapshots since its start.
-    pub replication_bytes: u64,
     /// Processor time since its start, in milliseconds.
     pub processor_ms: u64,
     /// Resident memory, in kilobytes.
@@ -188,7 +186,6 @@
             self.daemons.push(DaemonSummary {
                 address: daemon.address.clone(),
                 control_bytes: metric(&text, "fieldhook_control_bytes_total") as u64,
-                replication_bytes: metric(&text, "fieldhook_replication_bytes_total") as u64,
                 processor_ms: processor_ms(process.id()),
                 memory_kb: memory_kb(process.id()),
             });
--- a/crates/bench/tests/processes/support.rs
+++ b/crates/bench/tests/processes/support.rs
@@ -72,7 +72,7 @@
     let mut lag = 0.0;
     for daemon in &cluster.daemons {
         if let Some(reply) = cluster.get(&daemon.address, "/metrics").await {
-            lag += metric(&reply.body, "fieldhook_commands_waiting_commands");
+            lag += metric(&reply.body, "fieldhook_commands_waiting");
         }
     }
     lag
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -27,7 +27,7 @@
     Config(ConfigArguments),
     /// Show daemons, configuration, commands that wait for the log, and engines.
     Status(NoArguments),
-    /// Show shards with their leaders and members.
+    /// Show shards with their owners.
     Shards(NoArguments),
     /// List, show and cancel programs.
     Programs(ProgramsArguments),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,5 +1,5 @@
-//! The caller's side: check a request, find the leader of its shard, and relay
-//! the answer, through changes of leader.
+//! The caller's side: check a request, find the owner of its shard, and relay
+//! the answer, through changes of owner.
 
 mod calls;
 mod commands;
--- a/crates/daemon/src/gateway/source.rs
+++ b/crates/daemon/src/gateway/source.rs
@@ -1,4 +1,4 @@
-//! A call's events from its leader, here or on another daemon.
+//! A call's events from its owner, here or on another daemon.
 
 use crate::node::Node;
 use crate::sequencer::{CallMessage, serve_call};
@@ -16,11 +16,11 @@
 
 /// Events of one call that may wait for a slow reader.
 pub const EVENT_BACKLOG: usize = 64;
-/// Silence after which a leader counts as lost; it sends keep-alives sooner.
+/// Silence after which an owner counts as lost; it sends keep-alives sooner.
 const SILENCE: Duration = Duration::from_millis(1_200);
 const LENGTH_BYTES: usize = 4;
 
-/// A call's events from its leader.
+/// A call's events from its owner.
 pub enum EventSource {
     /// This daemon leads.
     Local(mpsc::Receiver<StreamEvent>),
@@ -49,15 +49,15 @@
     /// Whether the message can have arrived.
     pub async fn open(
         node: &Rc<Node>,
-        leader: Address,
+        owner: Address,
         call: &CallMessage,
     ) -> Result<Self, SendError> {
-        if leader == node.id.address {
+        if owner == node.id.address {
             let (out, events) = mpsc::channel(EVENT_BACKLOG);
             ntex::rt::spawn(serve_call(node.clone(), call.clone(), out));
             return Ok(Self::Local(events));
         }
-        let url = node.url(leader, "/internal/call");
+        let url = node.url(owner, "/internal/call");
         let body = call.serialize_bin();
         let response = node
             .client
@@ -72,7 +72,7 @@
         })))
     }
 
-    /// The next event; nothing if the leader is lost or silent.
+    /// The next event; nothing if the owner is lost or silent.
     pub async fn next(&mut self) -> Option<StreamEvent> {
         let next = async {
             match self {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,8 +2,8 @@
 //! one gives them sockets, clocks and tasks, all on one thread.
 //!
 //! A call's way through the modules:
-//! `server` (routes) -> `gateway` (find the leader, relay) -> `sequencer`
-//! (admit, record, dispatch) -> `shard` (replicate) -> engine or server.
+//! `server` (routes) -> `gateway` (find the owner, relay) -> `sequencer`
+//! (admit, record, dispatch) -> `shard` (append) -> engine or server.
 
 pub mod drain;
 pub mod gateway;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,7 +11,7 @@
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
 use fieldhook_membership::{Detector, Fact};
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use fieldhook_model::config_log::ConfigState;
 use fieldhook_model::ids::ShardId;
 use std::cell::{Cell, RefCell};
@@ -25,7 +25,7 @@
 /// Where the daemon's life stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Not all shards have a known leader yet.
+    /// Not all shards have a known owner yet.
     Starting,
     /// Serves.
     Serving,
@@ -39,7 +39,7 @@
     /// Settings.
     pub settings: Settings,
     /// This process.
-    pub id: ReplicaId,
+    pub id: ProcessId,
     /// Client for all outgoing requests.
     pub client: HttpClient,
     /// Metrics.
@@ -78,7 +78,7 @@
         let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        let id = ReplicaId {
+        let id = ProcessId {
             address,
             incarnation: since_epoch.as_millis() as u64,
         };
@@ -87,6 +87,7 @@
         let store: Rc<dyn LogStore> = Rc::new(log);
         let claims = Claims::new(
             store.clone(),
+            log_contact.clone(),
             SHARD_OWNERS_TOPIC,
             u32::from(settings.shards),
             address.socket().into(),
--- a/crates/daemon/src/sequencer/follow.rs
+++ b/crates/daemon/src/sequencer/follow.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
-/// Silence after which the reader is told that this leader lives.
+/// Silence after which the reader is told that this owner lives.
 const KEEP_ALIVE: Millis = Millis(400);
 
 /// The reader is gone.
@@ -39,7 +39,7 @@
     }
 }
 
-/// Passes on text that a former leader had delivered, for a new attempt to
+/// Passes on text that a former owner had delivered, for a new attempt to
 /// continue; only text of the recorded lineage may be continued.
 fn offer_seen(host: &ShardHost, call: &CallMessage) {
     let (Some(seen), Some(live)) = (&call.seen, host.live_call(call.program, call.call_number))
--- a/crates/daemon/src/sequencer/mod.rs
+++ b/crates/daemon/src/sequencer/mod.rs
@@ -1,4 +1,4 @@
-//! The leader's side of a call: admit it, record its intent, dispatch it,
+//! The owner's side of a call: admit it, record its intent, dispatch it,
 //! record its outcome, and let readers follow.
 
 mod admission;
--- a/crates/daemon/src/sequencer/model_attempt.rs
+++ b/crates/daemon/src/sequencer/model_attempt.rs
@@ -1,5 +1,5 @@
 //! One attempt of a model call: generate, resume after a broken connection,
-//! or take over the stream that a former leader started.
+//! or take over the stream that a former owner started.
 
 use crate::sequencer::attempt::{AttemptEnd, RunningCall};
 use fieldhook_http::{SendError, SseDecoder};
@@ -14,7 +14,7 @@
 
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that gateways of a lost leader get to bring along what they delivered.
+/// Time that gateways of a lost owner get to bring along what they delivered.
 const SEEN_WAIT: Millis = Millis(1_000);
 const SEEN_CHECK: Millis = Millis(20);
 
@@ -23,7 +23,7 @@
 pub enum Start {
     /// It has not been dispatched.
     Fresh,
-    /// A former leader may have dispatched it.
+    /// A former owner may have dispatched it.
     TakeOver,
 }
 
@@ -103,7 +103,7 @@
         continues: !attempt.prefix.is_empty(),
     };
     let body = serde_json::to_vec(&request).unwrap_or_default();
-    // The last look before the request leaves: a frozen leader wakes here.
+    // The last look before the request leaves: a frozen owner wakes here.
     if !call.may_act().await {
         return Err(AttemptEnd::Deposed);
     }
@@ -125,7 +125,7 @@
     }
 }
 
-/// Finds the stream of a former leader. Where the engine has lost it, gateways
+/// Finds the stream of a former owner. Where the engine has lost it, gateways
 /// get a moment to say what they have delivered, so that the next attempt can
 /// continue that.
 async fn take_over(call: &RunningCall, attempt: &Attempt) -> Result<ClientResponse, AttemptEnd> {
--- a/crates/daemon/src/sequencer/server_attempt.rs
+++ b/crates/daemon/src/sequencer/server_attempt.rs
@@ -29,7 +29,7 @@
     if start == Start::TakeOver {
         return settle_lost(call, attempt).await;
     }
-    // The last look before the request leaves: a frozen leader wakes here.
+    // The last look before the request leaves: a frozen owner wakes here.
     if !call.may_act().await {
         return AttemptEnd::Deposed;
     }
--- a/crates/daemon/src/shard/live_call.rs
+++ b/crates/daemon/src/shard/live_call.rs
@@ -1,17 +1,17 @@
-//! A call that runs under this leader: its text so far and its end.
+//! A call that runs under this owner: its text so far and its end.
 
 use fieldhook_model::api::StreamEvent;
 use std::cell::{Cell, Ref, RefCell};
 use tokio::sync::Notify;
 
-/// A call that runs under this leader. Any number of readers follow it; the
+/// A call that runs under this owner. Any number of readers follow it; the
 /// text is kept whole, so that a reader can begin at any offset.
 #[derive(Debug, Default)]
 pub struct LiveCall {
     text: RefCell<String>,
     lineage: Cell<u32>,
     end: RefCell<Option<StreamEvent>>,
-    /// Text that a gateway had already passed on under a former leader.
+    /// Text that a gateway had already passed on under a former owner.
     seen: RefCell<Option<String>>,
     changed: Notify,
 }
@@ -51,7 +51,7 @@
         self.end.borrow().clone()
     }
 
-    /// Notes text that was already passed on under a former leader.
+    /// Notes text that was already passed on under a former owner.
     pub fn offer_seen(&self, text: &str) {
         let mut seen = self.seen.borrow_mut();
         if seen.as_ref().is_none_or(|known| known.len() < text.len()) {
@@ -61,7 +61,7 @@
         self.changed.notify_waiters();
     }
 
-    /// The longest text that was passed on under a former leader, if a gateway
+    /// The longest text that was passed on under a former owner, if a gateway
     /// has asked again.
     pub fn seen(&self) -> Option<String> {
         self.seen.borrow().clone()
--- a/crates/daemon/src/shard/manage.rs
+++ b/crates/daemon/src/shard/manage.rs
@@ -9,7 +9,7 @@
 use fieldhook_log::appender::{AppendEnd, Appender, fence};
 use fieldhook_log::ownership::Claim;
 use fieldhook_membership::MemberState;
-use fieldhook_model::address::ReplicaId;
+use fieldhook_model::address::ProcessId;
 use fieldhook_model::ids::ShardId;
 use ntex::time::{Millis, sleep};
 use std::rc::Rc;
@@ -20,9 +20,9 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 const LOAD_PAUSE: Millis = Millis(50);
 /// The process of an owner, as a claim names it.
-pub fn owner_of(claim: &Claim) -> Option<ReplicaId> {
+pub fn owner_of(claim: &Claim) -> Option<ProcessId> {
     let address = claim.address?.to_string().parse().ok()?;
-    Some(ReplicaId {
+    Some(ProcessId {
         address,
         incarnation: claim.incarnation,
     })
@@ -103,6 +103,7 @@
         if current {
             node.shards.borrow_mut().remove(&shard);
         }
+        let _ = node.claims.refresh().await;
     }
 }
 
@@ -170,7 +171,7 @@
         .members()
         .filter(|member| member.state == MemberState::Alive);
     let weight =
-        |id: &ReplicaId| xxh3_64_with_seed(id.address.to_string().as_bytes(), u64::from(shard));
+        |id: &ProcessId| xxh3_64_with_seed(id.address.to_string().as_bytes(), u64::from(shard));
     live.map(|member| member.id).max_by_key(weight) == Some(node.id)
 }
 
--- a/crates/emulator/src/log/memory.rs
+++ b/crates/emulator/src/log/memory.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    async fn begin_again(&self, limit: Duration) -> Result<(), StoreError> {
+        match self.fault.get() {
+            LogFault::Down => Err(StoreError::Unknown),
+            LogFault::Silent => {
+                sleep(limit).await;
+                Err(StoreError::Unknown)
+            }
+            _ => Ok(()),
+        }
+    }
+
     async fn append_call(&self, append: Append) -> Result<Appended, StoreError> {
         self.begin(append.timeout).await?;
         if let LogFault::DoneLate(delay) = self.fault.get() {
@@ -114,6 +125,8 @@
         let until = Instant::now() + wait;
         loop {
             let changed = self.log.changed.notified();
+            // A read that was waiting when the fault came is not answered either.
+            self.begin_again(limit).await?;
             let batch = self.log.core.borrow_mut().read(&partition, from)?;
             if !batch.records.is_empty() || timeout_at(until, changed).await.is_err() {
                 return Ok(batch);
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -17,7 +17,12 @@
         topic: daemon.topics.config.clone(),
         number: 0,
     };
-    let mut follower = Follower::new(daemon.store.clone(), partition, WAIT);
+    let mut follower = Follower::new(
+        daemon.store.clone(),
+        daemon.contact.clone(),
+        partition,
+        WAIT,
+    );
     loop {
         let records = match follower.next_update().await {
             Update::Listing(records) | Update::Records(records) => records,
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -20,7 +20,12 @@
         topic: daemon.topics.servers.clone(),
         number: 0,
     };
-    let mut follower = Follower::new(daemon.store.clone(), partition, WAIT);
+    let mut follower = Follower::new(
+        daemon.store.clone(),
+        daemon.contact.clone(),
+        partition,
+        WAIT,
+    );
     loop {
         match follower.next_update().await {
             Update::Listing(records) => take_listing(&daemon, &records),
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -6,7 +6,7 @@
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
 use fieldhook_log::api::{KeyedRecord, LogStore, Partition as LogPartition, StoreError};
-use fieldhook_log::appender::{Appender, Outcome, Urgency, fence};
+use fieldhook_log::appender::{AppendEnd, Appender, Outcome, Urgency, fence};
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
 use std::cell::RefCell;
@@ -65,6 +65,7 @@
     ) -> Rc<Self> {
         let claims = Claims::new(
             store.clone(),
+            contact.clone(),
             OWNERS_TOPIC,
             partitions,
             address,
@@ -320,6 +321,10 @@
         .await;
     tracing::info!(event = "partition_given_up", partition, epoch, cause = ?end);
     owner.drop_partition(partition, Some(epoch));
+    if end == AppendEnd::Fenced {
+        // There is a newer owner: until it is known, its turns could not be served here.
+        let _ = owner.claims.refresh().await;
+    }
 }
 
 /// Fences earlier owners, then reads the newest record of each key. In this
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -1,6 +1,7 @@
 //! Learning who owns the partitions of a topic, and becoming an owner.
 
 use crate::api::{Append, LogStore, Partition, StoreError};
+use crate::contact::Contact;
 use crate::follow::{Follower, Update};
 use crate::ownership::{Claim, Ownership};
 use std::cell::{Cell, RefCell};
@@ -37,6 +38,7 @@
 /// The claims of one topic, and this daemon's way to make some.
 pub struct Claims {
     store: Rc<dyn LogStore>,
+    contact: Rc<Contact>,
     topic: &'static str,
     partitions: u32,
     /// Where this daemon listens for others.
@@ -54,6 +56,7 @@
     /// Claims on a topic; none is known yet.
     pub fn new(
         store: Rc<dyn LogStore>,
+        contact: Rc<Contact>,
         topic: &'static str,
         partitions: u32,
         address: SocketAddr,
@@ -61,6 +64,7 @@
     ) -> Self {
         Self {
             store,
+            contact,
             topic,
             partitions,
             address,
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Reads the claims up to now: a fence has told that there are newer ones.
+    ///
+    /// # Errors
+    /// The log service does not tell.
+    pub async fn refresh(&self) -> Result<(), ClaimError> {
+        self.catch_up(u64::MAX).await
+    }
+
     /// Reads the claims up to an end that the log service told.
     async fn catch_up(&self, end: u64) -> Result<(), ClaimError> {
         let from = self.ownership.borrow().end();
@@ -225,7 +237,12 @@
 
     /// Follows the claims for good.
     pub async fn run_follow(self: Rc<Self>) {
-        let mut follower = Follower::new(self.store.clone(), self.place(), FOLLOW_WAIT);
+        let mut follower = Follower::new(
+            self.store.clone(),
+            self.contact.clone(),
+            self.place(),
+            FOLLOW_WAIT,
+        );
         loop {
             let (records, listed) = match follower.next_update().await {
                 Update::Listing(records) => (records, true),
--- a/crates/log/src/follow.rs
+++ b/crates/log/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following one compacted partition: the newest of each key, then what comes.
 
 use crate::api::{KeyedRecord, LogStore, Partition, StoreError};
+use crate::contact::Contact;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -23,6 +24,7 @@
 /// Follows a partition.
 pub struct Follower {
     store: Rc<dyn LogStore>,
+    contact: Rc<Contact>,
     partition: Partition,
     next: Option<u64>,
     wait: Duration,
@@ -31,9 +33,15 @@
 
 impl Follower {
     /// A follower that holds reads for `wait` until something comes.
-    pub fn new(store: Rc<dyn LogStore>, partition: Partition, wait: Duration) -> Self {
+    pub fn new(
+        store: Rc<dyn LogStore>,
+        contact: Rc<Contact>,
+        partition: Partition,
+        wait: Duration,
+    ) -> Self {
         Self {
             store,
+            contact,
             partition,
             next: None,
             wait,
@@ -49,9 +57,12 @@
     /// Waits for the next update, through any outage.
     pub async fn next_update(&mut self) -> Update {
         loop {
-            let result = match self.next {
-                None => self.list().await.map(Update::Listing),
-                Some(from) => self.read(from).await.map(Update::Records),
+            // A read that hangs since an outage is left once the service is known to
+            // answer again.
+            let contact = self.contact.clone();
+            let result = tokio::select! {
+                result = self.attempt() => result,
+                () = contact.regained.notified() => continue,
             };
             match result {
                 Ok(Update::Records(records)) if records.is_empty() => {
@@ -70,6 +81,13 @@
         }
     }
 
+    async fn attempt(&mut self) -> Result<Update, StoreError> {
+        match self.next {
+            None => self.list().await.map(Update::Listing),
+            Some(from) => self.read(from).await.map(Update::Records),
+        }
+    }
+
     async fn back_off(&mut self) {
         let jitter = 0.75 + fastrand::f64() / 2.0;
         sleep(self.pause.mul_f64(jitter)).await;
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -30,7 +30,14 @@
 fn daemon(log: &Rc<SharedLog>, number: u16) -> Daemon {
     let store = Rc::new(MemoryLog::new(log.clone()));
     let address = SocketAddr::from(([127, 0, 0, 1], 7_000 + number));
-    let claims = Claims::new(store.clone(), TOPIC, PARTITIONS, address, u64::from(number));
+    let claims = Claims::new(
+        store.clone(),
+        Rc::default(),
+        TOPIC,
+        PARTITIONS,
+        address,
+        u64::from(number),
+    );
     let claims = Rc::new(claims);
     ntex::rt::spawn(claims.clone().run_follow());
     Daemon { store, claims }
@@ -87,7 +94,14 @@
             .map(|port| {
                 let store = Rc::new(MemoryLog::new(log.clone()));
                 let address = SocketAddr::from(([127, 0, 0, 1], port));
-                let claims = Rc::new(Claims::new(store, TOPIC, PARTITIONS, address, 5));
+                let claims = Rc::new(Claims::new(
+                    store,
+                    Rc::default(),
+                    TOPIC,
+                    PARTITIONS,
+                    address,
+                    5,
+                ));
                 ntex::rt::spawn(claims.clone().run_follow());
                 claims
             })
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -4,7 +4,7 @@
 use crate::gossip::{Packet, Question, Queue};
 use crate::settings::Settings;
 use crate::table::FactTable;
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use std::collections::BTreeMap;
 
 /// A packet to send.
@@ -46,15 +46,15 @@
     probe: Option<Probe>,
     round: Vec<Address>,
     errands: BTreeMap<u64, Errand>,
-    suspected_ms: BTreeMap<Address, (ReplicaId, u64)>,
-    dead_ms: BTreeMap<Address, (ReplicaId, u64)>,
+    suspected_ms: BTreeMap<Address, (ProcessId, u64)>,
+    dead_ms: BTreeMap<Address, (ProcessId, u64)>,
     packets_out: Vec<Outgoing>,
 }
 
 impl Detector {
     /// A detector that knows only itself and the addresses to start from.
     pub fn new(
-        id: ReplicaId,
+        id: ProcessId,
         zone: &str,
         seeds: Vec<Address>,
         settings: Settings,
@@ -94,12 +94,12 @@
     }
 
     /// This daemon.
-    pub fn id(&self) -> ReplicaId {
+    pub fn id(&self) -> ProcessId {
         self.own.id
     }
 
     /// How long a daemon has been held dead or gone here, in milliseconds.
-    pub fn dead_for_ms(&self, id: ReplicaId) -> Option<u64> {
+    pub fn dead_for_ms(&self, id: ProcessId) -> Option<u64> {
         let (dead, since_ms) = self.dead_ms.get(&id.address)?;
         (*dead == id).then(|| self.now_ms.saturating_sub(*since_ms))
     }
@@ -158,7 +158,7 @@
         false
     }
 
-    fn note_state(&mut self, id: ReplicaId, state: MemberState) {
+    fn note_state(&mut self, id: ProcessId, state: MemberState) {
         self.suspected_ms.remove(&id.address);
         self.dead_ms.remove(&id.address);
         match state {
@@ -397,7 +397,7 @@
     }
 
     /// A sender that is held dead here must hear of it, or it never objects.
-    fn tell_if_mistaken(&mut self, from: ReplicaId) {
+    fn tell_if_mistaken(&mut self, from: ProcessId) {
         let Some(member) = self.table.member(from.address) else {
             return;
         };
--- a/crates/membership/src/fact.rs
+++ b/crates/membership/src/fact.rs
@@ -1,6 +1,6 @@
 //! What daemons tell each other, and which of two statements is newer.
 
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use nanoserde::{DeBin, SerBin};
 
 /// State of a member, in the order in which equal claims override each other.
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, SerBin, DeBin)]
 pub struct Member {
     /// The process.
-    pub id: ReplicaId,
+    pub id: ProcessId,
     /// Zone of its machine.
     pub zone: String,
     /// Its state.
@@ -88,9 +88,9 @@
 
     /// Rough size on the wire, in bytes.
     pub fn size(&self) -> usize {
-        const REPLICA: usize = 14;
+        const PROCESS: usize = 14;
         match self {
-            Self::Member(member) => 8 + REPLICA + 8 + member.zone.len() + 4,
+            Self::Member(member) => 8 + PROCESS + 8 + member.zone.len() + 4,
             Self::ConfigOffset(_) => 9,
             Self::Leaving(machine) => 24 + machine.address.len(),
         }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::fact::{Fact, Subject};
 use crate::table::FactTable;
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
 
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct Packet {
     /// Sender.
-    pub from: ReplicaId,
+    pub from: ProcessId,
     /// Question or answer.
     pub question: Question,
     /// Facts in passing.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -1,7 +1,7 @@
 //! All facts known here, newest per subject.
 
 use crate::fact::{Fact, Member, MemberState, Subject};
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -87,7 +87,7 @@
 
     /// Whether a process is surely gone: another one runs at its address, or it
     /// left. Silence is no evidence.
-    pub fn is_surely_gone(&self, id: ReplicaId) -> bool {
+    pub fn is_surely_gone(&self, id: ProcessId) -> bool {
         self.member(id.address).is_some_and(|member| {
             member.id.incarnation > id.incarnation
                 || (member.id == id && member.state == MemberState::Left)
--- a/crates/membership/tests/detector_fuzz.rs
+++ b/crates/membership/tests/detector_fuzz.rs
@@ -2,7 +2,7 @@
 //! holds exactly the running processes alive and knows the newest facts.
 
 use fieldhook_membership::{Detector, Fact, MemberState, Outgoing, Settings};
-use fieldhook_model::address::{Address, ReplicaId};
+use fieldhook_model::address::{Address, ProcessId};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const NODES: usize = 5;
@@ -59,7 +59,7 @@
 }
 
 fn new_detector(node: usize, incarnation: u64) -> Detector {
-    let id = ReplicaId {
+    let id = ProcessId {
         address: address(node),
         incarnation,
     };
@@ -212,7 +212,7 @@
     }
 
     fn check(&self) {
-        let mut running: Vec<ReplicaId> = self
+        let mut running: Vec<ProcessId> = self
             .nodes
             .iter()
             .filter_map(|node| node.detector.as_ref().map(Detector::id))
@@ -220,7 +220,7 @@
         running.sort();
         for detector in self.nodes.iter().filter_map(|node| node.detector.as_ref()) {
             let table = detector.table();
-            let mut alive: Vec<ReplicaId> = table
+            let mut alive: Vec<ProcessId> = table
                 .members()
                 .filter(|member| member.state == MemberState::Alive)
                 .map(|member| member.id)
--- a/crates/model/src/address.rs
+++ b/crates/model/src/address.rs
@@ -49,10 +49,10 @@
 }
 
 /// One life of one process. A daemon keeps no disk, so a restart at the same
-/// address is a new replica with a higher incarnation and none of the votes
-/// or entries of the old one.
+/// address is a new process with a higher incarnation and none of the state
+/// of the old one.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
-pub struct ReplicaId {
+pub struct ProcessId {
     /// Where the process listens.
     pub address: Address,
     /// Start of the process in milliseconds since the Unix epoch; it only has
@@ -60,13 +60,13 @@
     pub incarnation: u64,
 }
 
-impl fmt::Display for ReplicaId {
+impl fmt::Display for ProcessId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}#{}", self.address, self.incarnation)
     }
 }
 
-impl fmt::Debug for ReplicaId {
+impl fmt::Debug for ProcessId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, formatter)
     }
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -136,7 +136,7 @@
     pub usage: Usage,
 }
 
-/// One event between the deciding replica, the gateway and the caller.
+/// One event between the deciding owner, the gateway and the caller.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum StreamEvent {
     /// More text, beginning at a byte offset of the whole answer.
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -48,7 +48,7 @@
     Overloaded,
     /// This daemon serves no new work now.
     NotReady,
-    /// The deciding replica could not be reached in time.
+    /// The deciding owner could not be reached in time.
     Unavailable,
     /// A request that is not repeatable may or may not have run.
     OutcomeUnknown,
--- a/crates/program/src/lifecycle.rs
+++ b/crates/program/src/lifecycle.rs
@@ -55,7 +55,7 @@
         })
     }
 
-    /// Whatever made the leader refuse may pass; the key stays refused, or a
+    /// Whatever made the owner refuse may pass; the key stays refused, or a
     /// late copy of the request would run after the caller was told it had not.
     pub(crate) fn refuse_key(&mut self, id: ProgramId, number: u64, key: String) -> Reply {
         let Some(program) = self.programs.get_mut(&id) else {
