--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -23,7 +23,7 @@
     let filter =
         tracing_subscriber::EnvFilter::try_from_env("FIELDHOOK_LOG").unwrap_or_else(|_| {
             tracing_subscriber::EnvFilter::new(
-                "warn,fieldhook_gateway=info,fieldhook_log=info,fieldhook_platform=info",
+                "warn,fieldhook_gateway=info,fieldhook_log=info,fieldhook_platform=info,fieldhook_frontend=info",
             )
         });
     tracing_subscriber::fmt()
