--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -15,6 +15,19 @@
 pub struct FaultPlan {
     /// Every request fails at once, without effect.
     pub down: bool,
+    /// Every request is refused for lack of room, without effect.
+    pub busy: bool,
+    /// The connection of every request is reset, without effect.
+    pub reset: bool,
+    /// Every request is left without an answer, without effect.
+    pub silent: bool,
+    /// Partitions of the log's topics that the fields above concern; all if none
+    /// are named.
+    pub partitions: Vec<u32>,
+    /// Appends take effect so many milliseconds later and are never answered.
+    pub late_ms: u64,
+    /// The log drops the history of its topics, once.
+    pub forget: bool,
     /// Every request waits this long first, in milliseconds.
     pub slow_ms: u64,
     /// So many answers are lost after the effect.
@@ -51,6 +64,47 @@
     /// The answer to give instead.
     pub async fn before(&self) -> Result<(), HttpResponse> {
         let plan = self.plan.borrow().clone();
+        Self::act(plan).await
+    }
+
+    /// The same for a call of one partition of the log.
+    ///
+    /// # Errors
+    /// The answer to give instead.
+    pub async fn before_partition(&self, number: u32) -> Result<(), HttpResponse> {
+        let plan = self.plan.borrow().clone();
+        if !plan.partitions.is_empty() && !plan.partitions.contains(&number) {
+            return Ok(());
+        }
+        Self::act(plan).await
+    }
+
+    /// How much later an append takes effect, if it is to be late.
+    pub fn lateness(&self) -> Option<Duration> {
+        let late_ms = self.plan.borrow().late_ms;
+        (late_ms > 0).then(|| Duration::from_millis(late_ms))
+    }
+
+    /// Whether the log drops its history now.
+    pub fn forgets(&self) -> bool {
+        std::mem::take(&mut self.plan.borrow_mut().forget)
+    }
+
+    /// Never answers.
+    pub async fn hang() {
+        sleep(HANG).await;
+    }
+
+    async fn act(plan: FaultPlan) -> Result<(), HttpResponse> {
+        if plan.silent {
+            Self::hang().await;
+        }
+        if plan.reset {
+            return Err(aborted());
+        }
+        if plan.busy {
+            return Err(text(429, "busy by plan"));
+        }
         if plan.slow_ms > 0 {
             sleep(Millis(plan.slow_ms.min(u64::from(u32::MAX)) as u32)).await;
         }
@@ -66,7 +120,7 @@
             Fate::Answer => answer,
             Fate::Lose => aborted(),
             Fate::Hang => {
-                sleep(HANG).await;
+                Self::hang().await;
                 answer
             }
         }
--- a/crates/emulator/src/log/memory.rs
+++ b/crates/emulator/src/log/memory.rs
@@ -20,6 +20,11 @@
     None,
     /// Calls fail at once, without effect.
     Down,
+    /// Calls are refused at once, without effect: the service has no room.
+    Busy,
+    /// The connection is reset before the call has its effect, but the caller
+    /// cannot know that.
+    Reset,
     /// Calls are not answered and have no effect.
     Silent,
     /// Appends have their effect and are not answered.
@@ -42,6 +47,8 @@
 pub struct MemoryLog {
     log: Rc<SharedLog>,
     fault: Cell<LogFault>,
+    /// Where the fault holds; everywhere if there is none.
+    faulty: RefCell<Option<Partition>>,
     /// Calls made so far.
     pub calls: Cell<u64>,
 }
@@ -52,19 +59,35 @@
         Self {
             log,
             fault: Cell::default(),
+            faulty: RefCell::default(),
             calls: Cell::new(0),
         }
     }
 
-    /// Sets what goes wrong from now on.
+    /// Sets what goes wrong from now on, everywhere.
     pub fn set_fault(&self, fault: LogFault) {
+        self.faulty.take();
         self.fault.set(fault);
     }
 
-    async fn begin(&self, limit: Duration) -> Result<(), StoreError> {
+    /// Sets what goes wrong from now on with one partition; the others work.
+    pub fn set_fault_of(&self, partition: Partition, fault: LogFault) {
+        self.faulty.replace(Some(partition));
+        self.fault.set(fault);
+    }
+
+    fn fault_of(&self, partition: &Partition) -> LogFault {
+        match &*self.faulty.borrow() {
+            Some(faulty) if faulty != partition => LogFault::None,
+            _ => self.fault.get(),
+        }
+    }
+
+    async fn begin(&self, partition: &Partition, limit: Duration) -> Result<(), StoreError> {
         self.calls.set(self.calls.get() + 1);
-        match self.fault.get() {
-            LogFault::Down => Err(StoreError::NotDone),
+        match self.fault_of(partition) {
+            LogFault::Down | LogFault::Busy => Err(StoreError::NotDone),
+            LogFault::Reset => Err(StoreError::Unknown),
             LogFault::Silent => {
                 sleep(limit).await;
                 Err(StoreError::Unknown)
@@ -81,9 +104,9 @@
         }
     }
 
-    async fn begin_again(&self, limit: Duration) -> Result<(), StoreError> {
-        match self.fault.get() {
-            LogFault::Down => Err(StoreError::Unknown),
+    async fn begin_again(&self, partition: &Partition, limit: Duration) -> Result<(), StoreError> {
+        match self.fault_of(partition) {
+            LogFault::Down | LogFault::Reset => Err(StoreError::Unknown),
             LogFault::Silent => {
                 sleep(limit).await;
                 Err(StoreError::Unknown)
@@ -93,8 +116,9 @@
     }
 
     async fn append_call(&self, append: Append) -> Result<Appended, StoreError> {
-        self.begin(append.timeout).await?;
-        if let LogFault::DoneLate(delay) = self.fault.get() {
+        self.begin(&append.partition, append.timeout).await?;
+        let fault = self.fault_of(&append.partition);
+        if let LogFault::DoneLate(delay) = fault {
             let log = self.log.clone();
             let late = append.clone();
             ntex::rt::spawn(async move {
@@ -107,7 +131,7 @@
         }
         let appended = self.log.core.borrow_mut().append(&append);
         self.log.changed.notify_waiters();
-        if self.fault.get() == LogFault::AnswerLost {
+        if fault == LogFault::AnswerLost {
             sleep(append.timeout).await;
             return Err(StoreError::Unknown);
         }
@@ -121,12 +145,12 @@
         wait: Duration,
         limit: Duration,
     ) -> Result<ReadBatch, StoreError> {
-        self.begin(limit).await?;
+        self.begin(&partition, limit).await?;
         let until = Instant::now() + wait;
         loop {
             let changed = self.log.changed.notified();
             // A read that was waiting when the fault came is not answered either.
-            self.begin_again(limit).await?;
+            self.begin_again(&partition, limit).await?;
             let batch = self.log.core.borrow_mut().read(&partition, from)?;
             if !batch.records.is_empty() || timeout_at(until, changed).await.is_err() {
                 return Ok(batch);
@@ -140,7 +164,7 @@
         after: Option<Vec<u8>>,
         limit: Duration,
     ) -> Result<NewestPage, StoreError> {
-        self.begin(limit).await?;
+        self.begin(&partition, limit).await?;
         Ok(self
             .log
             .core
--- a/crates/emulator/src/log/topics.rs
+++ b/crates/emulator/src/log/topics.rs
@@ -26,15 +26,23 @@
     faults: types::State<Faults>,
     body: Bytes,
 ) -> HttpResponse {
-    if let Err(answer) = faults.before().await {
-        return answer;
-    }
     let Ok(call) = StoreCall::deserialize_bin(&body) else {
         return HttpResponse::BadRequest().finish();
     };
+    if let Err(answer) = faults.before_partition(call.partition()).await {
+        return answer;
+    }
+    if faults.forgets() {
+        topics.core.borrow_mut().forget_history();
+    }
     match call {
         StoreCall::Append(call) => {
             let append = Append::from(call);
+            if let Some(delay) = faults.lateness() {
+                ntex::rt::spawn(append_late(topics.core.clone(), append, delay));
+                Faults::hang().await;
+                return HttpResponse::ServiceUnavailable().finish();
+            }
             let appended = topics.core.borrow_mut().append(&append);
             let reply = appended.map_or_else(StoreReply::from, StoreReply::from);
             faults.after(answer(&reply)).await
@@ -44,6 +52,12 @@
     }
 }
 
+/// What the service does with an append whose caller has long given up.
+async fn append_late(core: Rc<RefCell<LogCore>>, append: Append, delay: Duration) {
+    sleep(Millis(delay.as_millis() as u32)).await;
+    let _ = core.borrow_mut().append(&append);
+}
+
 fn answer(reply: &StoreReply) -> HttpResponse {
     HttpResponse::Ok().body(reply.serialize_bin())
 }
--- a/crates/log/src/wire.rs
+++ b/crates/log/src/wire.rs
@@ -17,6 +17,17 @@
     Newest(NewestCall),
 }
 
+impl StoreCall {
+    /// Number of the partition that the call is about.
+    pub fn partition(&self) -> u32 {
+        match self {
+            Self::Append(call) => call.partition,
+            Self::Read(call) => call.partition,
+            Self::Newest(call) => call.partition,
+        }
+    }
+}
+
 /// An append.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct AppendCall {
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -271,10 +271,12 @@
 }
 
 fn fault(number: u8) -> LogFault {
-    match number % 5 {
+    match number % 7 {
         0 => LogFault::Down,
         1 => LogFault::AnswerLost,
         2 => LogFault::Slow(Duration::from_millis(5)),
+        3 => LogFault::Busy,
+        4 => LogFault::Reset,
         _ => LogFault::None,
     }
 }
