Appends are hedged by learned round trips instead of fixed time-outs

Cause: an append whose answer was lost was asked for again after 150 ms, 30 usual times; one that was slow (240 ms) was given up at 150 ms and its answer lost with its connection; in a silent outage tries were up to 950 ms apart. Change: an overdue try stays out beside the next one; overdue is learned from answers. Calls that failed for under 120 ms wake nobody (partial outages alternate). Tests: three in crates/log/tests/owners.rs, all fail on the former sources.

--- a/crates/log/src/appender.rs
+++ b/crates/log/src/appender.rs
@@ -3,20 +3,17 @@
 
 use crate::api::{Append, KeyedRecord, LogStore, Partition, Producer, StoreError};
 use crate::contact::Contact;
+use crate::hedge;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Writer's name; all owners share it, so that epochs fence each other.
 pub const PRODUCER: &str = "owner";
 /// Bytes of one append at most.
 const MOST_BYTES: usize = 1 << 20;
-const FIRST_TIMEOUT: Duration = Duration::from_millis(150);
-const LONGEST_TIMEOUT: Duration = Duration::from_millis(700);
-const FIRST_PAUSE: Duration = Duration::from_millis(15);
-const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time that records wait for others to share their append.
 const SHARE_WAIT: Duration = Duration::from_millis(400);
 
@@ -188,8 +185,7 @@
         queue.drain(..count).collect()
     }
 
-    /// Appends a batch, again and again until the outcome is known: the sequence
-    /// makes repeats harmless.
+    /// Appends a batch until its outcome is known.
     async fn append(&self, batch: &[Entry]) -> Result<(), StoreError> {
         let records: Vec<KeyedRecord> = batch
             .iter()
@@ -197,7 +193,7 @@
             .collect();
         let empty = records.is_empty();
         let sequence = self.next_sequence.get();
-        let mut append = Append {
+        let append = Append {
             partition: self.partition.clone(),
             records,
             producer: Some(Producer {
@@ -206,37 +202,9 @@
                 sequence,
             }),
             expected_end: None,
-            timeout: FIRST_TIMEOUT,
+            timeout: Duration::ZERO,
         };
-        let mut pause = FIRST_PAUSE;
-        let mut failures = 0_u32;
-        loop {
-            // A call that hangs on a silent connection is left once the service is
-            // known to answer again.
-            let result = tokio::select! {
-                result = self.store.append(append.clone()) => result,
-                () = self.contact.regained.notified() => Err(StoreError::Unknown),
-            };
-            match result {
-                Ok(_) => break,
-                Err(StoreError::Fenced) => return Err(StoreError::Fenced),
-                Err(StoreError::Sequence(wanted)) if wanted == sequence + 1 => break,
-                Err(error) => {
-                    failures += 1;
-                    if failures == 1 {
-                        tracing::warn!(event = "append_repeated", topic = self.partition.topic,
-                            partition = self.partition.number, epoch = self.epoch, sequence,
-                            %error);
-                    }
-                    if error == StoreError::Unknown {
-                        append.timeout = (append.timeout * 2).min(LONGEST_TIMEOUT);
-                    }
-                }
-            }
-            let jittered = pause.mul_f64(0.75 + fastrand::f64() / 2.0);
-            let _ = timeout(jittered, self.contact.regained.notified()).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-        }
+        hedge::append(self.store.as_ref(), &self.contact, append).await?;
         if !empty {
             self.next_sequence.set(sequence + 1);
         }
--- a/crates/log/src/contact.rs
+++ b/crates/log/src/contact.rs
@@ -1,11 +1,15 @@
 //! When the log service last answered this daemon.
 
+use crate::round_trip::RoundTrip;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Without an answer for this long the service counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(800);
+/// Calls that failed for less than this wake nobody when one is answered again: where
+/// some partitions are down and others not, failures and answers alternate.
+const OUTAGE_AFTER: Duration = Duration::from_millis(120);
 
 /// Contact with the log service; logs each loss and return once.
 #[derive(Default)]
@@ -16,6 +20,8 @@
     /// Told when the service answers after it had not: what waits for it need not
     /// wait for its own next try.
     pub regained: Notify,
+    /// How long appends take.
+    pub appends: RoundTrip,
     lost: Cell<bool>,
 }
 
@@ -23,7 +29,8 @@
     /// The service answered.
     pub fn answered(&self) {
         self.last_answer.set(Some(Instant::now()));
-        if self.first_failure.take().is_some() {
+        let since = self.first_failure.take();
+        if since.is_some_and(|since| since.elapsed() >= OUTAGE_AFTER) {
             self.regained.notify_waiters();
         }
         if self.lost.replace(false) {
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`ownership`]: the table of owners.
 //! - [`claims`]: learning of owners and becoming one.
 //! - [`appender`]: group commit of one owned partition.
+//! - [`hedge`]: one append, repeated until its outcome is known.
+//! - [`round_trip`]: how long an answer takes.
 //! - [`wire`]: the calls in binary form, for the stand-in.
 
 pub mod api;
@@ -15,5 +17,7 @@
 pub mod claims;
 pub mod contact;
 pub mod follow;
+pub mod hedge;
 pub mod ownership;
+pub mod round_trip;
 pub mod wire;
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -251,6 +251,75 @@
     });
 }
 
+/// Pushes one record, waits until it is durable and says how long that took.
+async fn time_of_append(store: &Rc<MemoryLog>, contact: &Rc<Contact>) -> Duration {
+    let appender = Rc::new(Appender::new(place(), 1, store.clone(), contact.clone()));
+    let running = appender.clone();
+    ntex::rt::spawn(async move {
+        running.run(|_| {}).await;
+    });
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let done = move |outcome| {
+        let _ = sender.send(outcome);
+    };
+    let begun = tokio::time::Instant::now();
+    appender.push(vec![record("k", "v")], Urgency::Now, Box::new(done));
+    assert_eq!(receiver.await, Ok(Outcome::Durable));
+    begun.elapsed()
+}
+
+/// An answer that was lost costs a few usual round trips, not a fixed time-out.
+#[test]
+fn a_lost_answer_is_asked_for_again_soon() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let store = Rc::new(MemoryLog::new(log.clone()));
+        store.set_fault(LogFault::AnswerLost);
+        let healing = store.clone();
+        ntex::rt::spawn(async move {
+            sleep(Duration::from_millis(30)).await;
+            healing.set_fault(LogFault::None);
+        });
+        let took = time_of_append(&store, &Rc::default()).await;
+        assert!(took < Duration::from_millis(140), "{took:?}");
+    });
+}
+
+/// A slow answer is waited for beside the next try, and the next append knows.
+#[test]
+fn a_slow_log_is_not_asked_again_and_again() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let store = Rc::new(MemoryLog::new(log.clone()));
+        let contact = Rc::new(Contact::default());
+        store.set_fault(LogFault::Slow(Duration::from_millis(240)));
+        let took = time_of_append(&store, &contact).await;
+        assert!(took < Duration::from_millis(300), "{took:?}");
+        let before = store.calls.get();
+        time_of_append(&store, &contact).await;
+        assert_eq!(store.calls.get() - before, 1);
+    });
+}
+
+/// While the log is silent, tries go on often enough to find it soon after.
+#[test]
+fn a_silent_log_is_found_again_soon() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let store = Rc::new(MemoryLog::new(log.clone()));
+        store.set_fault(LogFault::Silent);
+        let healing = store.clone();
+        let outage = Duration::from_millis(1_200);
+        ntex::rt::spawn(async move {
+            sleep(outage).await;
+            healing.set_fault(LogFault::None);
+        });
+        let took = time_of_append(&store, &Rc::default()).await;
+        assert!(took < outage + Duration::from_millis(350), "{took:?}");
+        assert!(store.calls.get() < 20, "{} calls", store.calls.get());
+    });
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Push,
