A daemon without the log tells an outage from being cut off

Excluded: the servers (reachable), the owners elsewhere (answering others). Change: while the log is lost a daemon asks three others whether it answers them. Cut off: not ready, and its partitions are claimed by those that reach the log, at its request. Isolated (two rounds without any answer): not ready, new turns are refused at once with a time to come back. Whole outages change nothing. log/src/reach.rs judges, gateway/src/ledger/reach.rs asks. Tests: log/tests/reach.rs, two in gateway/tests/gateway/ownership.rs.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -114,7 +114,8 @@
 
     /// Whether new clients should come here.
     pub fn is_ready(&self) -> bool {
-        self.routes.borrow().is_some() && !self.is_stopping()
+        let better_elsewhere = self.ledger.reach.get().others_are_better_off();
+        self.routes.borrow().is_some() && !self.is_stopping() && !better_elsewhere
     }
 
     /// Whether a planned stop is under way.
@@ -148,6 +149,7 @@
         ntex::rt::spawn(self.owner.claims.clone().run_follow());
         ntex::rt::spawn(self.owner.claims.clone().run_unowned());
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
+        ntex::rt::spawn(crate::ledger::reach::run(self.ledger.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
         Ok(())
     }
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -2,8 +2,10 @@
 //!
 //! - [`owner`]: the partitions owned here.
 //! - [`peer`]: connections between daemons.
+//! - [`reach`]: whether the log is down or this daemon cut off.
 //! - [`client`]: opening and closing turns through owners that may change.
 
 pub mod client;
 pub mod owner;
 pub mod peer;
+pub mod reach;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -3,14 +3,16 @@
 use super::owner::Owner;
 use super::peer::Peers;
 use fieldhook_ledger::message::{
-    CloseTurn, FindChain, KnownOwner, LedgerReply, LedgerRequest, OpenTurn,
+    ClaimPartition, CloseTurn, FindChain, KnownOwner, LedgerReply, LedgerRequest, OpenTurn,
 };
 use fieldhook_ledger::partition_of;
 use fieldhook_log::contact::Contact;
 use fieldhook_log::ownership::Claim;
+use fieldhook_log::reach::{Reach, Round};
 use futures_util::future::join_all;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -24,6 +26,8 @@
 const PEERS_ASKED: usize = 3;
 /// Time that they have to answer.
 const PEER_ANSWER_LIMIT: Duration = Duration::from_millis(120);
+/// Time that they have to claim a partition.
+const CLAIM_ANSWER_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait for news of the owners before looking again.
 const CHANGE_WAIT: Duration = Duration::from_millis(40);
 /// A time-out that fires this much late shows that the process did not run.
@@ -60,8 +64,12 @@
 
 /// Asks owners.
 pub struct LedgerClient {
-    owner: Rc<Owner>,
-    contact: Rc<Contact>,
+    /// The partitions owned here.
+    pub owner: Rc<Owner>,
+    /// Contact with the log.
+    pub contact: Rc<Contact>,
+    /// What this daemon reaches, kept by [`super::reach`].
+    pub reach: Cell<Reach>,
     peers: Peers,
     claiming: RefCell<HashSet<u32>>,
 }
@@ -94,6 +102,7 @@
         Self {
             owner,
             contact,
+            reach: Cell::default(),
             peers: Peers::default(),
             claiming: RefCell::default(),
         }
@@ -240,7 +249,12 @@
         let Some(address) = claim.address else {
             return Exchange::Suspect(Some(claim.epoch));
         };
-        let mut replies = if self.owner.claims.is_mine(&claim) {
+        let mine = self.owner.claims.is_mine(&claim);
+        if mine && self.reach.get() == Reach::CutOff {
+            // Nothing can be appended from here, but others can.
+            return Exchange::Suspect(Some(claim.epoch));
+        }
+        let mut replies = if mine {
             let (sender, replies) = mpsc::unbounded_channel();
             self.owner.handle(request.clone(), sender);
             replies
@@ -293,24 +307,66 @@
             .claims
             .claim(partition)
             .and_then(|claim| claim.address);
+        let question = LedgerRequest::WhoOwns(partition);
+        let answers = self
+            .ask_peers(suspected, &question, PEER_ANSWER_LIMIT)
+            .await;
+        let mut news = false;
+        for answer in answers.into_iter().flatten() {
+            if let LedgerReply::NotOwner(Some(known)) = answer {
+                news |= Some(known.epoch) > epoch && self.learn(partition, &known);
+            }
+        }
+        news
+    }
+
+    /// Asks some daemons, chosen at random, the same question at once; `None` stands for
+    /// one that did not answer.
+    async fn ask_peers(
+        &self,
+        except: Option<SocketAddr>,
+        question: &LedgerRequest,
+        limit: Duration,
+    ) -> Vec<Option<LedgerReply>> {
         let mut others = self.owner.claims.addresses();
-        others.retain(|other| *other != self.owner.claims.address && Some(*other) != suspected);
+        others.retain(|other| *other != self.owner.claims.address && Some(*other) != except);
         fastrand::shuffle(&mut others);
         let asked = others
             .into_iter()
             .take(PEERS_ASKED)
             .map(|other| async move {
-                let connection = self.peers.connection(other).await.ok()?;
-                let mut replies = connection.call(LedgerRequest::WhoOwns(partition));
-                match timeout(PEER_ANSWER_LIMIT, replies.recv()).await {
-                    Ok(Some(LedgerReply::NotOwner(known))) => known,
-                    _ => None,
-                }
+                let exchange = async {
+                    let connection = self.peers.connection(other).await.ok()?;
+                    connection.call(question.clone()).recv().await
+                };
+                timeout(limit, exchange).await.ok().flatten()
             });
-        let known = join_all(asked).await;
+        join_all(asked).await
+    }
+
+    /// Asks some daemons whether the log answers them.
+    pub async fn ask_who_reaches_log(&self) -> Round {
+        let answers = self
+            .ask_peers(None, &LedgerRequest::HasLog, PEER_ANSWER_LIMIT)
+            .await;
+        let reach_log = |answer: &&LedgerReply| matches!(answer, LedgerReply::HasLog(true));
+        Round::Asked {
+            asked: answers.len(),
+            answered: answers.iter().flatten().count(),
+            reach_log: answers.iter().flatten().filter(reach_log).count(),
+        }
+    }
+
+    /// Asks daemons that reach the log to claim a partition. True if there is a newer
+    /// owner.
+    async fn have_it_claimed(&self, partition: u32, epoch: u64) -> bool {
+        let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
+        let answers = self.ask_peers(None, &question, CLAIM_ANSWER_LIMIT).await;
         let mut news = false;
-        for known in known.into_iter().flatten() {
-            news |= Some(known.epoch) > epoch && self.learn(partition, &known);
+        for answer in answers.into_iter().flatten() {
+            if let LedgerReply::NotOwner(Some(known)) = answer {
+                news |= self.learn(partition, &known);
+            }
         }
         news
     }
@@ -332,6 +388,12 @@
         if self.contact.failing() && self.learn_from_peers(partition, epoch).await {
             return;
         }
+        if self.reach.get() == Reach::CutOff
+            && let Some(epoch) = epoch
+            && self.have_it_claimed(partition, epoch).await
+        {
+            return;
+        }
         if self.contact.failing() || !self.claiming.borrow_mut().insert(partition) {
             let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
             return;
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -2,7 +2,9 @@
 
 use crate::daemon::unix_ms;
 use crate::metrics::Metrics;
-use fieldhook_ledger::message::{CloseTurn, KnownOwner, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{
+    ClaimPartition, CloseTurn, KnownOwner, LedgerReply, LedgerRequest, OpenTurn,
+};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
 use fieldhook_log::api::{KeyedRecord, LogStore, Partition as LogPartition, StoreError};
@@ -23,6 +25,9 @@
 pub const OWNERS_TOPIC: &str = "keyed.fieldhook-owners";
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 const LOAD_PAUSE: Duration = Duration::from_millis(30);
+/// An answer of the log counts as fresh for this long: less than a daemon takes to hold
+/// the log for lost, so that nobody vouches for it by an answer from before the outage.
+const FRESH: Duration = Duration::from_millis(800);
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
 
 /// An answer that is due once what is queued before it is durable.
@@ -93,18 +98,36 @@
     }
 
     /// Answers a request; answers go to `sender`, [`LedgerReply::Durable`] last.
-    pub fn handle(&self, request: LedgerRequest, sender: mpsc::UnboundedSender<LedgerReply>) {
+    pub fn handle(
+        self: &Rc<Self>,
+        request: LedgerRequest,
+        sender: mpsc::UnboundedSender<LedgerReply>,
+    ) {
         let partition = request.partition(self.claims.partitions());
-        let held = self.held.borrow();
-        match held.get(&partition) {
-            Some(Hold::Serving(owned)) => match request {
-                LedgerRequest::Open(open) => owned.open(&open, sender),
-                LedgerRequest::Close(close) => owned.close(&close, sender),
-                LedgerRequest::Find(find) => owned.find(&find.turn, sender),
-                LedgerRequest::WhoOwns(_) => {
-                    let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
-                }
-            },
+        match request {
+            LedgerRequest::HasLog => {
+                let has_log = self.contact.within(FRESH) && !self.contact.failing();
+                let _ = sender.send(LedgerReply::HasLog(has_log));
+            }
+            LedgerRequest::Claim(claim) => {
+                ntex::rt::spawn(claim_for_another(self.clone(), claim, sender));
+            }
+            LedgerRequest::WhoOwns(_) => {
+                let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
+            }
+            request => self.handle_held(partition, request, sender),
+        }
+    }
+
+    /// Answers a request that only the partition's owner can answer.
+    fn handle_held(
+        &self,
+        partition: u32,
+        request: LedgerRequest,
+        sender: mpsc::UnboundedSender<LedgerReply>,
+    ) {
+        match self.held.borrow().get(&partition) {
+            Some(Hold::Serving(owned)) => owned.handle(request, sender),
             Some(Hold::Loading(_)) => {
                 let _ = sender.send(LedgerReply::Unavailable);
             }
@@ -183,6 +206,15 @@
 }
 
 impl Owned {
+    fn handle(&self, request: LedgerRequest, sender: mpsc::UnboundedSender<LedgerReply>) {
+        match request {
+            LedgerRequest::Open(open) => self.open(&open, sender),
+            LedgerRequest::Close(close) => self.close(&close, sender),
+            LedgerRequest::Find(find) => self.find(&find.turn, sender),
+            LedgerRequest::WhoOwns(_) | LedgerRequest::HasLog | LedgerRequest::Claim(_) => {}
+        }
+    }
+
     fn open(&self, open: &OpenTurn, sender: mpsc::UnboundedSender<LedgerReply>) {
         let outcome = self.state.borrow_mut().open(open, unix_ms());
         match outcome {
@@ -266,6 +298,23 @@
     }
 }
 
+/// Claims a partition for a daemon that is cut off the log, and tells it the owner.
+async fn claim_for_another(
+    owner: Rc<Owner>,
+    claim: ClaimPartition,
+    sender: mpsc::UnboundedSender<LedgerReply>,
+) {
+    let partition = claim.partition;
+    let claimed = owner.claims.take_over(partition, Some(claim.epoch)).await;
+    tracing::info!(
+        event = "claimed_for_another",
+        partition,
+        epoch = claim.epoch,
+        ?claimed
+    );
+    let _ = sender.send(LedgerReply::NotOwner(owner.known_owner(partition)));
+}
+
 /// Reads a claimed partition and serves it until it is lost.
 async fn hold(owner: Rc<Owner>, partition: u32, epoch: u64) {
     let started = Instant::now();
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -7,6 +7,7 @@
 use crate::metrics::Metrics;
 use bytes::{Bytes, BytesMut};
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
+use fieldhook_log::reach::Reach;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -68,6 +69,17 @@
     };
     let started = Instant::now();
     let ledger = context.daemon.ledger.clone();
+    if ledger.reach.get() == Reach::Isolated {
+        // No owner can be asked from here, and none could become one.
+        tracing::info!(
+            event = "turn_refused",
+            request = meta.id,
+            program = meta.program,
+            cause = "isolated",
+            log_age_ms = ledger.contact.age_ms()
+        );
+        return Err(TurnRefusal::Unavailable);
+    }
     let result = ledger.open(&mut request, context.deadline).await;
     let took = started.elapsed();
     context
--- a/crates/gateway/tests/gateway/ownership.rs
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{Act, Gateway, Server, World, run};
 use fieldhook_emulator::log::memory::LogFault;
+use fieldhook_log::reach::Reach;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -125,3 +126,60 @@
         );
     });
 }
+
+async fn wait_for_reach(gateway: &Gateway, reach: Reach) {
+    let begun = Instant::now();
+    while gateway.daemon.ledger.reach.get() != reach {
+        assert!(begun.elapsed() < Duration::from_secs(4), "never {reach:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A gateway whose calls to the log are not answered, and that has noticed.
+async fn cut_off(gateway: &Gateway) {
+    gateway.store.set_fault(LogFault::Silent);
+    gateway.daemon.contact.failed();
+    sleep(Duration::from_millis(850)).await;
+    gateway.daemon.contact.failed();
+}
+
+#[test]
+fn an_owner_that_is_cut_off_has_its_partition_claimed_by_one_that_is_not() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        other.daemon.contact.answered();
+        cut_off(&owner).await;
+        wait_for_reach(&owner, Reach::CutOff).await;
+        assert!(!owner.daemon.is_ready(), "clients should go elsewhere");
+        other.daemon.contact.answered();
+        // Nobody asks the other gateway: the one that is cut off does.
+        let begun = Instant::now();
+        assert_eq!(turn(&owner, "t2", Some("t1")).await, (200, true));
+        assert!(begun.elapsed() < Duration::from_millis(600));
+    });
+}
+
+#[test]
+fn a_gateway_that_reaches_nobody_says_so_at_once() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        let partition = fieldhook_ledger::partition_of("p", 2);
+        let claim = other.daemon.owner.claims.claim(partition);
+        assert!(claim.is_some_and(|claim| owner.daemon.owner.claims.is_mine(&claim)));
+        cut_off(&other).await;
+        wait_for_reach(&other, Reach::Outage).await;
+        // The peers of the test answer, but this one is told otherwise.
+        other.daemon.ledger.reach.set(Reach::Isolated);
+        let begun = Instant::now();
+        let fields = "Request: t2\r\nProgram: p\r\n";
+        let reply = other.ask("POST", "/chat/1", fields, "x").await;
+        assert_eq!(reply.head.status, 503);
+        assert!(reply.head.headers.has("come-back-ms"));
+        assert!(begun.elapsed() < Duration::from_millis(100));
+        assert!(!other.daemon.is_ready());
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -63,6 +63,15 @@
     pub turn: String,
 }
 
+/// A partition to be claimed for one that cannot.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ClaimPartition {
+    /// Partition.
+    pub partition: u32,
+    /// Epoch of the owner that is to be replaced.
+    pub epoch: u64,
+}
+
 /// A request of a gateway to an owner.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum LedgerRequest {
@@ -74,6 +83,11 @@
     Find(FindChain),
     /// Tell who owns a partition, as far as known.
     WhoOwns(u32),
+    /// Tell whether the log answers you.
+    HasLog,
+    /// Claim a partition from the owner of this epoch: the sender is cut off the log,
+    /// so that it can neither append nor claim.
+    Claim(ClaimPartition),
 }
 
 impl LedgerRequest {
@@ -84,6 +98,8 @@
             Self::Close(close) => partition_of(&close.program, partitions),
             Self::Find(find) => find.partition,
             Self::WhoOwns(partition) => *partition,
+            Self::Claim(claim) => claim.partition,
+            Self::HasLog => 0,
         }
     }
 }
@@ -122,6 +138,8 @@
     Closed,
     /// This daemon does not own the partition; who does, as far as it knows.
     NotOwner(Option<KnownOwner>),
+    /// Whether the log answers the daemon that was asked.
+    HasLog(bool),
     /// The owner cannot tell now; nothing was done.
     Unavailable,
 }
