--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,7 @@
 use ntex::web::{self, HttpServer};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 
@@ -109,7 +110,7 @@
     node.claims
         .set_on_change(Rc::new(move |shard| act_on_claim(&claimed, shard as u16)));
     ntex::rt::spawn(node.claims.clone().run_follow());
-    ntex::rt::spawn(node.claims.clone().run_unowned());
+    ntex::rt::spawn(node.claims.clone().run_unowned(Duration::ZERO));
     ntex::rt::spawn(run_management(node.clone()));
     ntex::rt::spawn(run_upkeep(node.clone()));
     ntex::rt::spawn(config_follow::run_config_from_log(node.clone()));
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -83,9 +83,8 @@
             adapter.store.clone(),
             adapter.contact.clone(),
             adapter.metrics.clone(),
-            settings.peers,
+            &settings,
             incarnation,
-            settings.partitions,
         );
         let ledger = Rc::new(LedgerClient::new(owner.clone(), adapter.contact.clone()));
         Rc::new(Self {
@@ -147,7 +146,8 @@
         ntex::rt::spawn(crate::follow::config::run(self.clone()));
         ntex::rt::spawn(crate::follow::servers::run(self.clone()));
         ntex::rt::spawn(self.owner.claims.clone().run_follow());
-        ntex::rt::spawn(self.owner.claims.clone().run_unowned());
+        let patience = self.owner.patience();
+        ntex::rt::spawn(self.owner.claims.clone().run_unowned(patience));
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
         ntex::rt::spawn(crate::ledger::reach::run(self.ledger.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -403,6 +403,7 @@
             claiming: &self.claiming,
             partition,
         };
+        sleep(self.owner.patience()).await;
         if self.owner.claims.take_over(partition, epoch).await.is_err() {
             sleep(PAUSE).await;
         }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -3,6 +3,7 @@
 use super::load::Load;
 use crate::daemon::unix_ms;
 use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
 use fieldhook_ledger::message::{
     ClaimPartition, CloseTurn, KnownOwner, LedgerReply, LedgerRequest, OpenTurn,
 };
@@ -12,9 +13,9 @@
 use fieldhook_log::appender::{AppendEnd, Appender, Outcome, Urgency};
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
+use fieldhook_log::patience::{Capacity, before_claim};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
@@ -56,6 +57,7 @@
     contact: Rc<Contact>,
     metrics: Rc<Metrics>,
     held: RefCell<HashMap<u32, Hold>>,
+    capacity: Capacity,
     /// Held while a partition is read.
     reading: Mutex<()>,
 }
@@ -66,16 +68,15 @@
         store: Rc<dyn LogStore>,
         contact: Rc<Contact>,
         metrics: Rc<Metrics>,
-        address: SocketAddr,
+        settings: &GatewaySettings,
         incarnation: u64,
-        partitions: u32,
     ) -> Rc<Self> {
         let claims = Claims::new(
             store.clone(),
             contact.clone(),
             OWNERS_TOPIC,
-            partitions,
-            address,
+            settings.partitions,
+            settings.peers,
             incarnation,
         );
         let owner = Rc::new(Self {
@@ -84,6 +85,7 @@
             contact,
             metrics,
             held: RefCell::default(),
+            capacity: settings.capacity,
             reading: Mutex::default(),
         });
         let weak = Rc::downgrade(&owner);
@@ -95,6 +97,15 @@
         owner
     }
 
+    /// Time to let others go first before a claim.
+    pub fn patience(&self) -> Duration {
+        let held = self.held.borrow();
+        let reading = held
+            .values()
+            .filter(|hold| matches!(hold, Hold::Loading(_)));
+        before_claim(self.capacity, reading.count() as u32)
+    }
+
     /// Whether a partition is held but not read yet.
     pub fn is_loading(&self, partition: u32) -> bool {
         matches!(self.held.borrow().get(&partition), Some(Hold::Loading(_)))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,10 @@
 //! What a daemon is told at its start.
 
+use fieldhook_log::patience::Capacity;
 use std::net::SocketAddr;
 
 /// Settings of a gateway, checked by the adapter that read them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// Name of the machine, for logs.
     pub name: String,
@@ -21,6 +22,8 @@
     pub metrics: SocketAddr,
     /// Partitions of a topic.
     pub partitions: u32,
+    /// What the machine gives the process.
+    pub capacity: Capacity,
     /// Time between SIGTERM and SIGKILL, in milliseconds.
     pub grace_ms: u64,
 }
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -11,6 +11,7 @@
 use fieldhook_gateway::settings::GatewaySettings;
 use fieldhook_log::api::{Append, KeyedRecord, LogStore, Partition};
 use fieldhook_log::contact::Contact;
+use fieldhook_log::patience::Capacity;
 use fieldhook_traffic::config::{
     Limits, Route, RouteKind, Service, TrafficConfig, WeightedService,
 };
@@ -464,6 +465,7 @@
             peers: at(2),
             metrics: at(3),
             partitions: 2,
+            capacity: Capacity::default(),
             grace_ms: 4_000,
         };
         let address = settings.clients;
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -264,12 +264,12 @@
     }
 
     /// Claims partitions that nobody owns, soon after the start of the daemons: those
-    /// that own fewer come first.
-    pub async fn run_unowned(self: Rc<Self>) {
+    /// that own fewer come first, and each waits longer by its `patience`.
+    pub async fn run_unowned(self: Rc<Self>, patience: Duration) {
         loop {
             let owned = self.ownership.borrow().count(|claim| self.is_mine(claim)) as u32;
             let jitter = Duration::from_millis(fastrand::u64(0..DELAY_JITTER_MS));
-            sleep(DELAY_PER_PARTITION * (owned + 1) + jitter).await;
+            sleep(DELAY_PER_PARTITION * (owned + 1) + patience * 4 + jitter).await;
             if self.released.get() {
                 return;
             }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`claims`]: learning of owners and becoming one.
 //! - [`appender`]: group commit of one owned partition.
 //! - [`hedge`]: one append, repeated until its outcome is known.
+//! - [`patience`]: who claims first.
 //! - [`reach`]: whether the log is down or this daemon cut off.
 //! - [`round_trip`]: how long an answer takes.
 //! - [`wire`]: the calls in binary form, for the stand-in.
@@ -20,6 +21,7 @@
 pub mod follow;
 pub mod hedge;
 pub mod ownership;
+pub mod patience;
 pub mod reach;
 pub mod round_trip;
 pub mod wire;
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -158,7 +158,7 @@
         let log = Rc::new(SharedLog::default());
         let daemons: Vec<Daemon> = (1..=4).map(|number| daemon(&log, number)).collect();
         for daemon in &daemons {
-            ntex::rt::spawn(daemon.claims.clone().run_unowned());
+            ntex::rt::spawn(daemon.claims.clone().run_unowned(Duration::ZERO));
         }
         sleep(Duration::from_millis(1_500)).await;
         for partition in 0..PARTITIONS {
