--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -33,7 +33,8 @@
     Programs(ProgramsArguments),
     /// List engines; drain one by publishing configuration.
     Engines(EnginesArguments),
-    /// Say which rules let which machines serve a program.
+    /// Say which rules let which machines serve a program or, with --logs, what
+    /// became of a request.
     Explain(ExplainArguments),
 }
 
@@ -139,14 +140,17 @@
     pub program: String,
 }
 
-/// A program to explain.
+/// A program or request to explain.
 #[derive(Debug, Options)]
 pub struct ExplainArguments {
     /// Show this help.
     pub help: bool,
-    /// Identifier.
+    /// Identifier of a program or, with --logs, of a request or program.
     #[options(free, required)]
-    pub program: String,
+    pub id: String,
+    /// Log lines of a daemon; `-` is standard input. May be given more than once.
+    #[options(no_short, meta = "FILE")]
+    pub logs: Vec<String>,
 }
 
 /// Engine commands.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod output;
 mod programs;
 mod status;
+mod story;
 
 use arguments::{Arguments, Command};
 use error::ClientError;
@@ -35,7 +36,10 @@
         Some(Command::Shards(_)) => status::show_shards(&connection).await,
         Some(Command::Programs(command)) => programs::run(&connection, command).await,
         Some(Command::Engines(command)) => engines::run(&connection, command).await,
-        Some(Command::Explain(options)) => programs::explain(&connection, &options.program).await,
+        Some(Command::Explain(options)) if !options.logs.is_empty() => {
+            story::tell(&options.id, &options.logs)
+        }
+        Some(Command::Explain(options)) => programs::explain(&connection, &options.id).await,
         None => Err(ClientError::Usage(
             "name a command; see fieldhook --help".to_owned(),
         )),
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,86 @@
+//! `fieldhook explain ID --logs FILE`: the story of a request across daemons.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+/// Two daemons: the gateway that the client asked, and the owner of partition 3.
+const LINES: &str = r#"
+frontend-a {"timestamp":"2026-01-01T00:00:01.000000Z","event":"store_lost","age_ms":900}
+frontend-b {"timestamp":"2026-01-01T00:00:01.100000Z","event":"store_lost","age_ms":900}
+frontend-a {"timestamp":"2026-01-01T00:00:02.000000Z","event":"store_regained"}
+frontend-c {"timestamp":"2026-01-01T00:00:02.500000Z","event":"partition_owned","partition":3,"turns":7}
+frontend-c {"timestamp":"2026-01-01T00:00:02.600000Z","event":"partition_owned","partition":4,"turns":8}
+frontend-a {"timestamp":"2026-01-01T00:00:03.200000Z","event":"answered_here","request":"r1","program":"p1","status":503,"cause":"no server"}
+frontend-a {"timestamp":"2026-01-01T00:00:03.000000Z","event":"turn_opened","request":"r1","program":"p1","partition":3}
+frontend-a {"timestamp":"2026-01-01T00:00:03.100000Z","event":"attempt_failed","request":"r1","server":"i-1","outcome":"not_run"}
+frontend-b {"timestamp":"2026-01-01T00:00:03.150000Z","event":"server_gone","server":"i-1"}
+frontend-b {"timestamp":"2026-01-01T00:00:03.160000Z","event":"server_gone","server":"i-2"}
+frontend-b {"timestamp":"2026-01-01T00:00:04.000000Z","event":"turn_opened","request":"r2","program":"p1","partition":3}
+not a line of ours {
+"#;
+
+fn explain(id: &str) -> Output {
+    let mut process = Command::new(env!("CARGO_BIN_EXE_fieldhook"))
+        .args(["explain", id, "--logs", "-"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let mut input = process.stdin.take().expect("standard input");
+    input.write_all(LINES.as_bytes()).expect("written");
+    drop(input);
+    process.wait_with_output().expect("ends")
+}
+
+fn events(output: &Output) -> Vec<String> {
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let line = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let first = usize::from(words[0] == "~");
+        format!("{} {}", words[first + 1], words[first + 2])
+    };
+    let lines: Vec<&str> = text.lines().collect();
+    let (_, story) = lines.split_last().expect("a last line that counts");
+    story.iter().map(|text| line(text)).collect()
+}
+
+#[test]
+fn a_request_is_told_in_order_with_what_was_believed() {
+    let output = explain("r1");
+    assert!(output.status.success());
+    assert_eq!(
+        events(&output),
+        [
+            "frontend-a store_regained",
+            "frontend-c partition_owned",
+            "frontend-a turn_opened",
+            "frontend-a attempt_failed",
+            "frontend-b server_gone",
+            "frontend-a answered_here",
+        ]
+    );
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.contains("status=503 cause=no server") || text.contains("cause=no server"));
+    assert!(!text.contains("i-2") && !text.contains("partition=4"));
+}
+
+#[test]
+fn a_program_is_told_with_all_its_requests() {
+    let output = explain("p1");
+    let events = events(&output);
+    assert!(events.contains(&"frontend-a answered_here".to_owned()));
+    assert!(events.contains(&"frontend-b turn_opened".to_owned()));
+}
+
+#[test]
+fn an_unknown_request_and_an_unreadable_file_say_what_to_do() {
+    let unknown = explain("r9");
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("give the logs of all daemons"));
+    let missing = Command::new(env!("CARGO_BIN_EXE_fieldhook"))
+        .args(["explain", "r1", "--logs", "/no/such/file"])
+        .output()
+        .expect("runs");
+    assert_eq!(missing.status.code(), Some(2));
+}
