Lines for doubts about owners; a refused turn and a client that left name their partition

Cause: used on real lines, explain showed nothing between a turn's refusal (738 ms) and its cause: neither line named the partition, and a gateway's belief that an owner is gone, silent or still reading was not said. Now owner_doubted says it once for each owner and state.

--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -12,12 +12,13 @@
 use std::io::{BufRead, BufReader, stdin};
 
 /// Lines that tell what a daemon believes, not what it did with a request.
-const BELIEFS: [&str; 14] = [
+const BELIEFS: [&str; 15] = [
     "append_repeated",
     "claimed_for_another",
     "config_in_force",
     "config_unreadable",
     "load_delayed",
+    "owner_doubted",
     "partition_claimed",
     "partition_given_up",
     "partition_lost",
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -11,7 +11,7 @@
 use fieldhook_log::reach::{Reach, Round};
 use futures_util::future::join_all;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,6 +72,8 @@
     pub reach: Cell<Reach>,
     peers: Peers,
     claiming: RefCell<HashSet<u32>>,
+    /// Doubts that were said, by partition: each is said once.
+    doubts: RefCell<HashMap<u32, Doubt>>,
 }
 
 struct ClaimGuard<'a> {
@@ -92,10 +94,27 @@
     Suspect(Option<u64>),
     /// The owner does not answer; its claim had this epoch.
     Silent(u64),
+    /// The owner has claimed the partition and reads it; its claim has this epoch.
+    Loading(u64),
     /// Ask again after news.
     Again,
 }
 
+impl Exchange {
+    /// What the exchange showed about the owner, if that is doubtful.
+    fn doubt(&self) -> Option<Doubt> {
+        match self {
+            Self::Suspect(epoch) => Some((*epoch, "gone")),
+            Self::Silent(epoch) => Some((Some(*epoch), "silent")),
+            Self::Loading(epoch) => Some((Some(*epoch), "reading")),
+            Self::Answered(..) | Self::Again => None,
+        }
+    }
+}
+
+/// Epoch of an owner and what is wrong with it.
+type Doubt = (Option<u64>, &'static str);
+
 impl LedgerClient {
     /// A client beside this daemon's own partitions.
     pub fn new(owner: Rc<Owner>, contact: Rc<Contact>) -> Self {
@@ -105,6 +124,7 @@
             reach: Cell::default(),
             peers: Peers::default(),
             claiming: RefCell::default(),
+            doubts: RefCell::default(),
         }
     }
 
@@ -221,10 +241,12 @@
         let partition = request.partition(self.owner.claims.partitions());
         loop {
             let exchange = self.exchange(partition, request, answer_limit);
-            match timeout_at(deadline, exchange).await {
+            let exchange = timeout_at(deadline, exchange).await;
+            self.note(partition, exchange.as_ref().ok());
+            match exchange {
                 Err(_) => return None,
                 Ok(Exchange::Answered(reply, replies)) => return Some((reply, replies)),
-                Ok(Exchange::Again) => {
+                Ok(Exchange::Again | Exchange::Loading(_)) => {
                     let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
                 }
                 Ok(Exchange::Suspect(epoch)) => self.replace(partition, epoch).await,
@@ -236,6 +258,23 @@
         }
     }
 
+    /// Says a new doubt about the owner of a partition.
+    fn note(&self, partition: u32, exchange: Option<&Exchange>) {
+        let Some(exchange) = exchange else {
+            return;
+        };
+        let mut doubts = self.doubts.borrow_mut();
+        let Some(doubt) = exchange.doubt() else {
+            doubts.remove(&partition);
+            return;
+        };
+        if doubts.insert(partition, doubt) != Some(doubt) {
+            let (epoch, state) = doubt;
+            let log_age_ms = self.contact.age_ms();
+            tracing::info!(event = "owner_doubted", partition, epoch, state, log_age_ms);
+        }
+    }
+
     async fn exchange(
         &self,
         partition: u32,
@@ -278,7 +317,7 @@
             Err(_) => return Exchange::Silent(claim.epoch),
         };
         match reply {
-            LedgerReply::Unavailable => Exchange::Again,
+            LedgerReply::Unavailable => Exchange::Loading(claim.epoch),
             LedgerReply::NotOwner(Some(known)) if self.learn(partition, &known) => Exchange::Again,
             LedgerReply::NotOwner(_) if self.owner.claims.is_mine(&claim) => Exchange::Again,
             LedgerReply::NotOwner(_) => Exchange::Suspect(Some(claim.epoch)),
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -87,12 +87,15 @@
     daemon.in_flight.set(daemon.in_flight.get() + 1);
     daemon.metrics.in_flight.inc();
     let read = daemon.dialect.request(&request.head.headers);
-    let id = read.map(|meta| meta.id).unwrap_or_default();
+    let (id, program) = read.map(|meta| (meta.id, meta.program)).unwrap_or_default();
+    let partition = program
+        .as_deref()
+        .map(|program| daemon.ledger.partition_of(program));
     // The client's close drops the request with its connection to the server.
     let served = tokio::select! {
         served = request::handle(daemon, request, writer) => served,
         () = reader.wait_closed() => {
-            tracing::info!(event = "client_gone", request = id,
+            tracing::info!(event = "client_gone", request = id, program, partition,
                 after_ms = started.elapsed().as_millis() as u64);
             Served::Abandon
         }
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -112,8 +112,9 @@
             }))
         }
         Err(failure) => {
+            let partition = ledger.partition_of(&request.program);
             tracing::info!(event = "turn_refused", request = meta.id, program = meta.program,
-                previous = meta.previous, budget = meta.budget, most = meta.most_tokens,
+                partition, previous = meta.previous, budget = meta.budget, most = meta.most_tokens,
                 cause = ?failure, took_ms = took.as_millis() as u64);
             Err(match failure {
                 OpenFailure::BudgetSpent => TurnRefusal::BudgetSpent,
