--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -1,13 +1,17 @@
 //! Who owns which partition of the ledger, and how a gateway asks the owner.
 //!
 //! - [`load`]: reading a claimed partition.
-//! - [`owner`]: the partitions owned here.
+//! - [`owner`]: the partitions owned here; `owned`: one of them.
 //! - [`peer`]: connections between daemons.
 //! - [`reach`]: whether the log is down or this daemon cut off.
-//! - [`client`]: opening and closing turns through owners that may change.
+//! - [`client`]: opening and closing turns through owners that may change; `exchange`:
+//!   one question to an owner; `replace`: finding or becoming the next one.
 
 pub mod client;
+mod exchange;
 pub mod load;
+mod owned;
 pub mod owner;
 pub mod peer;
 pub mod reach;
+mod replace;
--- /dev/null
+++ b/crates/gateway/src/ledger/exchange.rs
@@ -0,0 +1,109 @@
+//! One question to the owner of a partition, and what its silence may mean.
+
+use super::client::LedgerClient;
+use fieldhook_ledger::message::{LedgerReply, LedgerRequest};
+use fieldhook_log::reach::Reach;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+/// A time-out that fires this much late shows that the process did not run.
+const WOKEN_AFTER: Duration = Duration::from_millis(150);
+
+/// One exchange with whoever owns the partition.
+pub(super) enum Exchange {
+    Answered(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>),
+    /// The owner is gone, or does not hold the partition; its claim had this epoch.
+    Suspect(Option<u64>),
+    /// The owner does not answer; its claim had this epoch.
+    Silent(u64),
+    /// The owner has claimed the partition and reads it; its claim has this epoch.
+    Loading(u64),
+    /// Ask again after news.
+    Again,
+}
+
+impl Exchange {
+    /// What the exchange showed about the owner, if that is doubtful.
+    fn doubt(&self) -> Option<Doubt> {
+        match self {
+            Self::Suspect(epoch) => Some((*epoch, "gone")),
+            Self::Silent(epoch) => Some((Some(*epoch), "silent")),
+            Self::Loading(epoch) => Some((Some(*epoch), "reading")),
+            Self::Answered(..) | Self::Again => None,
+        }
+    }
+}
+
+/// Epoch of an owner and what is wrong with it.
+pub(super) type Doubt = (Option<u64>, &'static str);
+
+impl LedgerClient {
+    /// Says a new doubt about the owner of a partition.
+    pub(super) fn note(&self, partition: u32, exchange: Option<&Exchange>) {
+        let Some(exchange) = exchange else {
+            return;
+        };
+        let mut doubts = self.doubts.borrow_mut();
+        let Some(doubt) = exchange.doubt() else {
+            doubts.remove(&partition);
+            return;
+        };
+        if doubts.insert(partition, doubt) != Some(doubt) {
+            let (epoch, state) = doubt;
+            let log_age_ms = self.contact.age_ms();
+            tracing::info!(event = "owner_doubted", partition, epoch, state, log_age_ms);
+        }
+    }
+
+    /// Asks whoever owns the partition, as far as known, once.
+    pub(super) async fn exchange(
+        &self,
+        partition: u32,
+        request: &LedgerRequest,
+        answer_limit: Duration,
+    ) -> Exchange {
+        let claim = self.owner.claims.claim(partition);
+        let Some(claim) = claim else {
+            return Exchange::Suspect(None);
+        };
+        let Some(address) = claim.address else {
+            return Exchange::Suspect(Some(claim.epoch));
+        };
+        let mine = self.owner.claims.is_mine(&claim);
+        if mine && self.reach.get() == Reach::CutOff {
+            // Nothing can be appended from here, but others can.
+            return Exchange::Suspect(Some(claim.epoch));
+        }
+        let mut replies = if mine {
+            let (sender, replies) = mpsc::unbounded_channel();
+            self.owner.handle(request.clone(), sender);
+            replies
+        } else if address == self.owner.claims.address {
+            return Exchange::Suspect(Some(claim.epoch));
+        } else {
+            match self.peers.connection(address).await {
+                Ok(connection) => connection.call(request.clone()),
+                Err(_) => return Exchange::Suspect(Some(claim.epoch)),
+            }
+        };
+        let asked = Instant::now();
+        let reply = match timeout(answer_limit, replies.recv()).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => {
+                self.peers.forget(address);
+                return Exchange::Suspect(Some(claim.epoch));
+            }
+            // Woken from a freeze, this process is what was late.
+            Err(_) if asked.elapsed() > answer_limit + WOKEN_AFTER => return Exchange::Again,
+            Err(_) => return Exchange::Silent(claim.epoch),
+        };
+        match reply {
+            LedgerReply::Unavailable => Exchange::Loading(claim.epoch),
+            LedgerReply::NotOwner(Some(known)) if self.learn(partition, &known) => Exchange::Again,
+            LedgerReply::NotOwner(_) if self.owner.claims.is_mine(&claim) => Exchange::Again,
+            LedgerReply::NotOwner(_) => Exchange::Suspect(Some(claim.epoch)),
+            reply => Exchange::Answered(reply, replies),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ledger/replace.rs
@@ -0,0 +1,158 @@
+//! Finding or becoming the next owner of a partition whose owner does not answer.
+
+use super::client::{CHANGE_WAIT, LedgerClient, PAUSE};
+use fieldhook_ledger::message::{ClaimPartition, KnownOwner, LedgerReply, LedgerRequest};
+use fieldhook_log::ownership::Claim;
+use fieldhook_log::reach::{Reach, Round};
+use futures_util::future::join_all;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Daemons that are asked who owns a partition.
+const PEERS_ASKED: usize = 3;
+/// Time that they have to answer.
+const PEER_ANSWER_LIMIT: Duration = Duration::from_millis(120);
+/// Time that they have to claim a partition.
+const CLAIM_ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Time without a failed call of the log after which a silent owner is suspected.
+const STEADY: Duration = Duration::from_millis(800);
+
+struct ClaimGuard<'a> {
+    claiming: &'a RefCell<HashSet<u32>>,
+    partition: u32,
+}
+
+impl Drop for ClaimGuard<'_> {
+    fn drop(&mut self) {
+        self.claiming.borrow_mut().remove(&self.partition);
+    }
+}
+
+impl LedgerClient {
+    /// Takes in what another daemon knows of an owner. True if it was news.
+    pub(super) fn learn(&self, partition: u32, known: &KnownOwner) -> bool {
+        let Ok(address) = known.address.parse() else {
+            return false;
+        };
+        let claim = Claim {
+            address: Some(address),
+            incarnation: known.incarnation,
+            epoch: known.epoch,
+            has_former: true,
+        };
+        self.owner.claims.learn(partition, claim)
+    }
+
+    /// Asks some other owners who owns a partition: a daemon that is cut off the log
+    /// does not hear of claims. True if one knew a newer owner.
+    async fn learn_from_peers(&self, partition: u32, epoch: Option<u64>) -> bool {
+        let suspected = self
+            .owner
+            .claims
+            .claim(partition)
+            .and_then(|claim| claim.address);
+        let question = LedgerRequest::WhoOwns(partition);
+        let answers = self
+            .ask_peers(suspected, &question, PEER_ANSWER_LIMIT)
+            .await;
+        let mut news = false;
+        for answer in answers.into_iter().flatten() {
+            if let LedgerReply::NotOwner(Some(known)) = answer {
+                news |= Some(known.epoch) > epoch && self.learn(partition, &known);
+            }
+        }
+        news
+    }
+
+    /// Asks some daemons, chosen at random, the same question at once; `None` stands for
+    /// one that did not answer.
+    async fn ask_peers(
+        &self,
+        except: Option<SocketAddr>,
+        question: &LedgerRequest,
+        limit: Duration,
+    ) -> Vec<Option<LedgerReply>> {
+        let mut others = self.owner.claims.addresses();
+        others.retain(|other| *other != self.owner.claims.address && Some(*other) != except);
+        fastrand::shuffle(&mut others);
+        let asked = others
+            .into_iter()
+            .take(PEERS_ASKED)
+            .map(|other| async move {
+                let exchange = async {
+                    let connection = self.peers.connection(other).await.ok()?;
+                    connection.call(question.clone()).recv().await
+                };
+                timeout(limit, exchange).await.ok().flatten()
+            });
+        join_all(asked).await
+    }
+
+    /// Asks some daemons whether the log answers them.
+    pub async fn ask_who_reaches_log(&self) -> Round {
+        let answers = self
+            .ask_peers(None, &LedgerRequest::HasLog, PEER_ANSWER_LIMIT)
+            .await;
+        let reach_log = |answer: &&LedgerReply| matches!(answer, LedgerReply::HasLog(true));
+        Round::Asked {
+            asked: answers.len(),
+            answered: answers.iter().flatten().count(),
+            reach_log: answers.iter().flatten().filter(reach_log).count(),
+        }
+    }
+
+    /// Asks daemons that reach the log to claim a partition. True if there is a newer
+    /// owner.
+    async fn have_it_claimed(&self, partition: u32, epoch: u64) -> bool {
+        let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
+        let answers = self.ask_peers(None, &question, CLAIM_ANSWER_LIMIT).await;
+        let mut news = false;
+        for answer in answers.into_iter().flatten() {
+            if let LedgerReply::NotOwner(Some(known)) = answer {
+                news |= self.learn(partition, &known);
+            }
+        }
+        news
+    }
+
+    /// Takes a partition from an owner that does not answer, unless the log itself was
+    /// in trouble a moment ago: the owner may be about to append what waits.
+    pub(super) async fn replace_silent(&self, partition: u32, epoch: u64) {
+        if self.contact.steady_for(STEADY) {
+            self.replace(partition, Some(epoch)).await;
+        } else if !self.learn_from_peers(partition, Some(epoch)).await {
+            let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
+        }
+    }
+
+    /// Takes a partition from an owner that is gone or silent. Without contact to
+    /// the log service nobody can; the owner's own appends wait as well then. One
+    /// request claims for all that wait for the partition.
+    pub(super) async fn replace(&self, partition: u32, epoch: Option<u64>) {
+        if self.contact.failing() && self.learn_from_peers(partition, epoch).await {
+            return;
+        }
+        if self.reach.get() == Reach::CutOff
+            && let Some(epoch) = epoch
+            && self.have_it_claimed(partition, epoch).await
+        {
+            return;
+        }
+        if self.contact.failing() || !self.claiming.borrow_mut().insert(partition) {
+            let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
+            return;
+        }
+        // The guard ends the claim also where its request is given up.
+        let _guard = ClaimGuard {
+            claiming: &self.claiming,
+            partition,
+        };
+        sleep(self.owner.patience()).await;
+        if self.owner.claims.take_over(partition, epoch).await.is_err() {
+            sleep(PAUSE).await;
+        }
+    }
+}
