--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod quickstart;
 pub mod report;
 pub mod scenario;
+pub mod ways;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use fieldhook_bench::hollow::{self, HollowShape};
 use fieldhook_bench::scenario::Scenario;
-use fieldhook_bench::{experiment, memory, overhead, quickstart};
+use fieldhook_bench::{experiment, memory, overhead, quickstart, ways};
 use gumdrop::Options;
 use serde::Serialize;
 use std::error::Error;
@@ -32,6 +32,8 @@
     Memory(MemoryArguments),
     /// Run the control cores of many daemons in this process.
     Hollow(HollowArguments),
+    /// Compare owners with group commit and conditional appends without owners.
+    Ways(WaysArguments),
 }
 
 /// Start a small cluster, hold a conversation, and stop it.
@@ -107,6 +109,19 @@
     seconds: u64,
 }
 
+/// Compare owners with group commit and conditional appends without owners.
+#[derive(Debug, Options)]
+struct WaysArguments {
+    /// Show this help.
+    help: bool,
+    /// Turns a second.
+    #[options(default = "93")]
+    turns: u64,
+    /// Seconds.
+    #[options(default = "10")]
+    seconds: u64,
+}
+
 #[ntex::main]
 async fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
@@ -139,6 +154,9 @@
             warm_up_ms: options.warm_up * 1_000,
             span_ms: options.seconds * 1_000,
         })),
+        Some(Command::Ways(options)) => {
+            print(&ways::measure(options.turns, options.seconds).await?)
+        }
         None => Err("name a command; see --help".into()),
     }
 }
