--- a/crates/bench/src/audit.rs
+++ b/crates/bench/src/audit.rs
@@ -8,12 +8,16 @@
 use std::time::{Duration, Instant};
 
 const PAUSE: Millis = Millis(50);
+/// A server whose record cannot be read in so many tries makes the audit fail.
+const READ_TRIES: usize = 20;
 
 /// Everything that did not hold, in words; empty if all held.
 pub async fn audit(cluster: &Cluster, tally: &Tally, service: &str) -> Vec<String> {
     let mut broken = audit_answers(tally);
-    let executions = executions(cluster, service).await;
-    broken.extend(audit_executions(tally, &executions));
+    match executions(cluster, service).await {
+        Ok(executions) => broken.extend(audit_executions(tally, &executions)),
+        Err(unread) => broken.push(format!("what ran at {unread} could not be read")),
+    }
     broken
 }
 
@@ -67,19 +71,30 @@
 }
 
 /// How often each key ran at the servers of a service.
-pub async fn executions(cluster: &Cluster, service: &str) -> BTreeMap<String, u32> {
+///
+/// # Errors
+/// A server whose record could not be read: without it nothing can be said of what ran.
+pub async fn executions(cluster: &Cluster, service: &str) -> Result<BTreeMap<String, u32>, String> {
     let mut counts = BTreeMap::new();
     for server in cluster.servers(service) {
-        let Some(reply) = cluster.get(&server, "/v1/executions").await else {
-            continue;
-        };
-        let seen: BTreeMap<String, Execution> =
-            serde_json::from_str(&reply.body).unwrap_or_default();
+        let seen = executions_of(cluster, &server).await.ok_or(server)?;
         for (key, execution) in seen {
             *counts.entry(key).or_insert(0) += execution.count;
         }
     }
-    counts
+    Ok(counts)
+}
+
+async fn executions_of(cluster: &Cluster, server: &str) -> Option<BTreeMap<String, Execution>> {
+    for _ in 0..READ_TRIES {
+        if let Some(reply) = cluster.get(server, "/v1/executions").await
+            && let Ok(seen) = serde_json::from_str(&reply.body)
+        {
+            return Some(seen);
+        }
+        sleep(PAUSE).await;
+    }
+    None
 }
 
 /// Time until engines hold nothing for the ended programs; nothing if they
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -12,6 +12,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A connection that was gone before it was used again is reset within a round trip; a
+/// server that fails while it works takes longer.
+const STALE_WITHIN: Duration = Duration::from_millis(20);
+
 /// An attempt whose answer has begun.
 pub struct Attempt {
     /// The server.
@@ -54,7 +58,11 @@
     tried.servers.push(server.id.clone());
     let daemon = &context.daemon;
     let in_flight = daemon.pools.begin(&server.id);
-    let mut connection = match daemon.pools.take(&server, &daemon.metrics).await {
+    let taken = daemon
+        .pools
+        .take(&server, daemon.now_ms(), &daemon.metrics)
+        .await;
+    let mut connection = match taken {
         Ok(connection) => connection,
         Err(error) => {
             observe(context, &server, Observation::Failed, "not_sent");
@@ -89,13 +97,24 @@
             reused,
         ),
         Err(error) => {
-            observe(context, &server, Observation::Failed, error.name());
+            let stale = reused && error == ExchangeError::Lost && sent.elapsed() < STALE_WITHIN;
+            let observation = match stale {
+                true => Observation::Stale,
+                false => Observation::Failed,
+            };
+            observe(context, &server, observation, error.name());
+            if stale {
+                let pools = &daemon.pools;
+                pools.was_stale(&server.id, daemon.now_ms(), connection.rested);
+            }
             tracing::info!(
                 event = "attempt_failed",
                 request = context.meta.id,
                 server = server.id,
                 outcome = error.name(),
                 reused,
+                stale,
+                rested_ms = connection.rested.as_millis() as u64,
                 after_ms = sent.elapsed().as_millis() as u64,
                 age_ms = context.age_ms()
             );
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -70,6 +70,8 @@
     reusable: bool,
     /// When the last answer was whole.
     pub idle_since: Instant,
+    /// How long it had been idle when it was taken for its present request.
+    pub rested: Duration,
     /// How long the server keeps it while idle.
     pub idle_limit: Duration,
     /// It has served a request before.
@@ -92,6 +94,7 @@
             reusable: true,
             idle_since: Instant::now(),
             idle_limit: Duration::ZERO,
+            rested: Duration::ZERO,
             used: false,
         })
     }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::{Health, Observation};
+use fieldhook_traffic::rest::Rest;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -25,6 +26,7 @@
     idle: Vec<ServerConnection>,
     in_flight: u32,
     health: Health,
+    rest: Rest,
 }
 
 /// All servers' pools.
@@ -94,6 +96,13 @@
         }
     }
 
+    /// An idle connection was gone when it was used again after this rest.
+    pub fn was_stale(&self, id: &str, now_ms: u64, rested: Duration) {
+        let mut servers = self.servers.borrow_mut();
+        let state = servers.entry(id.to_owned()).or_default();
+        state.rest.was_too_long(now_ms, rested.as_millis() as u64);
+    }
+
     /// A connection for the next request.
     ///
     /// # Errors
@@ -101,20 +110,24 @@
     pub async fn take(
         &self,
         server: &ServerEntry,
+        now_ms: u64,
         metrics: &Metrics,
     ) -> std::io::Result<ServerConnection> {
-        if let Some(connection) = self.take_idle(&server.id) {
+        if let Some(connection) = self.take_idle(&server.id, now_ms) {
             return Ok(connection);
         }
         metrics.connections.inc();
         ServerConnection::connect(server.address, CONNECT_LIMIT).await
     }
 
-    fn take_idle(&self, id: &str) -> Option<ServerConnection> {
+    fn take_idle(&self, id: &str, now_ms: u64) -> Option<ServerConnection> {
         let mut servers = self.servers.borrow_mut();
         let state = servers.get_mut(id)?;
-        while let Some(connection) = state.idle.pop() {
-            if is_fresh(&connection) && connection.is_quiet() {
+        let limit = state.rest.limit_ms(now_ms).map(Duration::from_millis);
+        while let Some(mut connection) = state.idle.pop() {
+            connection.rested = connection.idle_since.elapsed();
+            let rested_too_long = limit.is_some_and(|limit| connection.rested > limit);
+            if is_fresh(&connection) && !rested_too_long && connection.is_quiet() {
                 return Some(connection);
             }
         }
--- a/crates/log/src/hedge.rs
+++ b/crates/log/src/hedge.rs
@@ -36,9 +36,11 @@
         }
     }
 
-    /// The time has come: the pause before the next try is longer.
+    /// The time has come: the pause before the next try is longer, but where the log is
+    /// slow it may have begun above the longest and stays so.
     fn advance(&mut self) {
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE.max(self.pause));
+        let longest = LONGEST_PAUSE.max(self.pause);
+        self.pause = (self.pause * 2).min(longest);
         self.next = Instant::now() + jittered(self.pause);
     }
 
--- a/crates/traffic/src/health.rs
+++ b/crates/traffic/src/health.rs
@@ -16,6 +16,9 @@
     Answered,
     /// It refused for lack of room.
     Full,
+    /// An idle connection turned out to be gone when it was used again. That says
+    /// nothing about the server.
+    Stale,
     /// No connection, a broken answer or silence.
     Failed,
 }
@@ -35,6 +38,7 @@
             Observation::Full => {
                 self.avoid_until_ms = self.avoid_until_ms.max(now_ms + FULL_PAUSE_MS);
             }
+            Observation::Stale => {}
             Observation::Failed => {
                 self.failures = (self.failures + 1).min(8);
                 let pause = FIRST_PAUSE_MS << (self.failures - 1).min(5);
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`split`]: dividing a route's requests among weighted services.
 //! - [`directory`]: which servers exist and which of them are leaving.
 //! - [`health`]: leaving a failing server alone and trying it again.
+//! - [`rest`]: how long an idle connection may rest.
 //! - [`balance`]: choosing a server for one attempt.
 //! - [`attempt`]: what may follow a failed attempt.
 
@@ -14,5 +15,6 @@
 pub mod config;
 pub mod directory;
 pub mod health;
+pub mod rest;
 pub mod split;
 pub mod table;
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -3,6 +3,7 @@
 use fieldhook_traffic::balance::{Candidate, Request, choose};
 use fieldhook_traffic::directory::{Directory, DirectoryChange, ServerEntry};
 use fieldhook_traffic::health::{Health, Observation};
+use fieldhook_traffic::rest::Rest;
 
 fn server(id: &str, zone: &str) -> ServerEntry {
     ServerEntry {
@@ -121,3 +122,30 @@
     health.observe(1_500, Observation::Answered);
     assert!(!health.avoided(1_500) && !health.unsound());
 }
+
+#[test]
+fn a_stale_connection_is_not_held_against_its_server() {
+    let mut health = Health::default();
+    health.observe(100, Observation::Stale);
+    assert!(!health.avoided(101));
+    assert!(!health.unsound());
+}
+
+#[test]
+fn connections_rest_shorter_after_one_was_gone() {
+    let mut rest = Rest::default();
+    assert_eq!(rest.limit_ms(0), None);
+    rest.was_too_long(1_000, 700);
+    let first = rest.limit_ms(1_001).expect("learned");
+    assert!(first < 700);
+    rest.was_too_long(1_100, 300);
+    let second = rest.limit_ms(1_101).expect("learned");
+    assert!(second < first);
+    rest.was_too_long(1_200, 5_000);
+    assert_eq!(
+        rest.limit_ms(1_201),
+        Some(second),
+        "never longer by a reset"
+    );
+    assert_eq!(rest.limit_ms(60_000), None, "forgotten after a while");
+}
