A full service is waited for before it is refused

Change: after four rejections that did not run, a request waits 20 to 80 ms for a place, six times at most and within half of its time, and asks all servers again.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -32,6 +32,23 @@
 pub struct Tried {
     /// Their identities.
     pub servers: Vec<String>,
+    /// Those of them that did not run it: they may be asked again after a while.
+    pub refused: Vec<String>,
+}
+
+impl Tried {
+    /// Takes in how the attempt at the last server ended.
+    pub fn note(&mut self, failure: AttemptFailure) {
+        if failure == AttemptFailure::NotRun {
+            self.refused.extend(self.servers.last().cloned());
+        }
+    }
+
+    /// Lets servers that refused be tried again.
+    pub fn forget_refusals(&mut self) {
+        let refused = std::mem::take(&mut self.refused);
+        self.servers.retain(|server| !refused.contains(server));
+    }
 }
 
 /// Why there is no answer to pass on.
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -4,7 +4,7 @@
 use super::answer::OwnAnswer;
 use super::dispatch::{DispatchFailure, Tried};
 use super::request::{RETRY_SOON_MS, RequestContext};
-use fieldhook_traffic::attempt::{AttemptFailure, Attempts, NextStep};
+use fieldhook_traffic::attempt::{Attempts, NextStep, Time};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -14,6 +14,10 @@
 /// How long a request waits for a server to appear, in milliseconds.
 const NO_SERVER_PATIENCE_MS: u64 = 120;
 
+/// Part of a request's time that may go by before it is refused for want of a place: one
+/// in this. What is left lets the client ask elsewhere.
+const WAIT_DIVISOR: u32 = 2;
+
 /// Attempts of one request.
 #[derive(Default)]
 pub struct Retries {
@@ -23,7 +27,7 @@
 }
 
 impl Retries {
-    /// Returns where another attempt may be made.
+    /// Returns when another attempt may be made.
     ///
     /// # Errors
     /// The answer for the client where none may.
@@ -31,41 +35,73 @@
         &mut self,
         context: &RequestContext,
         failure: DispatchFailure,
-    ) -> Result<(), OwnAnswer> {
-        match failure {
-            DispatchFailure::NoServer => self.wait_for_server(context).await,
-            DispatchFailure::Attempt(failure) => self.count(context, failure),
-        }
-    }
-
-    fn count(
-        &mut self,
-        context: &RequestContext,
-        failure: AttemptFailure,
     ) -> Result<(), OwnAnswer> {
         let route = &context.entry.route;
-        let time_left = context.left_ms() > LEAST_TIME_MS;
-        let next = self
-            .counted
-            .after(route.kind, route.max_attempts, failure, time_left);
+        let time = time_of(context);
+        let next = match failure {
+            DispatchFailure::NoServer if self.waits_for_discovery(context) => {
+                sleep(NO_SERVER_PAUSE).await;
+                return Ok(());
+            }
+            // Waiting is for places: where no server is known, none would come free.
+            DispatchFailure::NoServer if self.tried.refused.is_empty() => {
+                return Err(self.no_server());
+            }
+            DispatchFailure::NoServer => {
+                self.counted
+                    .without_server(route.kind, route.max_attempts, time)
+            }
+            DispatchFailure::Attempt(failure) => {
+                self.tried.note(failure);
+                self.counted
+                    .after(route.kind, route.max_attempts, failure, time)
+            }
+        };
         match next {
             NextStep::Retry => Ok(()),
+            NextStep::Wait(pause_ms) => {
+                self.wait(context, pause_ms).await;
+                Ok(())
+            }
             NextStep::Refuse => Err(OwnAnswer::not_run("no server took it", RETRY_SOON_MS)),
             NextStep::BadGateway => Err(OwnAnswer::new(502, "the outcome is not known")),
         }
     }
 
-    async fn wait_for_server(&self, context: &RequestContext) -> Result<(), OwnAnswer> {
-        let nothing_sent = self.counted == Attempts::default();
-        if nothing_sent && context.age_ms() < NO_SERVER_PATIENCE_MS {
-            sleep(NO_SERVER_PAUSE).await;
-            return Ok(());
+    /// Waits for a place at a server that refused before.
+    async fn wait(&mut self, context: &RequestContext, pause_ms: u64) {
+        if self.counted.waits == 1 {
+            tracing::info!(
+                event = "waits_for_place",
+                request = context.meta.id,
+                program = context.meta.program,
+                refused = self.tried.refused.len(),
+                age_ms = context.age_ms()
+            );
         }
-        // Every server was tried, or there is none.
+        sleep(Duration::from_millis(pause_ms)).await;
+        self.tried.forget_refusals();
+    }
+
+    /// Whether discovery may be about to tell of a server.
+    fn waits_for_discovery(&self, context: &RequestContext) -> bool {
+        let nothing_sent = self.counted == Attempts::default();
+        nothing_sent && context.age_ms() < NO_SERVER_PATIENCE_MS
+    }
+
+    fn no_server(&self) -> OwnAnswer {
         if self.counted.may_have_run > 0 {
-            Err(OwnAnswer::new(502, "the outcome is not known"))
+            OwnAnswer::new(502, "the outcome is not known")
         } else {
-            Err(OwnAnswer::not_run("no server takes work", RETRY_SOON_MS))
+            OwnAnswer::not_run("no server takes work", RETRY_SOON_MS)
         }
     }
 }
+
+fn time_of(context: &RequestContext) -> Time {
+    let allowed = context.deadline - context.started;
+    Time {
+        for_attempt: context.left_ms() > LEAST_TIME_MS,
+        for_wait: context.started.elapsed() < allowed / WAIT_DIVISOR,
+    }
+}
--- a/crates/gateway/tests/gateway/forwarding.rs
+++ b/crates/gateway/tests/gateway/forwarding.rs
@@ -1,6 +1,7 @@
 //! Requests and answers as they came, attempts, cancellation, leaving servers.
 
 use crate::support::{Act, SERVERS, Server, World, run};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -112,6 +113,24 @@
     });
 }
 
+#[test]
+fn a_place_that_comes_free_is_better_than_a_refusal() {
+    run(async {
+        let server = Rc::new(Server::start("a", Act::NotRun).await);
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let busy = server.clone();
+        ntex::rt::spawn(async move {
+            sleep(Duration::from_millis(150)).await;
+            busy.set(answer("taken"));
+        });
+        let reply = gateway
+            .ask("POST", "/unsafe/1", "Request: r1\r\n", "x")
+            .await;
+        assert_eq!(reply.text(), "taken");
+    });
+}
+
 #[test]
 fn answers_of_other_requests_are_passed_over() {
     run(async {
--- a/crates/traffic/src/attempt.rs
+++ b/crates/traffic/src/attempt.rs
@@ -18,6 +18,8 @@
 pub enum NextStep {
     /// Try another server.
     Retry,
+    /// Every place is taken: try all servers again after so many milliseconds.
+    Wait(u64),
     /// Tell the client that it has not run and when to come back.
     Refuse,
     /// Tell the client that the outcome is not known.
@@ -29,31 +31,74 @@
 pub struct Attempts {
     /// Attempts that may have run at a server.
     pub may_have_run: u32,
-    /// Attempts that did not run.
+    /// Attempts that did not run since the last wait.
     pub not_run: u32,
+    /// Waits for a place.
+    pub waits: u32,
 }
 
 /// Attempts that did not run are bounded as well, so that a full service is not
 /// asked without end.
 const MOST_NOT_RUN: u32 = 4;
+/// First wait for a place, in milliseconds; each further one is twice as long.
+const FIRST_WAIT_MS: u64 = 20;
+/// Longest wait for a place, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 80;
+/// Waits of one request at most.
+const MOST_WAITS: u32 = 6;
+
+/// What the time of a request still allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Time {
+    /// Another attempt could still be answered.
+    pub for_attempt: bool,
+    /// A wait for a place would leave enough for the answer.
+    pub for_wait: bool,
+}
 
 impl Attempts {
-    /// Counts a failed attempt and says what follows. `time_left` tells whether
-    /// another attempt could still be answered in time.
+    /// Counts a failed attempt and says what follows.
     pub fn after(
         &mut self,
         kind: RouteKind,
         max_attempts: u32,
         failure: AttemptFailure,
-        time_left: bool,
+        time: Time,
     ) -> NextStep {
         match failure {
             AttemptFailure::MayHaveRun => self.may_have_run += 1,
             AttemptFailure::NotSent | AttemptFailure::NotRun => self.not_run += 1,
         }
-        if self.may_repeat(kind, max_attempts) && time_left {
-            return NextStep::Retry;
+        if !self.may_repeat(kind, max_attempts) || !time.for_attempt {
+            return self.give_up();
+        }
+        match self.not_run < MOST_NOT_RUN {
+            true => NextStep::Retry,
+            false => self.wait(time),
+        }
+    }
+
+    /// Says what follows where no server is left to try.
+    pub fn without_server(&mut self, kind: RouteKind, max_attempts: u32, time: Time) -> NextStep {
+        match self.may_repeat(kind, max_attempts) {
+            true => self.wait(time),
+            false => self.give_up(),
+        }
+    }
+
+    /// A place that comes free soon serves the client better than a refusal: it would
+    /// come back for the same place, and a program ends with a call that fails.
+    fn wait(&mut self, time: Time) -> NextStep {
+        if !time.for_wait || self.waits >= MOST_WAITS {
+            return self.give_up();
         }
+        let pause_ms = FIRST_WAIT_MS << self.waits.min(8);
+        self.waits += 1;
+        self.not_run = 0;
+        NextStep::Wait(pause_ms.min(LONGEST_WAIT_MS))
+    }
+
+    fn give_up(&self) -> NextStep {
         // Once it may have run, only "unknown" is true, whatever came later.
         if self.may_have_run > 0 {
             NextStep::BadGateway
@@ -63,8 +108,6 @@
     }
 
     fn may_repeat(&self, kind: RouteKind, max_attempts: u32) -> bool {
-        let ran_allows = self.may_have_run == 0
-            || (kind.repeatable() && self.may_have_run < max_attempts.max(1));
-        ran_allows && self.not_run < MOST_NOT_RUN
+        self.may_have_run == 0 || (kind.repeatable() && self.may_have_run < max_attempts.max(1))
     }
 }
