A planned stop leaves nothing in doubt

Cause: each take-over forbade programs without a record to begin without the log for 60 s, also after planned stops, since a partition was given up while its last appends were under way.

Change: an owner that stops records each program that has no record, serves until all is durable, and says so in its release; the next owner doubts only what it was handed. A release overtaken by another claim is tried again, and never touches another's claim.

Tests: budget_fuzz hands over in order too; a case without the records fails; a program begins without the log after its owner stopped, which failed on the former sources.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -47,7 +47,7 @@
     }
     while host.owns() && begun.elapsed() < HOLD_LIMIT {
         // Another claim may have moved the end of the topic: the next try knows it.
-        let _ = node.claims.release(u32::from(host.shard)).await;
+        let _ = node.claims.release(u32::from(host.shard), None).await;
         sleep(CHECK).await;
     }
 }
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -10,7 +10,7 @@
 use fieldhook_log::appender::{Appender, Outcome, Urgency};
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// An answer that is due once what is queued before it is durable.
 struct Waiter {
@@ -83,6 +83,21 @@
         self.push(records, Some(Waiter { sender, reply }), urgency);
     }
 
+    /// Appends what the next owner could not know otherwise. Tells, once that and all
+    /// before is durable, how long the next owner has to doubt programs without a record,
+    /// in milliseconds; `None` if another owner is in force.
+    pub(super) fn settle(&self) -> oneshot::Receiver<Option<u64>> {
+        let (sender, settled) = oneshot::channel();
+        let records = self.state.borrow_mut().hand_over();
+        let keyed = records.iter().map(keyed_record).collect();
+        let doubt_ms = self.state.borrow().doubt_ms(unix_ms());
+        let done = move |outcome| {
+            let _ = sender.send((outcome == Outcome::Durable).then_some(doubt_ms));
+        };
+        self.appender.push(keyed, Urgency::Now, Box::new(done));
+        settled
+    }
+
     /// Deletes what need not be kept any longer.
     pub(super) fn expire(&self) {
         let records = self.state.borrow_mut().expire(unix_ms());
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -12,13 +12,15 @@
 use fieldhook_log::appender::{AppendEnd, Appender, fence};
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
+use fieldhook_log::ownership::Former;
 use fieldhook_log::patience::{Capacity, before_claim};
+use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Topic of programs and turns.
 pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
@@ -28,11 +30,25 @@
 /// An answer of the log counts as fresh for this long: less than a daemon takes to hold
 /// the log for lost, so that nobody vouches for it by an answer from before the outage.
 const FRESH: Duration = Duration::from_millis(800);
+/// How long a planned stop waits for its last appends.
+const SETTLE_LIMIT: Duration = Duration::from_millis(1_500);
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
 
 enum Hold {
+    /// Claimed with this epoch, and not read yet.
     Loading(u64),
     Serving(Owned),
+    /// About to be given up: asked now, others would have to ask again.
+    Releasing(Owned),
+}
+
+impl Hold {
+    fn epoch(&self) -> u64 {
+        match self {
+            Self::Loading(epoch) => *epoch,
+            Self::Serving(owned) | Self::Releasing(owned) => owned.epoch,
+        }
+    }
 }
 
 /// Partitions owned here.
@@ -131,7 +147,7 @@
     ) {
         match self.held.borrow().get(&partition) {
             Some(Hold::Serving(owned)) => owned.handle(request, sender),
-            Some(Hold::Loading(_)) => {
+            Some(Hold::Loading(_) | Hold::Releasing(_)) => {
                 let _ = sender.send(LedgerReply::Unavailable);
             }
             None => {
@@ -155,10 +171,7 @@
         let Some(claim) = self.claims.claim(partition) else {
             return;
         };
-        let held_epoch = self.held.borrow().get(&partition).map(|hold| match hold {
-            Hold::Loading(epoch) => *epoch,
-            Hold::Serving(owned) => owned.epoch,
-        });
+        let held_epoch = self.held.borrow().get(&partition).map(Hold::epoch);
         let mine = self.claims.is_mine(&claim);
         if mine && held_epoch != Some(claim.epoch) && !self.claims.is_released() {
             self.held
@@ -175,13 +188,9 @@
 
     fn drop_partition(&self, partition: u32, epoch: Option<u64>) {
         let mut held = self.held.borrow_mut();
-        let matches = match held.get(&partition) {
-            Some(Hold::Loading(current)) => epoch.is_none_or(|epoch| epoch == *current),
-            Some(Hold::Serving(owned)) => epoch.is_none_or(|epoch| epoch == owned.epoch),
-            None => false,
-        };
-        if matches {
-            if let Some(Hold::Serving(owned)) = held.remove(&partition) {
+        let current = held.get(&partition).map(Hold::epoch);
+        if current.is_some() && (epoch.is_none() || epoch == current) {
+            if let Some(Hold::Serving(owned) | Hold::Releasing(owned)) = held.remove(&partition) {
                 owned.appender.stop();
             }
             self.note_held(held.len());
@@ -203,11 +212,40 @@
     pub async fn release(self: &Rc<Self>) {
         self.claims.stop_claiming();
         let partitions: Vec<u32> = self.held.borrow().keys().copied().collect();
-        for partition in partitions {
-            self.drop_partition(partition, None);
-            if self.claims.release(partition).await.is_ok() {
-                tracing::info!(event = "partition_released", partition);
-            }
+        join_all(partitions.into_iter().map(|number| self.give_up(number))).await;
+    }
+
+    /// Gives a partition up once all that it granted is durable. Until then it is served
+    /// here: while the log is away, nobody else could take it.
+    async fn give_up(&self, partition: u32) {
+        self.settle(partition).await;
+        self.stop_serving(partition);
+        // What was granted meanwhile.
+        let settled = timeout(SETTLE_LIMIT, self.settle(partition)).await;
+        let settled_doubt_ms = settled.ok().flatten();
+        let released = self.claims.release(partition, settled_doubt_ms).await;
+        if released.is_ok() {
+            tracing::info!(event = "partition_released", partition, settled_doubt_ms);
+        }
+        self.drop_partition(partition, None);
+    }
+
+    /// Appends what a partition's next owner could not know otherwise. Tells, once that
+    /// and all before is durable, how long that owner has to doubt what owners before this
+    /// one left unsaid; `None` if another owner is in force.
+    fn settle(&self, partition: u32) -> impl Future<Output = Option<u64>> + use<> {
+        let settled = match self.held.borrow().get(&partition) {
+            Some(Hold::Serving(owned) | Hold::Releasing(owned)) => Some(owned.settle()),
+            _ => None,
+        };
+        async move { settled?.await.ok()? }
+    }
+
+    /// From now on a partition only waits for its last appends.
+    fn stop_serving(&self, partition: u32) {
+        let mut held = self.held.borrow_mut();
+        if let Some(Hold::Serving(owned)) = held.remove(&partition) {
+            held.insert(partition, Hold::Releasing(owned));
         }
     }
 
@@ -249,10 +287,10 @@
 /// Reads a claimed partition; `None` once it is another's.
 async fn read(owner: &Owner, partition: u32, epoch: u64) -> Option<Partition> {
     let claim = owner.claims.claim(partition);
-    let has_former = claim.is_none_or(|claim| claim.has_former);
-    let state = match has_former {
-        true => Partition::taken_over(unix_ms()),
-        false => Partition::default(),
+    let state = match claim.map_or(Former::Lost, |claim| claim.former) {
+        Former::None => Partition::default(),
+        Former::Settled { doubt_ms } => Partition::handed_over(unix_ms(), doubt_ms),
+        Former::Lost => Partition::taken_over(unix_ms()),
     };
     let mut load = Load::new(place(partition), epoch, state);
     // Partitions that are read at once would share this machine's link.
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -3,7 +3,7 @@
 use super::client::{CHANGE_WAIT, LedgerClient, PAUSE};
 use fieldhook_ledger::message::{ClaimPartition, KnownOwner, LedgerReply, LedgerRequest};
 use fieldhook_log::api::StoreError;
-use fieldhook_log::ownership::Claim;
+use fieldhook_log::ownership::{Claim, Former};
 use fieldhook_log::reach::{Reach, Round};
 use futures_util::future::join_all;
 use std::cell::RefCell;
@@ -44,7 +44,8 @@
             address: Some(address),
             incarnation: known.incarnation,
             epoch: known.epoch,
-            has_former: true,
+            former: Former::Lost,
+            settled_doubt_ms: None,
         };
         self.owner.claims.learn(partition, claim)
     }
--- a/crates/gateway/tests/gateway/ownership.rs
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -241,3 +241,28 @@
         assert!(owner.daemon.owner.claims.is_mine(&claim));
     });
 }
+
+/// A planned stop leaves nothing in doubt: its successor's programs begin without the log.
+#[test]
+fn programs_begin_without_the_log_after_an_owner_stopped_in_order() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        fieldhook_gateway::drain::run(owner.daemon.clone()).await;
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        sleep(Duration::from_millis(600)).await;
+        other.store.set_fault(LogFault::Silent);
+        let number = fieldhook_ledger::partition_of("p", 2);
+        let names = (0..20).map(|name| format!("new{name}"));
+        let programs = names.filter(|name| fieldhook_ledger::partition_of(name, 2) == number);
+        for program in programs.take(2) {
+            let begun = Instant::now();
+            let fields =
+                format!("Request: {program}t\r\nProgram: {program}\r\nBudget: 90\r\nMost: 40\r\n");
+            let reply = other.ask("POST", "/resume/1", &fields, "A").await;
+            assert!(reply.whole, "{program}");
+            assert!(begun.elapsed() < Duration::from_millis(300));
+        }
+    });
+}
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -49,6 +49,8 @@
     inherited: u64,
     /// One turn's most may go out before its reservation is durable.
     may_exceed: bool,
+    /// The budget, as long as no record of it was made.
+    unrecorded: Option<u64>,
     changed_ms: u64,
 }
 
@@ -61,6 +63,7 @@
             durable_mark: if is_first { unrecorded } else { 0 },
             inherited: if is_first { 0 } else { unrecorded },
             may_exceed: is_first,
+            unrecorded: Some(budget),
             ..Self::default()
         }
     }
@@ -75,6 +78,7 @@
             pending_marks: VecDeque::new(),
             inherited: record.ahead,
             may_exceed: false,
+            unrecorded: None,
             changed_ms: record.changed_ms,
         }
     }
@@ -136,11 +140,18 @@
         true
     }
 
+    /// The record to append before the partition is given up, if there was none yet.
+    pub fn first_record(&mut self) -> Option<ProgramRecord> {
+        let budget = self.unrecorded?;
+        Some(self.record(budget))
+    }
+
     /// The record to append now.
     ///
     /// A mark that is lowered counts from here on, not from the append on: a turn
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
+        self.unrecorded = None;
         let left = budget.saturating_sub(self.committed());
         let ahead = left / AHEAD_DIVISOR;
         let record = ProgramRecord {
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -57,6 +57,30 @@
         }
     }
 
+    /// A partition whose last owner had recorded all that it granted before it gave it up.
+    /// For `doubt_ms` from now owners before that one may still be in doubt.
+    pub fn handed_over(now_ms: u64, doubt_ms: u64) -> Self {
+        Self {
+            doubtful_until_ms: now_ms + doubt_ms,
+            ..Self::default()
+        }
+    }
+
+    /// How long unknown programs are in doubt from now on, in milliseconds.
+    pub fn doubt_ms(&self, now_ms: u64) -> u64 {
+        self.doubtful_until_ms.saturating_sub(now_ms)
+    }
+
+    /// Records of the programs that none tells of yet, to be appended before the partition
+    /// is given up.
+    pub fn hand_over(&mut self) -> Vec<Record> {
+        let unrecorded = self.programs.iter_mut().filter_map(|(name, program)| {
+            let record = program.first_record()?;
+            Some(Record::Program(name.clone(), Some(record)))
+        });
+        unrecorded.collect()
+    }
+
     fn program(&mut self, name: &str, budget: u64, now_ms: u64) -> &mut Budget {
         let is_first = now_ms >= self.doubtful_until_ms;
         self.programs
--- a/crates/ledger/tests/budget_fuzz.rs
+++ b/crates/ledger/tests/budget_fuzz.rs
@@ -28,6 +28,8 @@
     CloseAgain(u8),
     /// The oldest append is done.
     Append,
+    /// The owner gives the partition up in order: what it granted is durable first.
+    HandOver,
     /// The owner is lost with what it had not appended; gateways live on.
     LoseOwner,
     /// A running turn's gateway is lost; nobody tells its end.
@@ -69,7 +71,7 @@
         steps.iter().map(|(odds, _)| u32::from(*odds)).sum()
     }
 
-    fn steps(&self, which: u8, tokens: u8) -> [(u8, Step); 8] {
+    fn steps(&self, which: u8, tokens: u8) -> [(u8, Step); 9] {
         [
             (64, Step::Open),
             (16, Step::OpenAtFormer(which)),
@@ -78,6 +80,7 @@
             (self.close_again, Step::CloseAgain(which)),
             (self.append, Step::Append),
             (self.lose_owner, Step::LoseOwner),
+            (4, Step::HandOver),
             (8, Step::LoseGateway(which)),
         ]
     }
@@ -240,6 +243,17 @@
         }
     }
 
+    fn hand_over(&mut self) {
+        let records = self.owner.hand_over();
+        self.push(records);
+        while !self.queue.is_empty() {
+            self.append();
+        }
+        let doubt_ms = self.owner.doubt_ms(1);
+        self.owner = Partition::handed_over(1, doubt_ms);
+        self.read_back();
+    }
+
     /// The next owner begins from the log. Turns whose reservation was not durable
     /// are asked for again by their gateways before they hand anything out.
     fn lose_owner(&mut self) {
@@ -248,13 +262,17 @@
         self.queue.clear();
         self.queued = self.appended;
         self.waiting.clear();
+        self.read_back();
+        self.running.retain(|running| running.may_hand_out);
+    }
+
+    fn read_back(&mut self) {
         for (key, value) in &self.log {
             if let Ok(record) = Record::read(key, value) {
                 self.owner.load(record);
             }
         }
         self.owner.loaded();
-        self.running.retain(|running| running.may_hand_out);
     }
 
     fn lose_gateway(&mut self, which: u8) {
@@ -281,6 +299,7 @@
             }
             Step::Append => self.append(),
             Step::LoseOwner => self.lose_owner(),
+            Step::HandOver => self.hand_over(),
             Step::LoseGateway(which) => self.lose_gateway(which),
         }
     }
@@ -314,7 +333,10 @@
 fn exact_without_losses(story: Story) -> bool {
     let mut world = World::default();
     let lossless = story.0.into_iter().filter(|step| {
-        let loses = matches!(step, Step::LoseOwner | Step::LoseGateway(_));
+        let loses = matches!(
+            step,
+            Step::LoseOwner | Step::HandOver | Step::LoseGateway(_)
+        );
         !loses && !matches!(step, Step::OpenAtFormer(_))
     });
     for step in lossless {
@@ -361,3 +383,20 @@
     }
     assert!(!budget_holds(Story(steps)).is_failure());
 }
+
+/// Turns that the former owner granted without a record run on after it gave its partition
+/// up, and their gateways are lost before they tell their ends.
+#[test]
+fn a_hand_over_tells_of_programs_that_have_no_record() {
+    let mut steps = vec![Step::Open; 2];
+    steps.extend([0, 1].map(|which| Step::HandOut(which, 255)));
+    steps.push(Step::HandOver);
+    steps.extend([Step::LoseGateway(0); 2]);
+    for _ in 0..12 {
+        steps.push(Step::Open);
+        steps.extend([Step::Append; 4]);
+        steps.extend([Step::HandOut(0, 255), Step::Close(0)]);
+        steps.extend([Step::Append; 4]);
+    }
+    assert!(!budget_holds(Story(steps)).is_failure());
+}
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -1,6 +1,6 @@
 //! Learning who owns the partitions of a topic, and becoming an owner.
 
-use crate::api::{Append, LogStore, Partition, StoreError};
+use crate::api::{Append, KeyedRecord, LogStore, Partition, StoreError};
 use crate::contact::Contact;
 use crate::follow::{Follower, Update};
 use crate::ownership::{Claim, Ownership};
@@ -127,12 +127,37 @@
         self.released.get()
     }
 
-    /// Gives a partition up, so that others may take it at once.
+    /// Gives a partition up, so that others may take it at once. `settled_doubt_ms` says
+    /// that all that was granted is durable: see [`Former::Settled`]. What is another's by
+    /// now is left alone.
+    ///
+    /// [`Former::Settled`]: crate::ownership::Former::Settled
     ///
     /// # Errors
     /// As the log service says.
-    pub async fn release(&self, partition: u32) -> Result<(), StoreError> {
-        self.append(partition, None).await
+    pub async fn release(
+        &self,
+        partition: u32,
+        settled_doubt_ms: Option<u64>,
+    ) -> Result<(), StoreError> {
+        let incarnation = self.incarnation;
+        let record = Ownership::release_record(partition, incarnation, settled_doubt_ms);
+        let mut outcome = Ok(());
+        for _ in 0..MOST_ROUNDS {
+            let claim = self.claim(partition);
+            if !claim.is_some_and(|claim| self.is_mine(&claim)) {
+                return Ok(());
+            }
+            outcome = self.append(record.clone()).await;
+            let Err(StoreError::Moved(end)) = outcome else {
+                break;
+            };
+            // Another claim came first; it may be of this very partition.
+            if self.catch_up(end).await.is_err() {
+                break;
+            }
+        }
+        outcome
     }
 
     /// Claims a partition for this daemon, unless its claim is no longer that of
@@ -155,7 +180,8 @@
             if mine || former_epoch != suspected_epoch {
                 return Err(ClaimError::Overtaken);
             }
-            match self.append(partition, Some(self.address)).await {
+            let record = Ownership::claim_record(partition, self.address, self.incarnation);
+            match self.append(record).await {
                 Ok(()) => {
                     tracing::info!(event = "partition_claimed", topic = self.topic, partition,
                         former = ?current.and_then(|claim| claim.address), former_epoch);
@@ -168,10 +194,9 @@
         Err(ClaimError::NotAppended)
     }
 
-    /// Appends a claim, or a release where there is no address, if the topic ends
-    /// where this daemon read it to: two claims never both succeed unseen.
-    async fn append(&self, partition: u32, address: Option<SocketAddr>) -> Result<(), StoreError> {
-        let record = Ownership::record(partition, address, self.incarnation);
+    /// Appends a claim or a release if the topic ends where this daemon read it to: two
+    /// claims never both succeed unseen.
+    async fn append(&self, record: KeyedRecord) -> Result<(), StoreError> {
         let append = Append {
             partition: self.place(),
             records: vec![record.clone()],
--- a/crates/log/src/ownership.rs
+++ b/crates/log/src/ownership.rs
@@ -14,6 +14,23 @@
 struct ClaimRecord {
     address: String,
     incarnation: u64,
+    /// Of a release after which nothing is left unsaid: see [`Former::Settled`].
+    settled_doubt_ms: Option<u64>,
+}
+
+/// What the owner before a claim may have left unsaid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Former {
+    /// There was none.
+    None,
+    /// It gave the partition up after all that it had granted was durable.
+    Settled {
+        /// For this long after it, something that owners before it had left unsaid may
+        /// still come up, in milliseconds.
+        doubt_ms: u64,
+    },
+    /// It was replaced, or gave the partition up with something unsaid.
+    Lost,
 }
 
 /// A claim in force.
@@ -25,9 +42,11 @@
     pub incarnation: u64,
     /// Fences every earlier owner.
     pub epoch: u64,
-    /// Somebody had claimed the partition before, as far as this daemon knows. Certain
-    /// for its own claims: they are appended only where the topic was read to its end.
-    pub has_former: bool,
+    /// The owner before, as far as this daemon knows. Certain for its own claims: they are
+    /// appended only where the topic was read to its end.
+    pub former: Former,
+    /// Of a settled release: what its successor has to doubt, and for how long.
+    pub settled_doubt_ms: Option<u64>,
 }
 
 /// The newest claim of each partition.
@@ -39,18 +58,38 @@
 }
 
 impl Ownership {
-    /// The record of a claim; without an address it releases the partition.
-    pub fn record(partition: u32, address: Option<SocketAddr>, incarnation: u64) -> KeyedRecord {
-        let address = address
-            .map(|address| address.to_string())
-            .unwrap_or_default();
+    /// The record of a claim.
+    pub fn claim_record(partition: u32, address: SocketAddr, incarnation: u64) -> KeyedRecord {
+        Self::record(
+            partition,
+            &ClaimRecord {
+                address: address.to_string(),
+                incarnation,
+                settled_doubt_ms: None,
+            },
+        )
+    }
+
+    /// The record that gives a partition up, settled or not.
+    pub fn release_record(
+        partition: u32,
+        incarnation: u64,
+        settled_doubt_ms: Option<u64>,
+    ) -> KeyedRecord {
+        Self::record(
+            partition,
+            &ClaimRecord {
+                address: String::new(),
+                incarnation,
+                settled_doubt_ms,
+            },
+        )
+    }
+
+    fn record(partition: u32, record: &ClaimRecord) -> KeyedRecord {
         KeyedRecord {
             key: partition.to_be_bytes().to_vec(),
-            value: ClaimRecord {
-                address,
-                incarnation,
-            }
-            .serialize_bin(),
+            value: record.serialize_bin(),
         }
     }
 
@@ -60,14 +99,19 @@
         let key: [u8; 4] = record.key.as_slice().try_into().ok()?;
         let partition = u32::from_be_bytes(key);
         let said = ClaimRecord::deserialize_bin(&record.value).ok()?;
-        let former = self.claims.get(&partition).map(|claim| claim.epoch);
+        let former = self.claims.get(&partition).copied();
         let claim = Claim {
             address: said.address.parse().ok(),
             incarnation: said.incarnation,
             epoch: offset + 1,
-            has_former: former.is_some(),
+            former: match former.map(|former| former.settled_doubt_ms) {
+                None => Former::None,
+                Some(Some(doubt_ms)) => Former::Settled { doubt_ms },
+                Some(None) => Former::Lost,
+            },
+            settled_doubt_ms: said.settled_doubt_ms,
         };
-        if Some(claim.epoch) <= former {
+        if Some(claim.epoch) <= former.map(|former| former.epoch) {
             return None;
         }
         self.claims.insert(partition, claim);
