Split what is done with one partition from the owner of all

The budget's field that is there until the first record is named for what it holds. No behaviour changed; 38 gateway tests pass.

--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`load`]: reading a claimed partition.
 //! - [`assigner`]: engines for the programs of partitions owned here.
-//! - [`owner`]: the partitions owned here; `owned`: one of them.
+//! - [`owner`]: the partitions owned here; `hold`: what is done with one of them, `owned`:
+//!   serving it, `release`: giving it up.
 //! - [`peer`]: connections between daemons.
 //! - [`reach`]: whether the log is down or this daemon cut off.
 //! - [`client`]: opening and closing turns through owners that may change; `exchange`:
@@ -11,9 +12,11 @@
 pub mod assigner;
 pub mod client;
 mod exchange;
+mod hold;
 pub mod load;
 mod owned;
 pub mod owner;
 pub mod peer;
 pub mod reach;
+mod release;
 mod replace;
--- /dev/null
+++ b/crates/gateway/src/ledger/hold.rs
@@ -0,0 +1,115 @@
+//! A partition from its claim to its loss: read, served, given up.
+
+use super::load::Load;
+use super::owned::Owned;
+use super::owner::{Owner, place};
+use crate::daemon::unix_ms;
+use fieldhook_ledger::partition::Partition;
+use fieldhook_log::api::StoreError;
+use fieldhook_log::appender::{AppendEnd, Appender};
+use fieldhook_log::ownership::Former;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const LOAD_PAUSE: Duration = Duration::from_millis(30);
+
+/// What this daemon does with a partition.
+pub(super) enum Hold {
+    /// Claimed with this epoch, and not read yet.
+    Loading(u64),
+    /// Read, and served from memory.
+    Serving(Owned),
+    /// About to be given up: asked now, others would have to ask again.
+    Releasing(Owned),
+}
+
+impl Hold {
+    /// Epoch of its claim.
+    pub(super) fn epoch(&self) -> u64 {
+        match self {
+            Self::Loading(epoch) => *epoch,
+            Self::Serving(owned) | Self::Releasing(owned) => owned.epoch,
+        }
+    }
+}
+
+/// Reads a claimed partition; `None` once it is another's.
+async fn read(owner: &Owner, partition: u32, epoch: u64) -> Option<Partition> {
+    let claim = owner.claims.claim(partition);
+    let state = match claim.map_or(Former::Lost, |claim| claim.former) {
+        Former::None => Partition::default(),
+        Former::Settled { doubt_ms } => Partition::handed_over(unix_ms(), doubt_ms),
+        Former::Lost => Partition::taken_over(unix_ms()),
+    };
+    let mut load = Load::new(place(partition), epoch, state);
+    // Partitions that are read at once would share this machine's link.
+    let _turn = owner.reading.lock().await;
+    loop {
+        if !owner.is_loading(partition) {
+            return None;
+        }
+        match load.step(owner.store.as_ref()).await {
+            Ok(Some(state)) => return Some(state),
+            Ok(None) => {}
+            Err(StoreError::Fenced) => {
+                owner.drop_partition(partition, Some(epoch));
+                return None;
+            }
+            Err(error) => {
+                tracing::info!(event = "load_delayed", partition, epoch, %error);
+                sleep(LOAD_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads a claimed partition and serves it until it is lost.
+pub(super) async fn hold(owner: Rc<Owner>, partition: u32, epoch: u64) {
+    let started = Instant::now();
+    let Some(state) = read(&owner, partition, epoch).await else {
+        return;
+    };
+    let state = Rc::new(RefCell::new(state));
+    let appender = Rc::new(Appender::new(
+        place(partition),
+        epoch,
+        owner.store.clone(),
+        owner.contact.clone(),
+    ));
+    let current =
+        matches!(owner.held.borrow().get(&partition), Some(Hold::Loading(now)) if *now == epoch);
+    if !current {
+        return;
+    }
+    tracing::info!(
+        event = "partition_owned",
+        partition,
+        epoch,
+        turns = state.borrow().turns(),
+        programs = state.borrow().programs(),
+        took_ms = started.elapsed().as_millis() as u64,
+    );
+    let owned = Owned {
+        epoch,
+        state: state.clone(),
+        appender: appender.clone(),
+        assigner: owner.assigner.clone(),
+    };
+    owner
+        .held
+        .borrow_mut()
+        .insert(partition, Hold::Serving(owned));
+    owner.note_held(owner.held_count());
+    owner.claims.changed.notify_waiters();
+    let end = appender
+        .run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64()))
+        .await;
+    tracing::info!(event = "partition_given_up", partition, epoch, cause = ?end);
+    owner.drop_partition(partition, Some(epoch));
+    if end == AppendEnd::Fenced {
+        // There is a newer owner: until it is known, its turns could not be served here.
+        let _ = owner.claims.refresh().await;
+    }
+}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,68 +1,43 @@
 //! The partitions owned by this daemon.
 
 use super::assigner::Assigner;
-use super::load::Load;
-use super::owned::Owned;
-use crate::daemon::unix_ms;
+use super::hold::{Hold, hold};
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use fieldhook_ledger::message::{ClaimPartition, KnownOwner, LedgerReply, LedgerRequest};
-use fieldhook_ledger::partition::Partition;
 use fieldhook_log::api::{LogStore, Partition as LogPartition, StoreError};
-use fieldhook_log::appender::{AppendEnd, Appender, fence};
+use fieldhook_log::appender::fence;
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
-use fieldhook_log::ownership::Former;
 use fieldhook_log::patience::{Capacity, before_claim};
-use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::sleep;
 
 /// Topic of programs and turns.
 pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
 /// Topic of the claims of its partitions.
 pub const OWNERS_TOPIC: &str = "keyed.fieldhook-owners";
-const LOAD_PAUSE: Duration = Duration::from_millis(30);
 /// An answer of the log counts as fresh for this long: less than a daemon takes to hold
 /// the log for lost, so that nobody vouches for it by an answer from before the outage.
 const FRESH: Duration = Duration::from_millis(800);
-/// How long a planned stop waits for its last appends.
-const SETTLE_LIMIT: Duration = Duration::from_millis(1_500);
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
 
-enum Hold {
-    /// Claimed with this epoch, and not read yet.
-    Loading(u64),
-    Serving(Owned),
-    /// About to be given up: asked now, others would have to ask again.
-    Releasing(Owned),
-}
-
-impl Hold {
-    fn epoch(&self) -> u64 {
-        match self {
-            Self::Loading(epoch) => *epoch,
-            Self::Serving(owned) | Self::Releasing(owned) => owned.epoch,
-        }
-    }
-}
-
 /// Partitions owned here.
 pub struct Owner {
     /// Who owns what.
     pub claims: Rc<Claims>,
-    store: Rc<dyn LogStore>,
-    contact: Rc<Contact>,
-    metrics: Rc<Metrics>,
-    held: RefCell<HashMap<u32, Hold>>,
+    pub(super) store: Rc<dyn LogStore>,
+    pub(super) contact: Rc<Contact>,
+    pub(super) metrics: Rc<Metrics>,
+    pub(super) held: RefCell<HashMap<u32, Hold>>,
     capacity: Capacity,
-    assigner: Rc<Assigner>,
+    pub(super) assigner: Rc<Assigner>,
     /// Held while a partition is read.
-    reading: Mutex<()>,
+    pub(super) reading: Mutex<()>,
 }
 
 impl Owner {
@@ -186,7 +161,7 @@
         self.claims.changed.notify_waiters();
     }
 
-    fn drop_partition(&self, partition: u32, epoch: Option<u64>) {
+    pub(super) fn drop_partition(&self, partition: u32, epoch: Option<u64>) {
         let mut held = self.held.borrow_mut();
         let current = held.get(&partition).map(Hold::epoch);
         if current.is_some() && (epoch.is_none() || epoch == current) {
@@ -208,48 +183,7 @@
         fence(self.store.as_ref(), place(partition), 0, timeout).await
     }
 
-    /// Gives all partitions up, so that others may take them at once.
-    pub async fn release(self: &Rc<Self>) {
-        self.claims.stop_claiming();
-        let partitions: Vec<u32> = self.held.borrow().keys().copied().collect();
-        join_all(partitions.into_iter().map(|number| self.give_up(number))).await;
-    }
-
-    /// Gives a partition up once all that it granted is durable. Until then it is served
-    /// here: while the log is away, nobody else could take it.
-    async fn give_up(&self, partition: u32) {
-        self.settle(partition).await;
-        self.stop_serving(partition);
-        // What was granted meanwhile.
-        let settled = timeout(SETTLE_LIMIT, self.settle(partition)).await;
-        let settled_doubt_ms = settled.ok().flatten();
-        let released = self.claims.release(partition, settled_doubt_ms).await;
-        if released.is_ok() {
-            tracing::info!(event = "partition_released", partition, settled_doubt_ms);
-        }
-        self.drop_partition(partition, None);
-    }
-
-    /// Appends what a partition's next owner could not know otherwise. Tells, once that
-    /// and all before is durable, how long that owner has to doubt what owners before this
-    /// one left unsaid; `None` if another owner is in force.
-    fn settle(&self, partition: u32) -> impl Future<Output = Option<u64>> + use<> {
-        let settled = match self.held.borrow().get(&partition) {
-            Some(Hold::Serving(owned) | Hold::Releasing(owned)) => Some(owned.settle()),
-            _ => None,
-        };
-        async move { settled?.await.ok()? }
-    }
-
-    /// From now on a partition only waits for its last appends.
-    fn stop_serving(&self, partition: u32) {
-        let mut held = self.held.borrow_mut();
-        if let Some(Hold::Serving(owned)) = held.remove(&partition) {
-            held.insert(partition, Hold::Releasing(owned));
-        }
-    }
-
-    fn note_held(&self, held: usize) {
+    pub(super) fn note_held(&self, held: usize) {
         self.metrics.partitions_owned.set(held as i64);
         self.assigner.set_share(held, self.claims.partitions());
     }
@@ -260,7 +194,7 @@
     }
 }
 
-fn place(partition: u32) -> LogPartition {
+pub(super) fn place(partition: u32) -> LogPartition {
     LogPartition {
         topic: LEDGER_TOPIC.to_owned(),
         number: partition,
@@ -284,85 +218,6 @@
     let _ = sender.send(LedgerReply::NotOwner(owner.known_owner(partition)));
 }
 
-/// Reads a claimed partition; `None` once it is another's.
-async fn read(owner: &Owner, partition: u32, epoch: u64) -> Option<Partition> {
-    let claim = owner.claims.claim(partition);
-    let state = match claim.map_or(Former::Lost, |claim| claim.former) {
-        Former::None => Partition::default(),
-        Former::Settled { doubt_ms } => Partition::handed_over(unix_ms(), doubt_ms),
-        Former::Lost => Partition::taken_over(unix_ms()),
-    };
-    let mut load = Load::new(place(partition), epoch, state);
-    // Partitions that are read at once would share this machine's link.
-    let _turn = owner.reading.lock().await;
-    loop {
-        if !owner.is_loading(partition) {
-            return None;
-        }
-        match load.step(owner.store.as_ref()).await {
-            Ok(Some(state)) => return Some(state),
-            Ok(None) => {}
-            Err(StoreError::Fenced) => {
-                owner.drop_partition(partition, Some(epoch));
-                return None;
-            }
-            Err(error) => {
-                tracing::info!(event = "load_delayed", partition, epoch, %error);
-                sleep(LOAD_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Reads a claimed partition and serves it until it is lost.
-async fn hold(owner: Rc<Owner>, partition: u32, epoch: u64) {
-    let started = Instant::now();
-    let Some(state) = read(&owner, partition, epoch).await else {
-        return;
-    };
-    let state = Rc::new(RefCell::new(state));
-    let appender = Rc::new(Appender::new(
-        place(partition),
-        epoch,
-        owner.store.clone(),
-        owner.contact.clone(),
-    ));
-    let current =
-        matches!(owner.held.borrow().get(&partition), Some(Hold::Loading(now)) if *now == epoch);
-    if !current {
-        return;
-    }
-    tracing::info!(
-        event = "partition_owned",
-        partition,
-        epoch,
-        turns = state.borrow().turns(),
-        programs = state.borrow().programs(),
-        took_ms = started.elapsed().as_millis() as u64,
-    );
-    let owned = Owned {
-        epoch,
-        state: state.clone(),
-        appender: appender.clone(),
-        assigner: owner.assigner.clone(),
-    };
-    owner
-        .held
-        .borrow_mut()
-        .insert(partition, Hold::Serving(owned));
-    owner.note_held(owner.held_count());
-    owner.claims.changed.notify_waiters();
-    let end = appender
-        .run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64()))
-        .await;
-    tracing::info!(event = "partition_given_up", partition, epoch, cause = ?end);
-    owner.drop_partition(partition, Some(epoch));
-    if end == AppendEnd::Fenced {
-        // There is a newer owner: until it is known, its turns could not be served here.
-        let _ = owner.claims.refresh().await;
-    }
-}
-
 /// Deletes what need not be kept, now and then.
 pub async fn run_expiry(owner: Rc<Owner>) {
     loop {
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -50,7 +50,7 @@
     /// One turn's most may go out before its reservation is durable.
     may_exceed: bool,
     /// The budget, as long as no record of it was made.
-    unrecorded: Option<u64>,
+    unrecorded_budget: Option<u64>,
     changed_ms: u64,
 }
 
@@ -63,7 +63,7 @@
             durable_mark: if is_first { unrecorded } else { 0 },
             inherited: if is_first { 0 } else { unrecorded },
             may_exceed: is_first,
-            unrecorded: Some(budget),
+            unrecorded_budget: Some(budget),
             ..Self::default()
         }
     }
@@ -78,7 +78,7 @@
             pending_marks: VecDeque::new(),
             inherited: record.ahead,
             may_exceed: false,
-            unrecorded: None,
+            unrecorded_budget: None,
             changed_ms: record.changed_ms,
         }
     }
@@ -142,7 +142,7 @@
 
     /// The record to append before the partition is given up, if there was none yet.
     pub fn first_record(&mut self) -> Option<ProgramRecord> {
-        let budget = self.unrecorded?;
+        let budget = self.unrecorded_budget?;
         Some(self.record(budget))
     }
 
@@ -151,7 +151,7 @@
     /// A mark that is lowered counts from here on, not from the append on: a turn
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
-        self.unrecorded = None;
+        self.unrecorded_budget = None;
         let left = budget.saturating_sub(self.committed());
         let ahead = left / AHEAD_DIVISOR;
         let record = ProgramRecord {
