--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -82,13 +82,13 @@
         let incarnation = fastrand::u64(1..u64::MAX);
         let directory = Rc::new(RefCell::new(Directory::default()));
         let pools = Rc::new(Pools::default());
-        let assigner = Rc::new(Assigner::new(directory.clone(), pools.clone()));
+        let assigner = Assigner::new(directory.clone(), pools.clone(), settings.partitions);
         let owner = Owner::new(
             adapter.store.clone(),
             adapter.contact.clone(),
             adapter.metrics.clone(),
             &settings,
-            assigner,
+            Rc::new(assigner),
             incarnation,
         );
         let ledger = Rc::new(LedgerClient::new(owner.clone(), adapter.contact.clone()));
--- a/crates/gateway/src/ledger/assigner.rs
+++ b/crates/gateway/src/ledger/assigner.rs
@@ -2,37 +2,50 @@
 
 use crate::upstream::pool::Pools;
 use fieldhook_ledger::message::{CloseTurn, OpenTurn};
+use fieldhook_ledger::partition_of;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
 use fieldhook_traffic::directory::Directory;
-use std::cell::{Cell, RefCell};
+use fieldhook_traffic::groups::Groups;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Groups of a service's engines, as of a version of the directory.
+struct Dealt {
+    version: u64,
+    groups: Rc<Groups>,
+}
+
 /// Assigns engines, from the servers and their health as this daemon knows them.
 pub struct Assigner {
     directory: Rc<RefCell<Directory>>,
     pools: Rc<Pools>,
     table: RefCell<Table>,
-    /// Part of all programs that this daemon sees as an owner.
-    share: Cell<f64>,
+    dealt: RefCell<HashMap<String, Dealt>>,
+    partitions: u32,
+    /// Partitions owned here.
+    owned: RefCell<Vec<u32>>,
     started: Instant,
 }
 
 impl Assigner {
-    /// An assigner of no programs.
-    pub fn new(directory: Rc<RefCell<Directory>>, pools: Rc<Pools>) -> Self {
+    /// An assigner of no programs. These are divided among so many partitions.
+    pub fn new(directory: Rc<RefCell<Directory>>, pools: Rc<Pools>, partitions: u32) -> Self {
         Self {
             directory,
             pools,
             table: RefCell::new(Table::new(Settings::default())),
-            share: Cell::default(),
+            dealt: RefCell::default(),
+            partitions: partitions.max(1),
+            owned: RefCell::default(),
             started: Instant::now(),
         }
     }
 
-    /// The partitions owned here are this part of all.
-    pub fn set_share(&self, owned: usize, partitions: u32) {
-        self.share.set(owned as f64 / f64::from(partitions.max(1)));
+    /// These partitions are owned here.
+    pub fn set_owned(&self, partitions: Vec<u32>) {
+        self.owned.replace(partitions);
     }
 
     /// The engine that a turn should run at, if it needs one and one is known.
@@ -40,26 +53,24 @@
         let placement = open.placement.as_ref()?;
         let now_ms = self.started.elapsed().as_millis() as u64;
         let directory = self.directory.borrow();
-        let mut engines: Vec<Engine<'_>> = directory
-            .serving(&placement.service)
-            .filter(|server| !self.pools.view(&server.id, now_ms).avoided)
-            .map(|server| Engine {
-                id: &server.id,
-                zone: &server.zone,
-                slots: server.slots,
-            })
-            .collect();
-        engines.sort_by(|left, right| left.id.cmp(right.id));
+        let groups = self.groups(&placement.service, &directory);
+        let home = groups.of_partition(partition_of(&open.program, self.partitions));
+        let mut engines = engines(&directory, &placement.service);
+        engines.retain(|engine| !self.pools.view(engine.id, now_ms).avoided);
+        for engine in &mut engines {
+            engine.is_home = groups.of_engine(engine.id) == Some(home);
+        }
         let turn = Turn {
             id: &open.turn,
             program: &open.program,
             prefix: placement.prefix,
             zone: &placement.zone,
         };
+        let share = self.share(&groups, home);
         let engine = self
             .table
             .borrow_mut()
-            .assign(&turn, &engines, self.share.get(), now_ms)?;
+            .assign(&turn, &engines, share, now_ms)?;
         Some(engine.to_string())
     }
 
@@ -71,4 +82,47 @@
             table.ran_at(&close.program, engine);
         }
     }
+
+    /// The groups of a service's engines, dealt anew where these have changed.
+    fn groups(&self, service: &str, directory: &Directory) -> Rc<Groups> {
+        let version = directory.version();
+        let mut dealt = self.dealt.borrow_mut();
+        if let Some(known) = dealt.get(service)
+            && known.version == version
+        {
+            return known.groups.clone();
+        }
+        let groups = Rc::new(Groups::deal(&engines(directory, service), self.partitions));
+        let current = Dealt {
+            version,
+            groups: groups.clone(),
+        };
+        dealt.insert(service.to_owned(), current);
+        groups
+    }
+
+    /// The part of a group's programs that this daemon sees as an owner.
+    fn share(&self, groups: &Groups, group: u32) -> f64 {
+        let owned = self.owned.borrow();
+        let of_group = owned
+            .iter()
+            .filter(|partition| groups.of_partition(**partition) == group);
+        let partitions_of_group = f64::from(self.partitions) / f64::from(groups.count());
+        of_group.count() as f64 / partitions_of_group
+    }
+}
+
+/// Engines of a service that take new work, in an order of their own.
+fn engines<'a>(directory: &'a Directory, service: &'a str) -> Vec<Engine<'a>> {
+    let mut engines: Vec<Engine<'a>> = directory
+        .serving(service)
+        .map(|server| Engine {
+            id: &server.id,
+            zone: &server.zone,
+            slots: server.slots,
+            is_home: false,
+        })
+        .collect();
+    engines.sort_by(|left, right| left.id.cmp(right.id));
+    engines
 }
--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -101,7 +101,7 @@
         .held
         .borrow_mut()
         .insert(partition, Hold::Serving(owned));
-    owner.note_held(owner.held_count());
+    owner.note_held(&owner.held.borrow());
     owner.claims.changed.notify_waiters();
     let end = appender
         .run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64()))
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -168,7 +168,7 @@
             if let Some(Hold::Serving(owned) | Hold::Releasing(owned)) = held.remove(&partition) {
                 owned.appender.stop();
             }
-            self.note_held(held.len());
+            self.note_held(&held);
         }
         drop(held);
         self.claims.changed.notify_waiters();
@@ -183,9 +183,10 @@
         fence(self.store.as_ref(), place(partition), 0, timeout).await
     }
 
-    pub(super) fn note_held(&self, held: usize) {
-        self.metrics.partitions_owned.set(held as i64);
-        self.assigner.set_share(held, self.claims.partitions());
+    /// Tells those who depend on it which partitions are held now.
+    pub(super) fn note_held(&self, held: &HashMap<u32, Hold>) {
+        self.metrics.partitions_owned.set(held.len() as i64);
+        self.assigner.set_owned(held.keys().copied().collect());
     }
 
     /// Partitions held here.
--- a/crates/traffic/src/assignment.rs
+++ b/crates/traffic/src/assignment.rs
@@ -5,10 +5,12 @@
 //! share an engine. The owner of a program's partition sees all of its turns, whichever
 //! gateways they come through, and so assigns the engine (docs/POLICY.md).
 //!
-//! Engines are ranked by a hash of the prompt's shared beginning, so that all owners rank
-//! them alike without a word to each other. The first one that has not its fair load yet
-//! gets the program: a beginning spreads over as many engines as its load needs. Engines of
-//! the zone that the program came through go first: their connections and bytes cost less.
+//! A program gets an engine of its partition's own group ([`crate::groups`]), whose load the
+//! owner sees, unless that group is full. Engines are ranked by a hash of the prompt's shared
+//! beginning, so that all owners rank them alike without a word to each other. The first one
+//! that has not its fair load yet gets the program: a beginning spreads over as many engines
+//! as its load needs. Engines of the zone that the program came through go first: their
+//! connections and bytes cost less.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,6 +20,10 @@
 const REMEMBERED_MS: u64 = 60_000;
 /// A turn whose end was not told counts as under way for this long, in milliseconds.
 const LONGEST_TURN_MS: u64 = 10_000;
+/// Turns under way at every engine of a group, in parts of their places, from which on
+/// programs go to engines of other groups: an engine holds a few more than it works on, and
+/// what waits there is still served sooner than what reads its prompt anew elsewhere.
+const GROUP_FULL: f64 = 1.5;
 /// Programs remembered from which on a look for forgotten ones is worth its time.
 const SWEEP_FROM: usize = 1_024;
 
@@ -52,6 +58,8 @@
     pub zone: &'a str,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// It belongs to the group of the turn's partition.
+    pub is_home: bool,
 }
 
 /// A turn that is about to begin.
@@ -96,7 +104,7 @@
     }
 
     /// Assigns an engine to a turn and counts it as under way there. `share` is the part
-    /// of all programs that this owner sees.
+    /// of the programs of the turn's group that this owner sees.
     pub fn assign(
         &mut self,
         turn: &Turn<'_>,
@@ -165,22 +173,30 @@
         let is_near = |engine: &&Engine<'_>| engine.zone == turn.zone;
         let has_room = |engine: &&Engine<'_>| {
             let limit = self.limit(engine, engines, share, self.settings.balance);
-            f64::from(self.open(engine.id)) < limit
+            f64::from(self.open(engine.id)) < limit && !self.is_full(engine, share)
         };
-        let least = || {
-            engines
-                .iter()
-                .min_by_key(|engine| (self.open(engine.id), rank(engine)))
-        };
-        let roomy = || engines.iter().filter(has_room);
+        let roomy = || home(engines).filter(has_room);
         let near = roomy().filter(is_near).max_by_key(rank);
         let first = near.or_else(|| roomy().max_by_key(rank));
-        first.or_else(least).map(|engine| engine.id)
+        if let Some(engine) = first {
+            return Some(engine.id);
+        }
+        let load = |engine: &&Engine<'_>| (self.open(engine.id), rank(engine));
+        let least = home(engines).min_by_key(load);
+        match least.filter(|engine| !self.is_full(engine, share)) {
+            Some(engine) => Some(engine.id),
+            None => engines.iter().min_by_key(load).map(|engine| engine.id),
+        }
+    }
+
+    /// Whether an engine of the group is too full for more programs.
+    fn is_full(&self, engine: &Engine<'_>, share: f64) -> bool {
+        f64::from(self.open(engine.id)) >= f64::from(engine.slots) * share * GROUP_FULL
     }
 
     fn limit(&self, engine: &Engine<'_>, engines: &[Engine<'_>], share: f64, factor: f64) -> f64 {
-        let under_way: u32 = engines.iter().map(|engine| self.open(engine.id)).sum();
-        let mean = f64::from(under_way + 1) / engines.len() as f64;
+        let under_way: u32 = home(engines).map(|engine| self.open(engine.id)).sum();
+        let mean = f64::from(under_way + 1) / home(engines).count().max(1) as f64;
         let light = f64::from(engine.slots) * share * self.settings.light_load;
         factor * light.max(mean)
     }
@@ -204,6 +220,11 @@
     }
 }
 
+/// Engines of the turn's own group.
+fn home<'a, 'b>(engines: &'b [Engine<'a>]) -> impl Iterator<Item = &'b Engine<'a>> {
+    engines.iter().filter(|engine| engine.is_home)
+}
+
 /// Hash of the beginning of a prompt, the same in all daemons.
 pub fn prefix_hash(beginning: &str) -> u64 {
     xxh3_64_with_seed(beginning.as_bytes(), 0)
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -36,6 +36,7 @@
 #[derive(Default)]
 pub struct Directory {
     servers: HashMap<String, ServerEntry>,
+    version: u64,
 }
 
 impl Directory {
@@ -49,13 +50,24 @@
             _ => DirectoryChange::Unchanged,
         };
         entry.draining |= was_draining;
+        if change != DirectoryChange::Unchanged {
+            self.version += 1;
+        }
         self.servers.insert(entry.id.clone(), entry);
         change
     }
 
     /// Drops an entry that is gone from discovery.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.servers.remove(id).is_some()
+        let known = self.servers.remove(id).is_some();
+        self.version += u64::from(known);
+        known
+    }
+
+    /// Counts the changes of which servers take work: what was worked out from them holds
+    /// as long as this stays the same.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Keeps only the identities that a complete listing named.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`directory`]: which servers exist and which of them are leaving.
 //! - [`health`]: leaving a failing server alone and trying it again.
 //! - [`rest`]: how long an idle connection may rest.
+//! - [`groups`]: which engines the owner of a partition assigns.
 //! - [`assignment`]: the engine at which a program's turns run.
 //! - [`balance`]: choosing a server for one attempt.
 //! - [`attempt`]: what may follow a failed attempt.
@@ -16,6 +17,7 @@
 pub mod balance;
 pub mod config;
 pub mod directory;
+pub mod groups;
 pub mod health;
 pub mod rest;
 pub mod split;
--- a/crates/traffic/tests/assignment.rs
+++ b/crates/traffic/tests/assignment.rs
@@ -13,6 +13,7 @@
             id: name,
             zone: "z1",
             slots: SLOTS,
+            is_home: true,
         })
         .collect()
 }
--- /dev/null
+++ b/crates/traffic/tests/groups.rs
@@ -0,0 +1,210 @@
+//! Groups of engines: as even as can be, few moves, right with few engines and with many.
+
+use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
+use fieldhook_traffic::groups::Groups;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::HashMap;
+
+const SLOTS: u32 = 6;
+
+/// Identity and zone of engines.
+#[derive(Clone, Debug)]
+struct Fleet(Vec<(String, String)>);
+
+impl Fleet {
+    fn new(engines: usize, zones: usize) -> Self {
+        let engine = |number: usize| (format!("e{number}"), format!("z{}", number % zones.max(1)));
+        Self((0..engines).map(engine).collect())
+    }
+
+    fn engines(&self) -> Vec<Engine<'_>> {
+        self.0
+            .iter()
+            .map(|(id, zone)| Engine {
+                id,
+                zone,
+                slots: SLOTS,
+                is_home: true,
+            })
+            .collect()
+    }
+
+    fn sizes(&self, groups: &Groups, zone: Option<&str>) -> Vec<usize> {
+        let mut sizes = vec![0; groups.count() as usize];
+        for (id, its_zone) in &self.0 {
+            if zone.is_none_or(|zone| zone == its_zone) {
+                sizes[groups.of_engine(id).expect("dealt") as usize] += 1;
+            }
+        }
+        sizes
+    }
+}
+
+fn spread(sizes: &[usize]) -> usize {
+    let most = sizes.iter().max().copied().unwrap_or(0);
+    most - sizes.iter().min().copied().unwrap_or(0)
+}
+
+/// A fleet and the number of partitions that assign it.
+#[derive(Clone, Debug)]
+struct Case {
+    engines: usize,
+    zones: usize,
+    partitions: u32,
+}
+
+impl Arbitrary for Case {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let few = bool::arbitrary(g);
+        let engines = usize::from(u16::arbitrary(g)) % if few { 14 } else { 300 };
+        Self {
+            engines: engines + 1,
+            zones: usize::from(u8::arbitrary(g)) % 8 + 1,
+            partitions: u32::from(u8::arbitrary(g)) % 130,
+        }
+    }
+}
+
+fn is_even(case: Case) -> bool {
+    let fleet = Fleet::new(case.engines, case.zones);
+    let groups = Groups::deal(&fleet.engines(), case.partitions);
+    let partitions = case.partitions.max(1);
+    let large_enough = groups.count() == 1 || case.engines >= 6 * groups.count() as usize;
+    let zones_even = (0..case.zones).all(|zone| {
+        let zone = format!("z{zone}");
+        let of_zone = fleet.0.iter().filter(|(_, its)| *its == zone).count();
+        let each = of_zone / groups.count() as usize;
+        fleet
+            .sizes(&groups, Some(&zone))
+            .iter()
+            .all(|size| *size >= each)
+    });
+    let every_group_has_partitions = partitions.is_multiple_of(groups.count());
+    large_enough
+        && zones_even
+        && every_group_has_partitions
+        && spread(&fleet.sizes(&groups, None)) <= 1
+}
+
+#[test]
+fn groups_are_as_even_as_can_be() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 31))
+        .tests(300)
+        .quickcheck(is_even as fn(Case) -> bool);
+}
+
+#[test]
+fn few_engines_are_one_group_and_many_are_as_many_as_leave_each_six() {
+    let count = |engines, partitions| {
+        Groups::deal(&Fleet::new(engines, 3).engines(), partitions).count()
+    };
+    assert_eq!(count(1, 16), 1);
+    assert_eq!(count(11, 16), 1);
+    assert_eq!(count(12, 16), 2);
+    assert_eq!(count(45, 16), 4);
+    assert_eq!(count(102, 16), 16);
+    assert_eq!(count(740, 16), 16);
+    assert_eq!(count(740, 128), 64);
+}
+
+#[test]
+fn the_order_of_the_list_does_not_matter() {
+    let fleet = Fleet::new(102, 6);
+    let mut reversed = fleet.engines();
+    reversed.reverse();
+    let one = Groups::deal(&fleet.engines(), 16);
+    let other = Groups::deal(&reversed, 16);
+    for (id, _) in &fleet.0 {
+        assert_eq!(one.of_engine(id), other.of_engine(id));
+    }
+}
+
+#[test]
+fn an_engine_that_leaves_moves_few_others() {
+    let fleet = Fleet::new(102, 6);
+    let before = Groups::deal(&fleet.engines(), 16);
+    for gone in 0..102 {
+        let mut left = fleet.clone();
+        left.0.remove(gone);
+        let after = Groups::deal(&left.engines(), 16);
+        let moved = left
+            .0
+            .iter()
+            .filter(|(id, _)| before.of_engine(id) != after.of_engine(id));
+        let moved = moved.count();
+        assert!(moved <= 20, "{moved} of 101 moved");
+    }
+}
+
+/// Turns under way at each engine where sixteen owners assign without a word between them.
+fn loads(fleet: &Fleet, partitions: u32, programs: u32) -> HashMap<String, u32> {
+    let groups = Groups::deal(&fleet.engines(), partitions);
+    let mut owners: Vec<Table> = (0..partitions)
+        .map(|_| Table::new(Settings::default()))
+        .collect();
+    for program in 0..programs {
+        let name = format!("p{program}");
+        let partition = program * 7 % partitions;
+        let group = groups.of_partition(partition);
+        let mut engines = fleet.engines();
+        for engine in &mut engines {
+            engine.is_home = groups.of_engine(engine.id) == Some(group);
+        }
+        let zone = format!("z{}", program % 6);
+        let turn = Turn {
+            id: &name,
+            program: &name,
+            prefix: u64::from(program % 8),
+            zone: &zone,
+        };
+        let share = f64::from(groups.count()) / f64::from(partitions);
+        owners[partition as usize]
+            .assign(&turn, &engines, share, 0)
+            .expect("an engine");
+    }
+    let mut loads = HashMap::new();
+    for (id, _) in &fleet.0 {
+        let open = owners.iter().map(|owner| owner.open(id)).sum();
+        loads.insert(id.clone(), open);
+    }
+    loads
+}
+
+#[test]
+fn owners_that_see_nothing_of_each_other_load_all_engines_alike() {
+    let fleet = Fleet::new(102, 6);
+    let loads = loads(&fleet, 16, 306);
+    let most = loads.values().max().copied().unwrap_or(0);
+    // Three turns an engine; each may have three before the next one is taken.
+    assert!(most <= 4, "{most} turns at one engine, 3 on average");
+}
+
+#[test]
+fn what_a_full_group_cannot_take_goes_to_other_groups() {
+    let fleet = Fleet::new(24, 6);
+    let groups = Groups::deal(&fleet.engines(), 4);
+    assert_eq!(groups.count(), 4);
+    let mut engines = fleet.engines();
+    for engine in &mut engines {
+        engine.is_home = groups.of_engine(engine.id) == Some(0);
+    }
+    let mut owner = Table::new(Settings::default());
+    for number in 0..100 {
+        let name = format!("p{number}");
+        let turn = Turn {
+            id: &name,
+            program: &name,
+            prefix: 1,
+            zone: "z1",
+        };
+        owner.assign(&turn, &engines, 1.0, 0).expect("an engine");
+    }
+    let at = |is_home: bool| {
+        let engines = engines.iter().filter(|engine| engine.is_home == is_home);
+        engines.map(|engine| owner.open(engine.id)).sum::<u32>()
+    };
+    // Six engines of six places, and half as many turns that wait there.
+    assert_eq!(at(true), 54);
+    assert_eq!(at(false), 46);
+}
