--- a/crates/traffic/src/groups.rs
+++ b/crates/traffic/src/groups.rs
@@ -4,7 +4,7 @@
 //! sees a small part of an engine's load, and they pile up on the same ones without knowing
 //! it. So the engines are dealt to groups, a group belongs to as few partitions as leaves it
 //! large enough, and the owner of a group's only partition sees all of its load
-//! (docs/POLICY.md, "Groups of engines").
+//! (docs/SIZE.md, round 1).
 //!
 //! All owners deal alike from the same list, without a message between them. Owners whose
 //! lists differ for a while share the engines they differ in, nothing worse.
--- a/crates/traffic/tests/groups.rs
+++ b/crates/traffic/tests/groups.rs
@@ -96,9 +96,8 @@
 
 #[test]
 fn few_engines_are_one_group_and_many_are_as_many_as_leave_each_six() {
-    let count = |engines, partitions| {
-        Groups::deal(&Fleet::new(engines, 3).engines(), partitions).count()
-    };
+    let count =
+        |engines, partitions| Groups::deal(&Fleet::new(engines, 3).engines(), partitions).count();
     assert_eq!(count(1, 16), 1);
     assert_eq!(count(11, 16), 1);
     assert_eq!(count(12, 16), 2);
