The log is found again sooner, and the first moments of a process refuse nobody

After a loss of all power 19 requests were refused in the first 0.1 s for want of a configuration, each a try of its client. Excluded: reading and claiming (no partition was lost before the log was back). Change: tries of an append follow after 100 ms at most. For the first 300 ms of its life a process holds requests while it knows no configuration.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,11 +14,16 @@
 use fieldhook_traffic::table::RouteTable;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
-use tokio::time::Instant;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
 use tracing_appender::non_blocking::ErrorCounter;
 
+/// From its start on a process holds requests for so long while it knows no configuration.
+/// With 295 daemons that start together it is known after 40 to 150 ms; where the log is
+/// away, what comes later is refused at once.
+const START_PATIENCE: Duration = Duration::from_millis(300);
+
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stopping {
@@ -44,6 +49,8 @@
     pub contact: Rc<Contact>,
     /// Routes in force.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Told when there are new ones.
+    pub routes_changed: Notify,
     /// Known servers.
     pub directory: Rc<RefCell<Directory>>,
     /// How long answers take.
@@ -102,6 +109,7 @@
             topics: adapter.topics,
             contact: adapter.contact,
             routes: RefCell::new(None),
+            routes_changed: Notify::new(),
             directory,
             answer_times: AnswerTimes::default(),
             pools,
@@ -120,6 +128,20 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Waits for the first configuration where this process has only just started: a client
+    /// that is refused in these moments has one try less.
+    pub async fn wait_for_routes(&self) {
+        let until = self.started + START_PATIENCE;
+        while self.routes.borrow().is_none() {
+            if timeout_at(until, self.routes_changed.notified())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
     /// Whether new clients should come here.
     pub fn is_ready(&self) -> bool {
         let better_elsewhere = self.ledger.reach.get().others_are_better_off();
@@ -171,7 +193,7 @@
         .map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
 
-const SWEEP_PERIOD: std::time::Duration = std::time::Duration::from_millis(500);
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 async fn sweep_pools(daemon: Rc<Daemon>) {
     loop {
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -67,4 +67,5 @@
     let is_route = |name: &str| config.routes.iter().any(|route| route.name == name);
     daemon.answer_times.retain(&is_route);
     *daemon.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+    daemon.routes_changed.notify_waiters();
 }
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -107,6 +107,7 @@
     request: ClientRequest,
     writer: &mut ClientWriter,
 ) -> Served {
+    daemon.wait_for_routes().await;
     let context = match prepare(daemon, request) {
         Ok(context) => context,
         Err((id, answer)) => {
--- a/crates/gateway/tests/gateway/input.rs
+++ b/crates/gateway/tests/gateway/input.rs
@@ -160,6 +160,24 @@
     });
 }
 
+#[test]
+fn a_request_of_the_first_moments_waits_for_the_configuration() {
+    run(async {
+        let server = Server::start("s1", fine()).await;
+        let world = World::new().await;
+        world.list(&server).await;
+        world.put(crate::support::CONFIG, "config", "").await;
+        let gateway = world.gateway("g1").await;
+        let published = async {
+            sleep(Duration::from_millis(120)).await;
+            world.publish(0).await;
+        };
+        let asked = gateway.ask("GET", "/safe/1", "Request: a\r\n", "");
+        let (reply, ()) = futures_util::future::join(asked, published).await;
+        assert_eq!(reply.head.status, 200);
+    });
+}
+
 #[test]
 fn unreadable_and_older_configurations_leave_the_former_in_force() {
     run(async {
--- a/crates/log/src/hedge.rs
+++ b/crates/log/src/hedge.rs
@@ -15,8 +15,11 @@
 
 /// A try is given up after this long: its connection is taken for dead.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
-/// Longest pause between tries: so long after an outage the log is found again at most.
-const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between tries: so long after an outage the log is found again at most, and
+/// so long do the ends of kept turns wait longer than they must. Sixteen owners that wait
+/// make 160 calls a second, a part in twenty-five of what the log of the largest deployment
+/// measured takes.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
 /// First pause after a refusal.
 const FIRST_PAUSE: Duration = Duration::from_millis(15);
 /// Without an answer for this long the service counts as failing.
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -320,6 +320,26 @@
     });
 }
 
+/// What waits for a log that refuses goes out within a tenth of a second of its return.
+#[test]
+fn a_log_that_refused_is_found_again_at_once() {
+    run(async {
+        for trial in 0..8 {
+            let log = Rc::new(SharedLog::default());
+            let store = Rc::new(MemoryLog::new(log.clone()));
+            store.set_fault(LogFault::Busy);
+            let healing = store.clone();
+            let outage = Duration::from_millis(500 + trial * 30);
+            ntex::rt::spawn(async move {
+                sleep(outage).await;
+                healing.set_fault(LogFault::None);
+            });
+            let took = time_of_append(&store, &Rc::default()).await;
+            assert!(took < outage + Duration::from_millis(140), "{took:?}");
+        }
+    });
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Push,
