Programs are in doubt after a loss for as long as one may be out of sight, not for 60 s

Change: the doubt lasts four times a turn's longest time by the routes, and 4 s for a former owner that is cut off or frozen, 60 s at most.

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -66,6 +66,10 @@
     );
     let is_route = |name: &str| config.routes.iter().any(|route| route.name == name);
     daemon.answer_times.retain(&is_route);
+    let turns = config.routes.iter().filter(|route| route.kind.is_stream());
+    if let Some(longest_ms) = turns.map(|route| route.timeout_ms).max() {
+        daemon.owner.set_longest_turn(longest_ms);
+    }
     *daemon.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
     daemon.routes_changed.notify_waiters();
 }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -5,12 +5,13 @@
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use fieldhook_ledger::message::{ClaimPartition, KnownOwner, LedgerReply, LedgerRequest};
+use fieldhook_ledger::partition::doubt_after_loss;
 use fieldhook_log::api::{LogStore, Partition as LogPartition, StoreError};
 use fieldhook_log::appender::fence;
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
 use fieldhook_log::patience::{Capacity, before_claim};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +36,8 @@
     pub(super) metrics: Rc<Metrics>,
     pub(super) held: RefCell<HashMap<u32, Hold>>,
     capacity: Capacity,
+    /// Longest time of a turn by the routes in force, in milliseconds.
+    longest_turn_ms: Cell<u64>,
     pub(super) assigner: Rc<Assigner>,
     /// Held while a partition is read.
     pub(super) reading: Mutex<()>,
@@ -65,6 +68,7 @@
             metrics,
             held: RefCell::default(),
             capacity: settings.capacity,
+            longest_turn_ms: Cell::new(u64::MAX),
             assigner,
             reading: Mutex::default(),
         });
@@ -86,6 +90,16 @@
         before_claim(self.capacity, reading.count() as u32)
     }
 
+    /// Takes in how long turns may take.
+    pub fn set_longest_turn(&self, longest_ms: u64) {
+        self.longest_turn_ms.set(longest_ms);
+    }
+
+    /// How long programs without a record are in doubt once an owner was lost.
+    pub(super) fn doubt_after_loss_ms(&self) -> u64 {
+        doubt_after_loss(self.longest_turn_ms.get())
+    }
+
     /// Whether a partition is held but not read yet.
     pub fn is_loading(&self, partition: u32) -> bool {
         matches!(self.held.borrow().get(&partition), Some(Hold::Loading(_)))
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -11,9 +11,24 @@
 /// How long a program's budget is kept after its last change, in milliseconds.
 const PROGRAM_RETENTION_MS: u64 = 180_000;
 
-/// How long after a take-over an unknown program may have begun under the earlier owner,
-/// in milliseconds: longer than a client asks again for a turn that broke off.
-const DOUBTFUL_MS: u64 = 60_000;
+/// Turns' times for which a program without a record may be out of sight after its owner was
+/// lost: a client sends a turn three times, and calls tools for less than a turn's time
+/// before the next one.
+const TURNS_OUT_OF_SIGHT: u64 = 4;
+/// How long a former owner that was cut off or frozen may go on granting, in milliseconds:
+/// twice what it takes to notice that the log answers others and not itself.
+const FORMER_OWNER_MS: u64 = 4_000;
+/// The doubt at most, also as long as the times of turns are not known, in milliseconds.
+const LONGEST_DOUBT_MS: u64 = 60_000;
+
+/// How long after a take-over an unknown program may have begun under the earlier owner, in
+/// milliseconds, where a turn takes `longest_turn_ms` at most.
+pub fn doubt_after_loss(longest_turn_ms: u64) -> u64 {
+    let out_of_sight = longest_turn_ms.saturating_mul(TURNS_OUT_OF_SIGHT);
+    out_of_sight
+        .saturating_add(FORMER_OWNER_MS)
+        .min(LONGEST_DOUBT_MS)
+}
 
 /// What became of a request to begin a turn.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,18 +63,11 @@
 }
 
 impl Partition {
-    /// A partition taken over from another owner, that may have granted turns which no
-    /// record tells of.
-    pub fn taken_over(now_ms: u64) -> Self {
-        Self {
-            doubtful_until_ms: now_ms + DOUBTFUL_MS,
-            ..Self::default()
-        }
-    }
-
-    /// A partition whose last owner had recorded all that it granted before it gave it up.
-    /// For `doubt_ms` from now owners before that one may still be in doubt.
-    pub fn handed_over(now_ms: u64, doubt_ms: u64) -> Self {
+    /// A partition of earlier owners. For `doubt_ms` from now on they may have granted turns
+    /// which no record tells of: [`doubt_after_loss`] where the last one was lost, and what
+    /// it was itself in doubt about where it recorded all that it granted before it gave the
+    /// partition up.
+    pub fn taken_over(now_ms: u64, doubt_ms: u64) -> Self {
         Self {
             doubtful_until_ms: now_ms + doubt_ms,
             ..Self::default()
--- a/crates/ledger/tests/budget_fuzz.rs
+++ b/crates/ledger/tests/budget_fuzz.rs
@@ -11,6 +11,8 @@
 const BUDGET: u64 = 1_000;
 const MOST: u64 = 90;
 const PROGRAM: &str = "p";
+/// Longer than any story: its clock stands still.
+const DOUBT_MS: u64 = 60_000;
 /// Ended turns that an owner remembers.
 const ENDS_TOLD_AGAIN: usize = 24;
 
@@ -250,14 +252,14 @@
             self.append();
         }
         let doubt_ms = self.owner.doubt_ms(1);
-        self.owner = Partition::handed_over(1, doubt_ms);
+        self.owner = Partition::taken_over(1, doubt_ms);
         self.read_back();
     }
 
     /// The next owner begins from the log. Turns whose reservation was not durable
     /// are asked for again by their gateways before they hand anything out.
     fn lose_owner(&mut self) {
-        let former = std::mem::replace(&mut self.owner, Partition::taken_over(1));
+        let former = std::mem::replace(&mut self.owner, Partition::taken_over(1, DOUBT_MS));
         self.formers.push(former);
         self.queue.clear();
         self.queued = self.appended;
--- /dev/null
+++ b/crates/ledger/tests/doubt.rs
@@ -0,0 +1,57 @@
+//! How long a new owner counts what earlier ones may have granted without a record.
+
+use fieldhook_ledger::message::OpenTurn;
+use fieldhook_ledger::partition::{OpenOutcome, Partition, doubt_after_loss};
+
+const TURN_MS: u64 = 4_000;
+const TAKEN_OVER_MS: u64 = 1_000_000;
+const BUDGET: u64 = 900;
+const MOST: u64 = 273;
+
+fn turn(program: &str, number: u32) -> OpenTurn {
+    OpenTurn {
+        turn: format!("{program}-{number}"),
+        program: program.to_owned(),
+        previous: None,
+        wants_chain: false,
+        keeps_context: false,
+        brings_chain: false,
+        budget: Some(BUDGET),
+        most_tokens: MOST,
+        placement: None,
+    }
+}
+
+fn is_durable(partition: &mut Partition, turn: &OpenTurn, now_ms: u64) -> Option<bool> {
+    match partition.open(turn, now_ms) {
+        OpenOutcome::Opened { durable, .. } => Some(durable),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_program_that_begins_after_the_doubt_spends_its_whole_budget_and_needs_no_log() {
+    let doubt_ms = doubt_after_loss(TURN_MS);
+    let mut partition = Partition::taken_over(TAKEN_OVER_MS, doubt_ms);
+    let before = TAKEN_OVER_MS + doubt_ms - 1;
+    assert_eq!(
+        is_durable(&mut partition, &turn("old", 0), before),
+        Some(false)
+    );
+    let after = TAKEN_OVER_MS + 20_000;
+    assert_eq!(
+        is_durable(&mut partition, &turn("new", 0), after),
+        Some(true)
+    );
+    let granted = (1..)
+        .take_while(|number| is_durable(&mut partition, &turn("new", *number), after).is_some());
+    assert_eq!(granted.count(), 2, "900 tokens hold three turns of 273");
+}
+
+#[test]
+fn the_doubt_outlasts_three_tries_of_a_turn_and_the_calls_of_tools_after_it() {
+    assert_eq!(doubt_after_loss(TURN_MS), 20_000);
+    assert!(doubt_after_loss(500) > 4 * 500);
+    assert_eq!(doubt_after_loss(30_000), 60_000);
+    assert_eq!(doubt_after_loss(u64::MAX), 60_000);
+}
