--- a/crates/gateway/src/ledger/assigner.rs
+++ b/crates/gateway/src/ledger/assigner.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 /// Groups of a service's engines, as of a version of the directory.
-struct Dealt {
+struct Division {
     version: u64,
     groups: Rc<Groups>,
 }
@@ -22,7 +22,7 @@
     directory: Rc<RefCell<Directory>>,
     pools: Rc<Pools>,
     table: RefCell<Table>,
-    dealt: RefCell<HashMap<String, Dealt>>,
+    divisions: RefCell<HashMap<String, Division>>,
     partitions: u32,
     /// Partitions owned here.
     owned: RefCell<Vec<u32>>,
@@ -36,7 +36,7 @@
             directory,
             pools,
             table: RefCell::new(Table::new(Settings::default())),
-            dealt: RefCell::default(),
+            divisions: RefCell::default(),
             partitions: partitions.max(1),
             owned: RefCell::default(),
             started: Instant::now(),
@@ -83,21 +83,24 @@
         }
     }
 
-    /// The groups of a service's engines, dealt anew where these have changed.
+    /// The groups of a service's engines, divided anew where these have changed.
     fn groups(&self, service: &str, directory: &Directory) -> Rc<Groups> {
         let version = directory.version();
-        let mut dealt = self.dealt.borrow_mut();
-        if let Some(known) = dealt.get(service)
+        let mut divisions = self.divisions.borrow_mut();
+        if let Some(known) = divisions.get(service)
             && known.version == version
         {
             return known.groups.clone();
         }
-        let groups = Rc::new(Groups::deal(&engines(directory, service), self.partitions));
-        let current = Dealt {
+        let groups = Rc::new(Groups::divide(
+            &engines(directory, service),
+            self.partitions,
+        ));
+        let current = Division {
             version,
             groups: groups.clone(),
         };
-        dealt.insert(service.to_owned(), current);
+        divisions.insert(service.to_owned(), current);
         groups
     }
 
--- a/crates/traffic/src/groups.rs
+++ b/crates/traffic/src/groups.rs
@@ -2,11 +2,11 @@
 //!
 //! An owner counts the turns that it lets begin. Where all owners assign all engines, each
 //! sees a small part of an engine's load, and they pile up on the same ones without knowing
-//! it. So the engines are dealt to groups, a group belongs to as few partitions as leaves it
+//! it. So the engines are divided into groups, a group belongs to as few partitions as leaves it
 //! large enough, and the owner of a group's only partition sees all of its load
 //! (docs/SIZE.md, round 1).
 //!
-//! All owners deal alike from the same list, without a message between them. Owners whose
+//! All owners divide the same list alike, without a message between them. Owners whose
 //! lists differ for a while share the engines they differ in, nothing worse.
 
 use crate::assignment::Engine;
@@ -18,7 +18,7 @@
 /// loss of some: with six, one in each zone of the largest deployments measured.
 const SMALLEST_GROUP: usize = 6;
 
-/// Engines dealt to groups, and groups to partitions.
+/// Engines divided into groups, and groups among partitions.
 #[derive(Debug, Default)]
 pub struct Groups {
     count: u32,
@@ -26,12 +26,12 @@
 }
 
 impl Groups {
-    /// Deals engines: groups differ by one engine at most, and so do the engines that a
+    /// Divides engines: groups differ by one engine at most, and so do the engines that a
     /// group has of a zone while the zone has enough for all. An engine that comes or goes
     /// moves few others.
-    pub fn deal(engines: &[Engine<'_>], partitions: u32) -> Self {
+    pub fn divide(engines: &[Engine<'_>], partitions: u32) -> Self {
         let count = group_count(engines.len(), partitions);
-        let mut dealt = Self {
+        let mut groups = Self {
             count,
             of: HashMap::with_capacity(engines.len()),
         };
@@ -45,10 +45,10 @@
                 .filter(|engine| engine.zone == zone)
                 .map(|engine| engine.id)
                 .collect();
-            left.extend(dealt.deal_zone(&of_zone));
+            left.extend(groups.place_evenly(&of_zone));
         }
-        dealt.deal_rest(left);
-        dealt
+        groups.place_in_smallest(left);
+        groups
     }
 
     /// Number of groups.
@@ -68,7 +68,7 @@
 
     /// Gives each group the same number of a zone's engines, by rendezvous hashing, and
     /// returns the rest.
-    fn deal_zone<'a>(&mut self, engines: &[&'a str]) -> Vec<&'a str> {
+    fn place_evenly<'a>(&mut self, engines: &[&'a str]) -> Vec<&'a str> {
         let each = engines.len() / self.count as usize;
         let mut room = vec![each; self.count as usize];
         let mut pairs: Vec<(u64, &str, u32)> = engines
@@ -87,7 +87,7 @@
     }
 
     /// Gives what is left of all zones to the smallest groups.
-    fn deal_rest(&mut self, mut engines: Vec<&str>) {
+    fn place_in_smallest(&mut self, mut engines: Vec<&str>) {
         let mut sizes = vec![0_u32; self.count as usize];
         for group in self.of.values() {
             sizes[*group as usize] += 1;
--- a/crates/traffic/tests/groups.rs
+++ b/crates/traffic/tests/groups.rs
@@ -33,7 +33,7 @@
         let mut sizes = vec![0; groups.count() as usize];
         for (id, its_zone) in &self.0 {
             if zone.is_none_or(|zone| zone == its_zone) {
-                sizes[groups.of_engine(id).expect("dealt") as usize] += 1;
+                sizes[groups.of_engine(id).expect("in a group") as usize] += 1;
             }
         }
         sizes
@@ -67,7 +67,7 @@
 
 fn is_even(case: Case) -> bool {
     let fleet = Fleet::new(case.engines, case.zones);
-    let groups = Groups::deal(&fleet.engines(), case.partitions);
+    let groups = Groups::divide(&fleet.engines(), case.partitions);
     let partitions = case.partitions.max(1);
     let large_enough = groups.count() == 1 || case.engines >= 6 * groups.count() as usize;
     let zones_even = (0..case.zones).all(|zone| {
@@ -97,7 +97,7 @@
 #[test]
 fn few_engines_are_one_group_and_many_are_as_many_as_leave_each_six() {
     let count =
-        |engines, partitions| Groups::deal(&Fleet::new(engines, 3).engines(), partitions).count();
+        |engines, partitions| Groups::divide(&Fleet::new(engines, 3).engines(), partitions).count();
     assert_eq!(count(1, 16), 1);
     assert_eq!(count(11, 16), 1);
     assert_eq!(count(12, 16), 2);
@@ -112,8 +112,8 @@
     let fleet = Fleet::new(102, 6);
     let mut reversed = fleet.engines();
     reversed.reverse();
-    let one = Groups::deal(&fleet.engines(), 16);
-    let other = Groups::deal(&reversed, 16);
+    let one = Groups::divide(&fleet.engines(), 16);
+    let other = Groups::divide(&reversed, 16);
     for (id, _) in &fleet.0 {
         assert_eq!(one.of_engine(id), other.of_engine(id));
     }
@@ -122,11 +122,11 @@
 #[test]
 fn an_engine_that_leaves_moves_few_others() {
     let fleet = Fleet::new(102, 6);
-    let before = Groups::deal(&fleet.engines(), 16);
+    let before = Groups::divide(&fleet.engines(), 16);
     for gone in 0..102 {
         let mut left = fleet.clone();
         left.0.remove(gone);
-        let after = Groups::deal(&left.engines(), 16);
+        let after = Groups::divide(&left.engines(), 16);
         let moved = left
             .0
             .iter()
@@ -138,7 +138,7 @@
 
 /// Turns under way at each engine where sixteen owners assign without a word between them.
 fn loads(fleet: &Fleet, partitions: u32, programs: u32) -> HashMap<String, u32> {
-    let groups = Groups::deal(&fleet.engines(), partitions);
+    let groups = Groups::divide(&fleet.engines(), partitions);
     let mut owners: Vec<Table> = (0..partitions)
         .map(|_| Table::new(Settings::default()))
         .collect();
@@ -182,7 +182,7 @@
 #[test]
 fn what_a_full_group_cannot_take_goes_to_other_groups() {
     let fleet = Fleet::new(24, 6);
-    let groups = Groups::deal(&fleet.engines(), 4);
+    let groups = Groups::divide(&fleet.engines(), 4);
     assert_eq!(groups.count(), 4);
     let mut engines = fleet.engines();
     for engine in &mut engines {
