Topology: zones, regions, evacuations and homes as types; read, followed and asked at each choice

Cause: the product knew one word for place, zone. Evacuations, regions that may serve and what cold servers bear were not read at all.

Distances take the place of names of zones in the choices; what they cost is as before.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::ledger::owner::Owner;
 use crate::ledger::quota::Shares;
 use crate::metrics::Metrics;
+use crate::places::Places;
 use crate::serve::answer_times::AnswerTimes;
 use crate::settings::GatewaySettings;
 use crate::upstream::pool::Pools;
@@ -53,6 +54,8 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Told when there are new ones.
     pub routes_changed: Notify,
+    /// Zones of the deployment, and which are evacuated.
+    pub places: Rc<Places>,
     /// Known servers.
     pub directory: Rc<RefCell<Directory>>,
     /// How long answers take.
@@ -98,7 +101,13 @@
         let incarnation = fastrand::u64(1..u64::MAX);
         let directory = Rc::new(RefCell::new(Directory::default()));
         let pools = Rc::new(Pools::default());
-        let assigner = Assigner::new(directory.clone(), pools.clone(), settings.partitions);
+        let places = Rc::new(Places::new(&settings));
+        let assigner = Assigner::new(
+            directory.clone(),
+            pools.clone(),
+            places.clone(),
+            settings.partitions,
+        );
         let owner = Owner::new(
             adapter.store.clone(),
             adapter.contact.clone(),
@@ -117,6 +126,7 @@
             contact: adapter.contact,
             routes: RefCell::new(None),
             routes_changed: Notify::new(),
+            places,
             directory,
             answer_times: AnswerTimes::default(),
             pools,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -121,10 +121,13 @@
 /// Names of topics and keys that the platform gives.
 #[derive(Clone, Debug)]
 pub struct Topics {
-    /// Compacted topic with the configuration.
+    /// Compacted topic with the configuration and evacuations.
     pub config: String,
     /// Key of the configuration in it.
     pub config_key: Vec<u8>,
+    /// Beginning of the key of an evacuated zone in it; the zone's name follows. The record
+    /// lasts as long as the evacuation.
+    pub evacuations: Vec<u8>,
     /// Compacted topic with the servers.
     pub servers: String,
 }
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -2,9 +2,10 @@
 //! log answers them and not this one.
 
 use crate::daemon::Daemon;
-use fieldhook_log::api::Partition;
+use fieldhook_log::api::{KeyedRecord, Partition};
 use fieldhook_log::follow::{Follower, Update};
 use fieldhook_log::reach::Reach;
+use fieldhook_topology::evacuation::State;
 use fieldhook_traffic::table::{RouteTable, supersedes};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,14 +33,29 @@
     )
     .on_answer(Box::new(move || known.confirm(0)));
     loop {
-        let records = match follower.next_update().await {
-            Update::Listing(records) | Update::Records(records) => records,
+        let (records, is_listing) = match follower.next_update().await {
+            Update::Listing(records) => (records, true),
+            Update::Records(records) => (records, false),
         };
         for (offset, record) in &records {
             if record.key == daemon.topics.config_key {
                 take(&daemon, Some(*offset), &record.value);
+            } else if let Some(zone) = evacuated_zone(&daemon, record) {
+                let state = match record.value.is_empty() {
+                    true => State::Open,
+                    false => State::Evacuated,
+                };
+                daemon.places.take(zone, state, *offset, "log");
             }
         }
+        if is_listing {
+            let listed: Vec<&str> = records
+                .iter()
+                .filter(|(_, record)| !record.value.is_empty())
+                .filter_map(|(_, record)| evacuated_zone(&daemon, record))
+                .collect();
+            daemon.places.retain_listed(&listed, follower.position());
+        }
     }
 }
 
@@ -56,6 +72,9 @@
             if let Some(document) = news.document {
                 take(&daemon, None, &document);
             }
+            for evacuation in &news.evacuations {
+                daemon.places.learn(evacuation);
+            }
             if let Some(age_ms) = news.age_ms {
                 daemon.owner.config.confirm(age_ms);
             }
@@ -63,6 +82,21 @@
     }
 }
 
+/// The zone that a record of the operator's topic is about, if it is about one.
+fn evacuated_zone<'a>(daemon: &Daemon, record: &'a KeyedRecord) -> Option<&'a str> {
+    let name = record
+        .key
+        .strip_prefix(daemon.topics.evacuations.as_slice())?;
+    match std::str::from_utf8(name) {
+        Ok(zone) if !zone.is_empty() => Some(zone),
+        _ => {
+            tracing::error!(event = "zone_unreadable", key = ?record.key,
+                "evacuate zones by their names in the settings");
+            None
+        }
+    }
+}
+
 /// Takes in a document; one that was learned from another daemon has no offset in the log.
 fn take(daemon: &Daemon, offset: Option<u64>, document: &[u8]) {
     let config = match daemon.dialect.traffic_config(document) {
--- a/crates/gateway/src/follow/known.rs
+++ b/crates/gateway/src/follow/known.rs
@@ -3,6 +3,7 @@
 //! A daemon that the log refuses while it serves others would go on with keys that were
 //! taken away, and would turn away those of new ones (docs/design/tenants.md).
 
+use crate::places::Places;
 use fieldhook_ledger::message::ConfigNews;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -54,12 +55,13 @@
     }
 
     /// What a daemon that knows a version has missed.
-    pub fn news_after(&self, version: u64) -> ConfigNews {
+    pub fn news_after(&self, version: u64, places: &Places) -> ConfigNews {
         let newest = self.newest.borrow();
         let newer = newest.as_ref().filter(|known| known.version > version);
         ConfigNews {
             document: newer.map(|known| known.bytes.to_vec()),
             age_ms: self.age_ms(),
+            evacuations: places.news(),
         }
     }
 }
--- a/crates/gateway/src/ledger/assigner.rs
+++ b/crates/gateway/src/ledger/assigner.rs
@@ -1,8 +1,11 @@
 //! Engines for the turns of programs whose partitions are owned here.
 
+use crate::places::Places;
 use crate::upstream::pool::Pools;
-use fieldhook_ledger::message::{CloseTurn, OpenTurn};
+use fieldhook_ledger::message::{CloseTurn, OpenTurn, Placement};
 use fieldhook_ledger::partition_of;
+use fieldhook_topology::region::Set;
+use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
 use fieldhook_traffic::directory::Directory;
 use fieldhook_traffic::groups::Groups;
@@ -21,6 +24,7 @@
 pub struct Assigner {
     directory: Rc<RefCell<Directory>>,
     pools: Rc<Pools>,
+    pub(super) places: Rc<Places>,
     table: RefCell<Table>,
     divisions: RefCell<HashMap<String, Division>>,
     partitions: u32,
@@ -31,10 +35,16 @@
 
 impl Assigner {
     /// An assigner of no programs. These are divided among so many partitions.
-    pub fn new(directory: Rc<RefCell<Directory>>, pools: Rc<Pools>, partitions: u32) -> Self {
+    pub fn new(
+        directory: Rc<RefCell<Directory>>,
+        pools: Rc<Pools>,
+        places: Rc<Places>,
+        partitions: u32,
+    ) -> Self {
         Self {
             directory,
             pools,
+            places,
             table: RefCell::new(Table::new(Settings::default())),
             divisions: RefCell::default(),
             partitions: partitions.max(1),
@@ -57,6 +67,7 @@
         let home = groups.of_partition(partition_of(&open.program, self.partitions));
         let mut engines = engines(&directory, &placement.service);
         engines.retain(|engine| !self.pools.view(engine.id, now_ms).avoided);
+        self.keep_allowed(&mut engines, placement);
         for engine in &mut engines {
             engine.is_home = groups.of_engine(engine.id) == Some(home);
         }
@@ -64,7 +75,6 @@
             id: &open.turn,
             program: &open.program,
             prefix: placement.prefix,
-            zone: &placement.zone,
         };
         let share = self.share(&groups, home);
         let engine = self
@@ -74,6 +84,20 @@
         Some(engine.to_string())
     }
 
+    /// Keeps engines whose places may serve the turn, and tells how far they are from it.
+    fn keep_allowed(&self, engines: &mut Vec<Engine<'_>>, placement: &Placement) {
+        let homes = homes(placement);
+        self.places.with_rule(&homes, &placement.zone, |rule| {
+            engines.retain_mut(|engine| match rule.serve(engine.zone) {
+                Ok(distance) => {
+                    engine.distance = distance;
+                    true
+                }
+                Err(_) => false,
+            });
+        });
+    }
+
     /// A turn has ended.
     pub fn end(&self, close: &CloseTurn) {
         let mut table = self.table.borrow_mut();
@@ -115,6 +139,13 @@
     }
 }
 
+fn homes(placement: &Placement) -> Set {
+    match &placement.regions {
+        Some(regions) => Set::Only(regions.iter().map(|region| Rc::from(&**region)).collect()),
+        None => Set::All,
+    }
+}
+
 /// Engines of a service that take new work, in an order of their own.
 fn engines<'a>(directory: &'a Directory, service: &'a str) -> Vec<Engine<'a>> {
     let mut engines: Vec<Engine<'a>> = directory
@@ -122,6 +153,7 @@
         .map(|server| Engine {
             id: &server.id,
             zone: &server.zone,
+            distance: Distance::SameRegion,
             slots: server.slots,
             is_home: false,
         })
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -5,6 +5,7 @@
 use super::limits::Limits;
 use crate::follow::known::Known;
 use crate::metrics::Metrics;
+use crate::places::Places;
 use crate::settings::GatewaySettings;
 use fieldhook_ledger::message::{
     ClaimPartition, KnownOwner, LedgerReply, LedgerRequest, QuotaQuestion,
@@ -46,6 +47,8 @@
     limits: Limits,
     /// What this daemon knows of the configuration.
     pub config: Rc<Known>,
+    /// What it knows of places.
+    pub places: Rc<Places>,
     /// Held while a partition is read.
     pub(super) reading: Mutex<()>,
 }
@@ -76,9 +79,10 @@
             held: RefCell::default(),
             capacity: settings.capacity,
             longest_turn_ms: Cell::new(u64::MAX),
-            assigner,
             limits: Limits::new(settings.quota),
             config: Rc::default(),
+            places: assigner.places.clone(),
+            assigner,
             reading: Mutex::default(),
         });
         let weak = Rc::downgrade(&owner);
@@ -127,7 +131,9 @@
                 let _ = sender.send(LedgerReply::HasLog(has_log));
             }
             LedgerRequest::Config(version) => {
-                let _ = sender.send(LedgerReply::Config(self.config.news_after(version)));
+                let _ = sender.send(LedgerReply::Config(
+                    self.config.news_after(version, &self.places),
+                ));
             }
             LedgerRequest::Claim(claim) => {
                 ntex::rt::spawn(claim_for_another(self.clone(), claim, sender));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`settings`]: what a daemon is told at its start.
 //! - [`http`]: messages on the wire.
 //! - [`store_exchange`]: connections to the log service, for adapters.
-//! - [`follow`]: configuration and servers, followed on the log.
+//! - [`follow`]: configuration, evacuations and servers, followed on the log.
+//! - [`places`]: zones, and which are evacuated.
 //! - [`ledger`]: owners of partitions and the gateways that ask them.
 //! - [`upstream`]: connections to servers.
 //! - [`serve`]: clients' connections and requests.
@@ -24,6 +25,7 @@
 pub mod ledger;
 pub mod logging;
 pub mod metrics;
+pub mod places;
 pub mod probes;
 pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/places.rs
@@ -0,0 +1,101 @@
+//! What this daemon knows of places: the zones of the deployment, and which are evacuated.
+//! docs/design/places.md tells who decides and what happens when the log is away.
+
+use crate::settings::GatewaySettings;
+use fieldhook_ledger::message::EvacuationNews;
+use fieldhook_topology::evacuation::{State, Zones};
+use fieldhook_topology::place::Rule;
+use fieldhook_topology::region::Set;
+use fieldhook_topology::zone::Map;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Places as one daemon knows them.
+pub struct Places {
+    /// Zone of this daemon.
+    pub zone: Rc<str>,
+    /// The zones of the deployment.
+    pub map: Map,
+    evacuations: RefCell<Zones>,
+    started: Instant,
+}
+
+impl Places {
+    /// Places by the settings, nothing evacuated.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        Self {
+            zone: Rc::from(settings.zone.as_str()),
+            map: settings.zones.clone(),
+            evacuations: RefCell::default(),
+            started: Instant::now(),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Decides by the rule of a request whose data may stay in `homes` and that comes through
+    /// `from`.
+    pub fn with_rule<T>(&self, homes: &Set, from: &str, decide: impl FnOnce(&Rule<'_>) -> T) -> T {
+        let evacuations = self.evacuations.borrow();
+        decide(&Rule {
+            map: &self.map,
+            evacuations: &evacuations,
+            homes,
+            from,
+        })
+    }
+
+    /// Whether servers of a zone get nothing.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.borrow().is_evacuated(zone)
+    }
+
+    /// Takes in a record of the operator, read at a revision or told by another daemon.
+    pub fn take(&self, zone: &str, state: State, revision: u64, source: &'static str) {
+        let now_ms = self.now_ms();
+        let is_change = self
+            .evacuations
+            .borrow_mut()
+            .take(zone, state, revision, now_ms);
+        if is_change {
+            tracing::info!(event = "zone_evacuation", zone, ?state, revision, source);
+        }
+    }
+
+    /// Takes in which zones a listing of the operator's records names, read where the topic
+    /// ended at `end`.
+    pub fn retain_listed(&self, listed: &[&str], end: u64) {
+        let now_ms = self.now_ms();
+        let opened = self
+            .evacuations
+            .borrow_mut()
+            .retain_listed(listed, end, now_ms);
+        for zone in opened {
+            tracing::info!(event = "zone_evacuation", zone = &*zone, state = ?State::Open,
+                revision = end, source = "listing");
+        }
+    }
+
+    /// All that is known of evacuations, for daemons that cannot read it themselves.
+    pub fn news(&self) -> Vec<EvacuationNews> {
+        let evacuations = self.evacuations.borrow();
+        let news = evacuations.records().map(|record| EvacuationNews {
+            zone: record.zone.to_string(),
+            is_evacuated: record.state == State::Evacuated,
+            revision: record.revision,
+        });
+        news.collect()
+    }
+
+    /// Takes in what another daemon knows.
+    pub fn learn(&self, news: &EvacuationNews) {
+        let state = match news.is_evacuated {
+            true => State::Evacuated,
+            false => State::Open,
+        };
+        self.take(&news.zone, state, news.revision, "peer");
+    }
+}
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -96,6 +96,10 @@
     if !daemon.directory.borrow().takes_work(&server.id) {
         return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
     }
+    // Its zone may have been evacuated meanwhile.
+    if daemon.places.is_evacuated(&server.zone) {
+        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
+    }
     let bytes = message(context, &server, last_event);
     let outgoing = Outgoing {
         method: &context.method,
@@ -296,26 +300,29 @@
     let service = context.service()?;
     let directory = daemon.directory.borrow();
     let now_ms = daemon.now_ms();
-    let mut candidates: Vec<Candidate<'_>> = directory
-        .serving(service)
-        .map(|server| {
-            let view = daemon.pools.view(&server.id, now_ms);
-            Candidate {
-                server,
-                in_flight: view.in_flight,
-                avoided: view.avoided,
-                unsound: view.unsound,
-                has_idle_connection: view.has_idle_connection,
-            }
-        })
-        .collect();
+    let zone = &daemon.settings.zone;
+    let mut candidates: Vec<Candidate<'_>> =
+        daemon.places.with_rule(&context.homes, zone, |rule| {
+            let allowed = directory.serving(service).filter_map(|server| {
+                let distance = rule.serve(&server.zone).ok()?;
+                let view = daemon.pools.view(&server.id, now_ms);
+                Some(Candidate {
+                    server,
+                    distance,
+                    in_flight: view.in_flight,
+                    avoided: view.avoided,
+                    unsound: view.unsound,
+                    has_idle_connection: view.has_idle_connection,
+                })
+            });
+            allowed.collect()
+        });
     candidates.sort_by(|left, right| left.server.id.cmp(&right.server.id));
     let is_stream = context.entry.route.kind.is_stream();
     let affinity = context.meta.program.as_deref().filter(|_| is_stream);
     let request = Request {
         affinity,
         preferred: context.engine.as_deref(),
-        zone: &daemon.settings.zone,
         tried: &tried.servers,
     };
     let index = balance::choose(&candidates, &request, fastrand::u64(..))?;
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -8,6 +8,7 @@
 use crate::dialect::RequestMeta;
 use crate::http::headers::Headers;
 use bytes::Bytes;
+use fieldhook_topology::region;
 use fieldhook_traffic::table::RouteEntry;
 use fieldhook_traffic::tenants::Tenant;
 use std::cell::{OnceCell, RefCell};
@@ -41,6 +42,8 @@
     pub meta: RequestMeta,
     /// Tenant that it belonged to when it came.
     pub tenant: Option<Rc<Tenant>>,
+    /// Regions that it may be served in and its data kept in: its route's and its tenant's.
+    pub homes: region::Set,
     /// Method as it came.
     pub method: String,
     /// Path with query as it came.
@@ -76,6 +79,12 @@
         self.tenant.as_ref().map(|tenant| &*tenant.name)
     }
 
+    /// Names of the regions that it may be served in, where they are bounded.
+    pub fn region_names(&self) -> Option<Vec<String>> {
+        let names = self.homes.names()?;
+        Some(names.map(|region| region.to_string()).collect())
+    }
+
     /// Rank at an engine: the tenant's goes before the route's.
     pub fn priority(&self) -> u8 {
         let tenant = self.tenant.as_ref();
@@ -230,6 +239,11 @@
         Ok(tenant) => tenant,
         Err(answer) => return Err((meta.id, answer)),
     };
+    let route_homes = &entry.route.homes;
+    let homes = match &tenant {
+        Some(tenant) => route_homes.and(&tenant.homes),
+        None => route_homes.clone(),
+    };
     let allowed_ms = meta
         .deadline_ms
         .unwrap_or(entry.route.timeout_ms)
@@ -245,6 +259,7 @@
         entry,
         meta,
         tenant,
+        homes,
         method: head.method,
         target: head.target,
         headers,
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -144,6 +144,7 @@
         service: context.service()?.to_owned(),
         prefix: fieldhook_traffic::assignment::prefix_hash(beginning),
         zone: context.daemon.settings.zone.clone(),
+        regions: context.region_names(),
     })
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a daemon is told at its start.
 
 use fieldhook_log::patience::Capacity;
+use fieldhook_topology::zone::Map;
 use std::net::SocketAddr;
 
 /// How limits of tenants are judged, as the operator's sheet says.
@@ -24,6 +25,48 @@
     }
 }
 
+/// How much more than it bears a cold server may get in a second, as the sheet says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Times what it bears.
+    pub overshoot: f64,
+    /// Requests on top of that.
+    pub slack: f64,
+}
+
+/// Times within which the operator's word has to be followed, and how cold servers are
+/// judged, as the sheet says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Undisturbed time after which a daemon is held to these bounds, in milliseconds.
+    pub contact_ms: u64,
+    /// Time until a configuration is in force, in milliseconds.
+    pub config_ms: u64,
+    /// Time until a leaving server gets nothing new, in milliseconds.
+    pub drain_ms: u64,
+    /// Time until servers of an evacuated zone get nothing new, in milliseconds.
+    pub evacuation_ms: u64,
+    /// How cold servers are judged.
+    pub cold: Cold,
+}
+
+impl Default for Bounds {
+    /// The shortest times of the deployments served so far, and no room above what a cold
+    /// server bears.
+    fn default() -> Self {
+        Self {
+            contact_ms: 3_000,
+            config_ms: 2_000,
+            drain_ms: 2_000,
+            evacuation_ms: 5_000,
+            cold: Cold {
+                overshoot: 1.0,
+                slack: 0.0,
+            },
+        }
+    }
+}
+
 /// Settings of a gateway, checked by the adapter that read them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -31,6 +74,10 @@
     pub name: String,
     /// Zone that it stands in.
     pub zone: String,
+    /// The zones of the deployment with their regions.
+    pub zones: Map,
+    /// What the sheet bounds.
+    pub bounds: Bounds,
     /// Where clients connect.
     pub clients: SocketAddr,
     /// Where readiness is asked.
--- a/crates/gateway/tests/gateway/support/dialect.rs
+++ b/crates/gateway/tests/gateway/support/dialect.rs
@@ -107,6 +107,13 @@
             zone: zone.unwrap_or("z1").to_owned(),
             slots: 4,
             draining: more.contains(&"draining"),
+            cold_ms: number_after(&more, "cold="),
         })
     }
 }
+
+/// The number in a word that begins with a name, 0 where there is none.
+fn number_after(words: &[&str], name: &str) -> u64 {
+    let text = words.iter().find_map(|word| word.strip_prefix(name));
+    text.map_or(0, |text| text.parse().expect("a number"))
+}
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -9,10 +9,12 @@
 use fieldhook_gateway::daemon::{Adapter, Daemon};
 use fieldhook_gateway::dialect::Topics;
 use fieldhook_gateway::metrics::Metrics;
-use fieldhook_gateway::settings::{GatewaySettings, Quota};
+use fieldhook_gateway::settings::{Bounds, GatewaySettings, Quota};
 use fieldhook_log::api::{Append, KeyedRecord, LogStore, Partition};
 use fieldhook_log::contact::Contact;
 use fieldhook_log::patience::Capacity;
+use fieldhook_topology::region;
+use fieldhook_topology::zone::Map;
 use fieldhook_traffic::config::{
     Limits, Route, RouteKind, Service, TrafficConfig, WeightedService,
 };
@@ -45,6 +47,10 @@
     pub configs: Rc<RefCell<Vec<TrafficConfig>>>,
     /// Taken by the gateways that start from then on.
     pub revocation_ms: Cell<Option<u64>>,
+    /// The same.
+    pub zones: RefCell<Map>,
+    /// The same.
+    pub bounds: Cell<Bounds>,
     store: MemoryLog,
 }
 
@@ -72,6 +78,7 @@
         keeps_context,
         retention_ms: 60_000,
         is_open: false,
+        homes: region::Set::All,
     }
 }
 
@@ -100,6 +107,7 @@
             max_connections: 100,
             engine_slots: 4,
             tokens_per_event: 10,
+            cold: None,
         }],
         limits: Limits {
             header_bytes: 2_048,
@@ -118,6 +126,7 @@
         keys: vec![Key::new(key)],
         priority: None,
         limit: None,
+        homes: region::Set::All,
     }
 }
 
@@ -137,6 +146,8 @@
             log,
             configs: Rc::new(RefCell::new(vec![config(1)])),
             revocation_ms: Cell::new(None),
+            zones: RefCell::default(),
+            bounds: Cell::default(),
         };
         world.publish(0).await;
         world
@@ -185,6 +196,8 @@
         let settings = GatewaySettings {
             name: name.to_owned(),
             zone: zone.to_owned(),
+            zones: self.zones.borrow().clone(),
+            bounds: self.bounds.get(),
             clients: at(0),
             readiness: at(1),
             readiness_path: "/ready".to_owned(),
@@ -205,6 +218,7 @@
             topics: Topics {
                 config: CONFIG.to_owned(),
                 config_key: b"config".to_vec(),
+                evacuations: b"closed/".to_vec(),
                 servers: SERVERS.to_owned(),
             },
             contact: Rc::new(Contact::default()),
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -13,6 +13,8 @@
     pub prefix: u64,
     /// Zone that the turn comes through.
     pub zone: String,
+    /// Regions that it may run in, where they are bounded.
+    pub regions: Option<Vec<String>>,
 }
 
 /// A turn asks to begin.
@@ -180,6 +182,17 @@
     }
 }
 
+/// What a daemon knows of one zone: whether its servers get nothing for now.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct EvacuationNews {
+    /// The zone.
+    pub zone: String,
+    /// Whether its servers get nothing.
+    pub is_evacuated: bool,
+    /// Place of the record in the operator's topic; a higher one goes before.
+    pub revision: u64,
+}
+
 /// What a daemon knows of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct ConfigNews {
@@ -187,6 +200,8 @@
     pub document: Option<Vec<u8>>,
     /// Time since it was seen to be the newest, in milliseconds; `None` if it never was.
     pub age_ms: Option<u64>,
+    /// All that is known of evacuations.
+    pub evacuations: Vec<EvacuationNews>,
 }
 
 /// An owner as another daemon knows it.
--- /dev/null
+++ b/crates/topology/src/place.rs
@@ -0,0 +1,60 @@
+//! Which places may serve a request or hold its data, and in which order.
+
+use crate::evacuation::Zones;
+use crate::region::Set;
+use crate::zone::{Distance, Map};
+use std::fmt;
+
+/// Why a place may not serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// Its zone is evacuated.
+    Evacuated,
+    /// Its region is none that the request may be served in.
+    NotHome,
+}
+
+impl fmt::Display for Denial {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Evacuated => "its zone is evacuated; end the evacuation to use it again",
+            Self::NotHome => "its region is not allowed; allow it for the route and the tenant",
+        })
+    }
+}
+
+/// What decides about places for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule<'a> {
+    /// The zones of the deployment.
+    pub map: &'a Map,
+    /// Zones that are evacuated.
+    pub evacuations: &'a Zones,
+    /// Regions that its route and its tenant allow, both together.
+    pub homes: &'a Set,
+    /// Zone that it is served from.
+    pub from: &'a str,
+}
+
+impl Rule<'_> {
+    /// How far a server is that may serve the request: the nearest go first.
+    ///
+    /// # Errors
+    /// Servers of that zone may not.
+    pub fn serve(&self, zone: &str) -> Result<Distance, Denial> {
+        if !self.may_hold(zone) {
+            return Err(Denial::NotHome);
+        }
+        if self.evacuations.is_evacuated(zone) {
+            return Err(Denial::Evacuated);
+        }
+        Ok(self.map.distance(self.from, zone))
+    }
+
+    /// Whether the data of the request may be kept in a zone. An evacuation asks for servers
+    /// alone: what is kept by daemons of the zone stays.
+    pub fn may_hold(&self, zone: &str) -> bool {
+        let region = self.map.region(zone).map(|region| &**region);
+        self.homes.contains(region)
+    }
+}
--- a/crates/traffic/src/assignment.rs
+++ b/crates/traffic/src/assignment.rs
@@ -12,6 +12,7 @@
 //! as its load needs. Engines of the zone that the program came through go first: their
 //! connections and bytes cost less.
 
+use fieldhook_topology::zone::Distance;
 use std::collections::HashMap;
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -56,6 +57,8 @@
     pub id: &'a str,
     /// Zone that it stands in.
     pub zone: &'a str,
+    /// How far it is from where the turn comes through.
+    pub distance: Distance,
     /// Requests that it works on at once.
     pub slots: u32,
     /// It belongs to the group of the turn's partition.
@@ -71,8 +74,6 @@
     pub program: &'a str,
     /// Hash of the beginning of its prompt that other programs share.
     pub prefix: u64,
-    /// Zone that it comes through.
-    pub zone: &'a str,
 }
 
 struct Program {
@@ -170,7 +171,7 @@
 
     fn choose<'a>(&self, turn: &Turn<'_>, engines: &[Engine<'a>], share: f64) -> Option<&'a str> {
         let rank = |engine: &&Engine<'_>| xxh3_64_with_seed(engine.id.as_bytes(), turn.prefix);
-        let is_near = |engine: &&Engine<'_>| engine.zone == turn.zone;
+        let is_near = |engine: &&Engine<'_>| engine.distance == Distance::SameZone;
         let has_room = |engine: &&Engine<'_>| {
             let limit = self.limit(engine, engines, share, self.settings.balance);
             f64::from(self.open(engine.id)) < limit && !self.is_full(engine, share)
--- a/crates/traffic/src/balance.rs
+++ b/crates/traffic/src/balance.rs
@@ -5,6 +5,7 @@
 //! still cached there; without a key the least loaded server wins.
 
 use crate::directory::ServerEntry;
+use fieldhook_topology::zone::Distance;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One server as the gateway sees it.
@@ -12,6 +13,8 @@
 pub struct Candidate<'a> {
     /// The server.
     pub server: &'a ServerEntry,
+    /// How far it is from the gateway.
+    pub distance: Distance,
     /// Requests of this gateway that it works on.
     pub in_flight: u32,
     /// It failed or refused a moment ago.
@@ -29,14 +32,14 @@
     pub affinity: Option<&'a str>,
     /// Engine that the program was assigned to, if any.
     pub preferred: Option<&'a str>,
-    /// Zone of the gateway.
-    pub zone: &'a str,
     /// Identities that this request was sent to before.
     pub tried: &'a [String],
 }
 
 /// Load, in requests, that a server of another zone counts as more.
 const OTHER_ZONE_LOAD: f64 = 2.0;
+/// Load, in requests, that a server of another region counts as more.
+const OTHER_REGION_LOAD: f64 = 2.0;
 /// Load that opening a connection counts as.
 const CONNECTION_LOAD: f64 = 1.6;
 /// Requests of this gateway at an engine of its own zone from which on engines of
@@ -79,23 +82,18 @@
         return Some(*index);
     }
     match request.affinity {
-        Some(key) => by_affinity(candidates, allowed, key, request.zone),
-        None => by_load(candidates, allowed, request.zone, random),
+        Some(key) => by_affinity(candidates, allowed, key),
+        None => by_load(candidates, allowed, random),
     }
 }
 
-fn by_affinity(
-    candidates: &[Candidate<'_>],
-    allowed: &[usize],
-    key: &str,
-    zone: &str,
-) -> Option<usize> {
+fn by_affinity(candidates: &[Candidate<'_>], allowed: &[usize], key: &str) -> Option<usize> {
     let key = hash(key);
     let weight = |index: &usize| xxh3_64_with_seed(candidates[*index].server.id.as_bytes(), key);
     let in_flight = |index: &usize| candidates[*index].in_flight;
     let near = allowed
         .iter()
-        .filter(|index| candidates[**index].server.zone == zone)
+        .filter(|index| candidates[**index].distance == Distance::SameZone)
         .filter(|index| in_flight(index) < OWN_ZONE_FULL)
         .max_by_key(|index| weight(index));
     let anywhere = || {
@@ -112,18 +110,15 @@
     near.or_else(anywhere).or_else(least).copied()
 }
 
-fn by_load(
-    candidates: &[Candidate<'_>],
-    allowed: &[usize],
-    zone: &str,
-    random: u64,
-) -> Option<usize> {
+fn by_load(candidates: &[Candidate<'_>], allowed: &[usize], random: u64) -> Option<usize> {
     let load = |index: usize| {
         let candidate = &candidates[index];
         let mut load = f64::from(candidate.in_flight);
-        if candidate.server.zone != zone {
-            load += OTHER_ZONE_LOAD;
-        }
+        load += match candidate.distance {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_LOAD,
+            Distance::OtherRegion => OTHER_REGION_LOAD,
+        };
         if !candidate.has_idle_connection {
             load += CONNECTION_LOAD;
         }
--- a/crates/traffic/src/config.rs
+++ b/crates/traffic/src/config.rs
@@ -1,6 +1,7 @@
 //! The traffic configuration in force: routes, services, tenants and limits.
 
 use crate::tenants::Tenant;
+use fieldhook_topology::region;
 
 /// What may be done with a request of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,10 +65,21 @@
     pub retention_ms: u64,
     /// Requests need no key.
     pub is_open: bool,
+    /// Regions that its requests may be served in and their data kept in.
+    pub homes: region::Set,
+}
+
+/// What servers of a service bear for a while after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second that a cold server bears.
+    pub rate_per_s: f64,
+    /// How long a server is cold after its start, in milliseconds.
+    pub lasts_ms: u64,
 }
 
 /// Servers of one kind.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -77,6 +89,8 @@
     pub engine_slots: u32,
     /// Tokens that one event of a stream carries.
     pub tokens_per_event: u64,
+    /// What its servers bear while cold, where that is bounded.
+    pub cold: Option<Cold>,
 }
 
 /// What a client may send and how long it may take.
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -18,6 +18,8 @@
     pub slots: u32,
     /// It is about to leave and takes no new work.
     pub draining: bool,
+    /// How much longer it is cold, in milliseconds, as it said when this entry was written.
+    pub cold_ms: u64,
 }
 
 /// What became of an entry.
--- a/crates/traffic/src/tenants.rs
+++ b/crates/traffic/src/tenants.rs
@@ -4,6 +4,7 @@
 //! configuration in force says whose key that is. Keys may pass from one tenant to another
 //! and may be taken away, so each request is judged by the configuration of its own moment.
 
+use fieldhook_topology::region;
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
@@ -51,6 +52,8 @@
     pub priority: Option<u8>,
     /// What it may send, where that is bounded.
     pub limit: Option<Limit>,
+    /// Regions that its requests may be served in and their data kept in.
+    pub homes: region::Set,
 }
 
 /// Why a request is not let in.
--- a/crates/traffic/tests/assignment.rs
+++ b/crates/traffic/tests/assignment.rs
@@ -1,5 +1,6 @@
 //! The engine of a program: kept, shared by beginnings, and never far over its fair load.
 
+use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
         .map(|name| Engine {
             id: name,
             zone: "z1",
+            distance: Distance::SameZone,
             slots: SLOTS,
             is_home: true,
         })
@@ -27,7 +29,6 @@
         id,
         program,
         prefix,
-        zone: "z1",
     }
 }
 
@@ -68,6 +69,7 @@
     let mut engines = engines(&names);
     for engine in engines.iter_mut().skip(4) {
         engine.zone = "z2";
+        engine.distance = Distance::SameRegion;
     }
     let mut table = Table::new(Settings::default());
     for number in 0..8 {
--- a/crates/traffic/tests/groups.rs
+++ b/crates/traffic/tests/groups.rs
@@ -1,5 +1,6 @@
 //! Groups of engines: as even as can be, few moves, right with few engines and with many.
 
+use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
 use fieldhook_traffic::groups::Groups;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -23,6 +24,7 @@
             .map(|(id, zone)| Engine {
                 id,
                 zone,
+                distance: Distance::SameZone,
                 slots: SLOTS,
                 is_home: true,
             })
@@ -136,6 +138,13 @@
     }
 }
 
+fn distance(from: &str, to: &str) -> Distance {
+    match from == to {
+        true => Distance::SameZone,
+        false => Distance::SameRegion,
+    }
+}
+
 /// Turns under way at each engine where sixteen owners assign without a word between them.
 fn loads(fleet: &Fleet, partitions: u32, programs: u32) -> HashMap<String, u32> {
     let groups = Groups::divide(&fleet.engines(), partitions);
@@ -147,15 +156,15 @@
         let partition = program * 7 % partitions;
         let group = groups.of_partition(partition);
         let mut engines = fleet.engines();
+        let zone = format!("z{}", program % 6);
         for engine in &mut engines {
             engine.is_home = groups.of_engine(engine.id) == Some(group);
+            engine.distance = distance(engine.zone, &zone);
         }
-        let zone = format!("z{}", program % 6);
         let turn = Turn {
             id: &name,
             program: &name,
             prefix: u64::from(program % 8),
-            zone: &zone,
         };
         let share = f64::from(groups.count()) / f64::from(partitions);
         owners[partition as usize]
@@ -187,6 +196,7 @@
     let mut engines = fleet.engines();
     for engine in &mut engines {
         engine.is_home = groups.of_engine(engine.id) == Some(0);
+        engine.distance = distance(engine.zone, "z1");
     }
     let mut owner = Table::new(Settings::default());
     for number in 0..100 {
@@ -195,7 +205,6 @@
             id: &name,
             program: &name,
             prefix: 1,
-            zone: "z1",
         };
         owner.assign(&turn, &engines, 1.0, 0).expect("an engine");
     }
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -1,5 +1,6 @@
 //! Which server gets a request.
 
+use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::balance::{Candidate, Request, choose};
 use fieldhook_traffic::directory::{Directory, DirectoryChange, ServerEntry};
 use fieldhook_traffic::health::{Health, Observation};
@@ -13,12 +14,18 @@
         zone: zone.to_owned(),
         slots: 4,
         draining: false,
+        cold_ms: 0,
     }
 }
 
 fn candidate(server: &ServerEntry) -> Candidate<'_> {
+    let distance = match &*server.zone {
+        "z1" => Distance::SameZone,
+        _ => Distance::SameRegion,
+    };
     Candidate {
         server,
+        distance,
         in_flight: 0,
         avoided: false,
         unsound: false,
@@ -30,7 +37,6 @@
     Request {
         affinity,
         preferred: None,
-        zone: "z1",
         tried,
     }
 }
