--- a/crates/bench/tests/processes/configuration.rs
+++ b/crates/bench/tests/processes/configuration.rs
@@ -20,7 +20,7 @@
     path
 }
 
-fn client(cluster: &Cluster, daemon: usize, arguments: &[&str]) -> Child {
+pub fn client(cluster: &Cluster, daemon: usize, arguments: &[&str]) -> Child {
     Command::new(program("fieldhook"))
         .args([
             "--daemon",
@@ -36,7 +36,7 @@
         .expect("starts")
 }
 
-fn finish(child: Child) -> Output {
+pub fn finish(child: Child) -> Output {
     child.wait_with_output().expect("ends")
 }
 
--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -2,6 +2,7 @@
 //! the machine to itself.
 
 mod configuration;
+mod evacuation;
 mod input;
 mod support;
 mod survival;
--- a/crates/bench/tests/processes/support.rs
+++ b/crates/bench/tests/processes/support.rs
@@ -77,3 +77,12 @@
     }
     lag
 }
+
+/// Requests that an engine has taken so far: its newest cache event counts them.
+pub async fn dispatched(cluster: &Cluster, engine: &str) -> u64 {
+    let reply = cluster
+        .get(engine, "/control/generated")
+        .await
+        .expect("engine answers");
+    reply.body.trim().parse().expect("a number")
+}
--- a/crates/bench/tests/processes/survival.rs
+++ b/crates/bench/tests/processes/survival.rs
@@ -1,8 +1,8 @@
 //! Kills, freezes, lost answers, outages and planned stops under load.
 
-use crate::support::{commands_waiting, finish, pause, run, start, start_load};
+use crate::support::{commands_waiting, dispatched, finish, pause, run, start, start_load};
 use fieldhook_bench::caller::{CallEnd, Caller};
-use fieldhook_bench::cluster::{Cluster, EngineShape, Shape, Signal};
+use fieldhook_bench::cluster::{EngineShape, Shape, Signal};
 use fieldhook_bench::load::Workload;
 use fieldhook_emulator::faults::FaultPlan;
 use fieldhook_model::error::{ErrorKind, Executed};
@@ -280,15 +280,6 @@
     });
 }
 
-/// Requests that an engine has taken so far: its newest cache event counts them.
-async fn dispatched(cluster: &Cluster, engine: &str) -> u64 {
-    let reply = cluster
-        .get(engine, "/control/generated")
-        .await
-        .expect("engine answers");
-    reply.body.trim().parse().expect("a number")
-}
-
 #[test]
 fn frozen_engines_do_not_hold_answers_up() {
     run(async {
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -33,6 +33,10 @@
     Programs(ProgramsArguments),
     /// List engines; drain one by publishing configuration.
     Engines(EnginesArguments),
+    /// Give the machines of a zone no new work, until it is ended.
+    Evacuate(EvacuateArguments),
+    /// Say what the daemons' lines tell of zones: evacuated, cold, used, owners.
+    Zones(ZonesArguments),
     /// Say which rules let which machines serve a program or, with --logs, what
     /// became of a request.
     Explain(ExplainArguments),
@@ -180,6 +184,29 @@
     pub seconds: u32,
 }
 
+/// Evacuating a zone.
+#[derive(Debug, Options)]
+pub struct EvacuateArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Name of the zone.
+    #[options(free, required)]
+    pub zone: String,
+    /// End the evacuation.
+    #[options(no_short)]
+    pub end: bool,
+}
+
+/// Logs to read for zones.
+#[derive(Debug, Options)]
+pub struct ZonesArguments {
+    /// Show this help.
+    pub help: bool,
+    /// Log lines of a daemon; `-` is standard input. May be given more than once.
+    #[options(no_short, required, meta = "FILE")]
+    pub logs: Vec<String>,
+}
+
 /// Engine commands.
 #[derive(Debug, Options)]
 pub struct EnginesArguments {
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -241,3 +241,25 @@
     let names = (format!("version {from}"), format!("version {to}"));
     Ok(diff.unified_diff().header(&names.0, &names.1).to_string())
 }
+
+/// Publishes the document in force with a change, and waits until all live daemons follow
+/// it. Comments of the document are not kept.
+///
+/// # Errors
+/// The document cannot be read or published, or some daemon does not follow it in time.
+pub async fn edit(
+    connection: &Connection,
+    author: &str,
+    change: impl FnOnce(&mut ConfigDocument),
+) -> Result<(), ClientError> {
+    let config = connection.config().await?;
+    let mut document = ConfigDocument::parse(&config.document)
+        .map_err(|error| ClientError::Invalid(error.to_string()))?;
+    change(&mut document);
+    let text = toml::to_string_pretty(&document)
+        .map_err(|error| ClientError::Invalid(error.to_string()))?;
+    let version = publish(connection, config.version, author, text).await?;
+    wait_everywhere(connection, version).await?;
+    println!("version {version} is in force on all live daemons");
+    Ok(())
+}
--- a/crates/cli/src/engines.rs
+++ b/crates/cli/src/engines.rs
@@ -1,12 +1,11 @@
 //! `engines`: list, and drain or undrain by publishing configuration.
 
 use crate::arguments::{EnginesArguments, EnginesCommand};
-use crate::config::{publish, wait_everywhere};
+use crate::config::edit;
 use crate::connection::Connection;
 use crate::error::ClientError;
 use crate::status::print_engines;
-use fieldhook_model::config::{ConfigDocument, Effect, Rule};
-use fieldhook_model::labels::{Operator, Requirement, Selector};
+use fieldhook_model::config::Rule;
 
 const AUTHOR: &str = "fieldhook engines";
 
@@ -40,45 +39,11 @@
             "no engine is named {engine:?}; see fieldhook engines list"
         )));
     }
-    change(connection, |document| {
-        let requirement = Requirement {
-            key: "name".to_owned(),
-            operator: Operator::In,
-            values: vec![engine.to_owned()],
-        };
-        document.rules.retain(|rule| rule.name != rule_name(engine));
-        document.rules.push(Rule {
-            name: rule_name(engine),
-            effect: Effect::Drain,
-            programs: Selector::default(),
-            machines: Selector(vec![requirement]),
-            priority: None,
-        });
-    })
-    .await
+    let rule = Rule::drain(&rule_name(engine), "name", engine);
+    edit(connection, AUTHOR, |document| document.put_rule(rule)).await
 }
 
 async fn undrain(connection: &Connection, engine: &str) -> Result<(), ClientError> {
-    change(connection, |document| {
-        document.rules.retain(|rule| rule.name != rule_name(engine));
-    })
-    .await
-}
-
-/// Publishes the document in force with an edit. Comments of the document are
-/// not kept.
-async fn change(
-    connection: &Connection,
-    edit: impl FnOnce(&mut ConfigDocument),
-) -> Result<(), ClientError> {
-    let config = connection.config().await?;
-    let mut document = ConfigDocument::parse(&config.document)
-        .map_err(|error| ClientError::Invalid(error.to_string()))?;
-    edit(&mut document);
-    let text = toml::to_string_pretty(&document)
-        .map_err(|error| ClientError::Invalid(error.to_string()))?;
-    let version = publish(connection, config.version, AUTHOR, text).await?;
-    wait_everywhere(connection, version).await?;
-    println!("version {version} is in force on all live daemons");
-    Ok(())
+    let name = rule_name(engine);
+    edit(connection, AUTHOR, |document| document.remove_rule(&name)).await
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod engines;
 mod error;
+mod evacuate;
 mod lines;
 mod losses;
 mod output;
@@ -13,6 +14,7 @@
 mod status;
 mod story;
 mod tenants;
+mod zones;
 
 use arguments::{Arguments, Command};
 use error::ClientError;
@@ -42,6 +44,8 @@
         Some(Command::Explain(options)) if !options.logs.is_empty() => {
             story::tell(&options.id, &options.logs)
         }
+        Some(Command::Evacuate(options)) => evacuate::run(&connection, &options).await,
+        Some(Command::Zones(options)) => zones::tell(&options.logs),
         Some(Command::Tenants(options)) => tenants::tell(&options.logs),
         Some(Command::Losses(options)) => losses::tell(&options.logs, options.seconds),
         Some(Command::Explain(options)) => programs::explain(&connection, &options.id).await,
--- /dev/null
+++ b/crates/cli/src/zones.rs
@@ -0,0 +1,119 @@
+//! `zones --logs FILE`: what the daemons' lines tell of zones.
+
+use crate::error::ClientError;
+use crate::lines::{self, Line};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the lines say of one zone.
+#[derive(Default)]
+struct Zone {
+    daemons: BTreeSet<String>,
+    servers: BTreeSet<String>,
+    answered: u64,
+    partitions: BTreeSet<u64>,
+    /// Newest revision of its evacuation, and what it says.
+    evacuation: Option<(u64, String, String)>,
+}
+
+/// What the lines of all daemons say, in the order of their times.
+#[derive(Default)]
+struct Fleet {
+    zones: BTreeMap<String, Zone>,
+    zone_of_daemon: BTreeMap<String, String>,
+    zone_of_server: BTreeMap<String, String>,
+    owner_of_partition: BTreeMap<u64, String>,
+}
+
+impl Fleet {
+    fn take(&mut self, line: &Line) {
+        match line.event() {
+            "start" => {
+                let zone = line.text("zone");
+                self.zone_of_daemon
+                    .insert(line.origin.clone(), zone.to_owned());
+                self.zone(zone).daemons.insert(line.origin.clone());
+            }
+            "server_known" => {
+                let (server, zone) = (line.text("server"), line.text("zone"));
+                self.zone_of_server
+                    .insert(server.to_owned(), zone.to_owned());
+                self.zone(zone).servers.insert(server.to_owned());
+            }
+            "server_gone" => {
+                if let Some(zone) = self.zone_of_server.get(line.text("server")).cloned() {
+                    self.zone(&zone).servers.remove(line.text("server"));
+                }
+            }
+            "attempt_answered" => {
+                if let Some(zone) = self.zone_of_server.get(line.text("server")).cloned() {
+                    self.zone(&zone).answered += 1;
+                }
+            }
+            "partition_owned" => {
+                if let Some(partition) = line.fields.get("partition").and_then(|it| it.as_u64()) {
+                    self.owner_of_partition
+                        .insert(partition, line.origin.clone());
+                }
+            }
+            "zone_evacuation" => self.take_evacuation(line),
+            _ => {}
+        }
+    }
+
+    fn zone(&mut self, name: &str) -> &mut Zone {
+        self.zones.entry(name.to_owned()).or_default()
+    }
+
+    fn take_evacuation(&mut self, line: &Line) {
+        let revision = line.number("revision").unwrap_or_default() as u64;
+        let zone = self.zone(line.text("zone"));
+        let is_newer = zone
+            .evacuation
+            .as_ref()
+            .is_none_or(|(known, ..)| *known < revision);
+        if is_newer {
+            let state = line.text("state").to_lowercase();
+            zone.evacuation = Some((revision, state, line.time().to_owned()));
+        }
+    }
+
+    fn count_owners(&mut self) {
+        for (partition, owner) in std::mem::take(&mut self.owner_of_partition) {
+            if let Some(zone) = self.zone_of_daemon.get(&owner).cloned() {
+                self.zone(&zone).partitions.insert(partition);
+            }
+        }
+    }
+}
+
+/// Prints a row for each zone: whether it is evacuated, since when and by which revision,
+/// its daemons, servers, part of the answers, and the partitions owned there at the end.
+///
+/// # Errors
+/// A file cannot be read.
+pub fn tell(files: &[String]) -> Result<(), ClientError> {
+    let mut all = Vec::new();
+    lines::read(files, |line| all.push(line))?;
+    all.sort_by(|left, right| left.time().cmp(right.time()));
+    let mut fleet = Fleet::default();
+    for line in &all {
+        fleet.take(line);
+    }
+    fleet.count_owners();
+    let answered: u64 = fleet.zones.values().map(|zone| zone.answered).sum();
+    println!("zone state since revision daemons servers answered_percent partitions");
+    for (name, zone) in &fleet.zones {
+        let (revision, state, since) = match &zone.evacuation {
+            Some((revision, state, since)) => (revision.to_string(), &**state, &**since),
+            None => ("-".to_owned(), "open", "-"),
+        };
+        let percent = zone.answered as f64 * 100.0 / answered.max(1) as f64;
+        println!(
+            "{name} {state} {since} {revision} {} {} {percent:.1} {}",
+            zone.daemons.len(),
+            zone.servers.len(),
+            zone.partitions.len()
+        );
+    }
+    Ok(())
+}
--- a/crates/cli/tests/logs.rs
+++ b/crates/cli/tests/logs.rs
@@ -11,6 +11,22 @@
 b {"timestamp":"2026-01-01T00:00:06.000000Z","event":"at_limit","outcome":"granted","tenant":"blue","program":"p2","begins":false,"rate_per_s":8.0,"burst":8.0,"version":5}
 b {"timestamp":"2026-01-01T00:00:07.000000Z","event":"stream_broken_off","request":"r3","program":"p2","cause":"no whole answer in time"}
 b {"timestamp":"2026-01-01T00:00:07.500000Z","event":"client_gone","request":"r4","program":"p3"}
+a {"timestamp":"2026-01-01T00:00:00.100000Z","event":"start","name":"a","zone":"north"}
+b {"timestamp":"2026-01-01T00:00:00.100000Z","event":"start","name":"b","zone":"south"}
+a {"timestamp":"2026-01-01T00:00:00.200000Z","event":"server_known","server":"s1","zone":"north"}
+b {"timestamp":"2026-01-01T00:00:00.210000Z","event":"server_known","server":"s1","zone":"north"}
+a {"timestamp":"2026-01-01T00:00:00.220000Z","event":"server_known","server":"s2","zone":"south"}
+a {"timestamp":"2026-01-01T00:00:00.230000Z","event":"server_known","server":"s3","zone":"south"}
+a {"timestamp":"2026-01-01T00:00:00.300000Z","event":"attempt_answered","server":"s1","request":"r5"}
+a {"timestamp":"2026-01-01T00:00:00.310000Z","event":"attempt_answered","server":"s2","request":"r6"}
+b {"timestamp":"2026-01-01T00:00:00.320000Z","event":"attempt_answered","server":"s2","request":"r7"}
+b {"timestamp":"2026-01-01T00:00:00.330000Z","event":"attempt_answered","server":"s2","request":"r8"}
+b {"timestamp":"2026-01-01T00:00:00.400000Z","event":"partition_owned","partition":3}
+a {"timestamp":"2026-01-01T00:00:00.500000Z","event":"partition_owned","partition":3}
+b {"timestamp":"2026-01-01T00:00:00.600000Z","event":"partition_owned","partition":4}
+a {"timestamp":"2026-01-01T00:00:03.000000Z","event":"zone_evacuation","zone":"south","state":"Evacuated","revision":7,"source":"log"}
+b {"timestamp":"2026-01-01T00:00:03.200000Z","event":"zone_evacuation","zone":"south","state":"Evacuated","revision":7,"source":"peer"}
+a {"timestamp":"2026-01-01T00:00:05.000000Z","event":"server_gone","server":"s3"}
 not a line of ours {
 "#;
 
@@ -46,3 +62,11 @@
         00:00:05 1 1 the client left\n";
     assert_eq!(output(&["losses", "--logs", "-"]), wanted);
 }
+
+#[test]
+fn zones_are_told_with_what_is_closed_used_and_owned() {
+    let wanted = "zone state since revision daemons servers answered_percent partitions\n\
+        north open - - 1 1 25.0 1\n\
+        south evacuated 2026-01-01T00:00:03.000000Z 7 1 1 75.0 1\n";
+    assert_eq!(output(&["zones", "--logs", "-"]), wanted);
+}
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -74,6 +74,7 @@
         }
     };
     let (service, address) = (entry.service.clone(), entry.address);
+    let (zone, cold_ms) = (entry.zone.clone(), entry.cold_ms);
     let draining = entry.draining;
     let change = daemon.directory.borrow_mut().insert(entry);
     if change != DirectoryChange::Unchanged {
@@ -82,7 +83,9 @@
             server = id,
             service,
             %address,
+            zone,
             draining,
+            cold_ms,
             offset,
         );
     }
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration document that operators publish: labels and rules.
 
-use crate::labels::{Labels, Selector};
+use crate::labels::{Labels, Operator, Requirement, Selector};
 use nanoserde::{DeBin, SerBin};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -143,6 +143,17 @@
         Ok(())
     }
 
+    /// Adds a rule in place of one of the same name.
+    pub fn put_rule(&mut self, rule: Rule) {
+        self.remove_rule(&rule.name);
+        self.rules.push(rule);
+    }
+
+    /// Removes the rule of a name, if there is one.
+    pub fn remove_rule(&mut self, name: &str) {
+        self.rules.retain(|rule| rule.name != name);
+    }
+
     /// Labels of a machine: the platform's own, its name and zone, and the
     /// document's.
     pub fn machine_labels(&self, name: &str, zone: &str, own: &Labels) -> Labels {
@@ -159,6 +170,22 @@
 }
 
 impl Rule {
+    /// A rule that gives no new work to machines with this label.
+    pub fn drain(name: &str, label: &str, value: &str) -> Self {
+        let requirement = Requirement {
+            key: label.to_owned(),
+            operator: Operator::In,
+            values: vec![value.to_owned()],
+        };
+        Self {
+            name: name.to_owned(),
+            effect: Effect::Drain,
+            programs: Selector::default(),
+            machines: Selector(vec![requirement]),
+            priority: None,
+        }
+    }
+
     fn validate(&self) -> Result<(), ConfigError> {
         let requirements = self.programs.0.iter().chain(&self.machines.0);
         if let Some(problem) = requirements.filter_map(|item| item.problem()).next() {
