--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -4,9 +4,11 @@
 mod cache;
 mod core;
 mod service;
+mod state;
 mod text;
 
 pub use cache::PrefixCache;
 pub use core::{EngineCore, EngineSettings, StepReport};
-pub use service::{CacheEvent, CacheExport, Options, Order, run};
+pub use service::{CacheExport, Options, Order, run};
+pub use state::CacheEvent;
 pub use text::{BLOCK_TOKENS, answer_word, count_tokens, expected_answer, prompt_digest};
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -1,39 +1,22 @@
 //! The engine's HTTP shell: streams, cache, load and orders.
 
-use crate::engine::core::{EngineCore, EngineSettings, StepReport};
+use crate::engine::core::EngineSettings;
+use crate::engine::state::{Engine, StreamState};
 use crate::faults::Faults;
 use crate::serve::serve;
 use fieldhook_http::{encode_event, event_stream, json, text};
-use fieldhook_model::api::Usage;
-use fieldhook_model::platform::{EngineLoad, Generate, GenerateEvent};
+use fieldhook_model::platform::{Generate, GenerateEvent};
 use futures_util::stream;
 use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig, types};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 const IDLE_POLL: Millis = Millis(1);
-/// How long a finished stream can still be resumed.
-const STREAM_RETENTION: Duration = Duration::from_secs(60);
-/// Cache events that are kept for readers.
-const EVENT_RETENTION: usize = 10_000;
-
-/// A cache event: blocks of a program came or went.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Place in the sequence; a missing number is a gap.
-    pub sequence: u64,
-    /// The program.
-    pub program: String,
-    /// Tokens now held; 0 after a release.
-    pub tokens: u64,
-}
-
 /// An order to change what the engine serves, fenced by a number that must not
 /// fall.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -46,30 +29,6 @@
     pub name: String,
 }
 
-#[derive(Debug, Default)]
-struct StreamState {
-    text: String,
-    finished: Option<Usage>,
-    finished_at: Option<Instant>,
-    cancelled: bool,
-}
-
-struct Engine {
-    core: EngineCore,
-    settings: EngineSettings,
-    incarnation: u64,
-    models: Vec<String>,
-    role: String,
-    fence: u64,
-    leaving: bool,
-    streams: BTreeMap<String, Rc<RefCell<StreamState>>>,
-    events: VecDeque<(Instant, CacheEvent)>,
-    event_sequence: u64,
-    generated: u64,
-    load: EngineLoad,
-    load_at: Instant,
-}
-
 #[derive(Clone)]
 struct Shared {
     engine: Rc<RefCell<Engine>>,
@@ -91,103 +50,6 @@
     pub weights: Option<String>,
 }
 
-impl Engine {
-    fn new(settings: EngineSettings, models: Vec<String>) -> Self {
-        let started = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            core: EngineCore::new(settings),
-            settings,
-            incarnation: started.as_millis() as u64,
-            models,
-            role: "mixed".to_owned(),
-            fence: 0,
-            leaving: false,
-            streams: BTreeMap::new(),
-            events: VecDeque::new(),
-            event_sequence: 0,
-            generated: 0,
-            load: EngineLoad::default(),
-            load_at: Instant::now(),
-        }
-    }
-
-    fn submit(&mut self, request: Generate) -> Rc<RefCell<StreamState>> {
-        if let Some(stream) = self.streams.get(&request.stream) {
-            return stream.clone();
-        }
-        let stream = Rc::new(RefCell::new(StreamState::default()));
-        self.streams.insert(request.stream.clone(), stream.clone());
-        self.core.submit(request);
-        self.generated += 1;
-        stream
-    }
-
-    fn step(&mut self) -> u64 {
-        let (span_us, reports) = self.core.step();
-        for report in reports {
-            self.deliver(report);
-        }
-        span_us
-    }
-
-    fn deliver(&mut self, report: StepReport) {
-        let Some(stream) = self.streams.get(&report.stream) else {
-            return;
-        };
-        let mut stream = stream.borrow_mut();
-        stream.text.push_str(&report.text);
-        stream.finished = report.finished;
-        stream.finished_at = report.finished.map(|_| Instant::now());
-    }
-
-    fn note_event(&mut self, program: &str, faults: &Faults) {
-        self.event_sequence += 1;
-        if faults.drops_event() {
-            return;
-        }
-        let tokens = self
-            .core
-            .cache
-            .held_tokens()
-            .get(program)
-            .copied()
-            .unwrap_or(0);
-        let event = CacheEvent {
-            sequence: self.event_sequence,
-            program: program.to_owned(),
-            tokens,
-        };
-        self.events.push_back((Instant::now(), event));
-        if self.events.len() > EVENT_RETENTION {
-            self.events.pop_front();
-        }
-    }
-
-    fn drop_old_streams(&mut self) {
-        self.streams.retain(|_, stream| {
-            let finished_at = stream.borrow().finished_at;
-            finished_at.is_none_or(|at| at.elapsed() < STREAM_RETENTION)
-        });
-    }
-
-    fn measure(&mut self, step_us: u64) {
-        self.load_at = Instant::now();
-        self.load = EngineLoad {
-            incarnation: self.incarnation,
-            running: self.core.running() as u32,
-            waiting: self.core.waiting() as u32,
-            max_running: self.settings.max_running as u32,
-            step_us,
-            prefill_tokens_per_step: self.settings.prefill_tokens_per_step as u32,
-            cached_tokens: self.core.cache.used_tokens(),
-            cache_capacity_tokens: self.settings.cache_tokens,
-            leaving: self.leaving,
-        };
-    }
-}
-
 /// Runs the stand-in.
 ///
 /// # Errors
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -1,5 +1,8 @@
 //! The failure detector: whom to probe, whom to suspect, what to pass on.
 
+mod packet;
+mod probe;
+
 use crate::fact::{Fact, Member, MemberState, Subject};
 use crate::gossip::{Packet, Question, Queue};
 use crate::settings::Settings;
@@ -209,101 +212,6 @@
         }
     }
 
-    fn start_probe(&mut self) {
-        self.errands
-            .retain(|sequence, _| *sequence + 64 > self.sequence);
-        if let Some(probe) = self.probe.take() {
-            self.suspect(probe.target);
-        }
-        let Some(target) = self.next_target() else {
-            self.knock_at_seeds();
-            return;
-        };
-        self.sequence += 1;
-        let sequence = self.sequence;
-        let started_ms = self.now_ms;
-        self.probe = Some(Probe {
-            target,
-            sequence,
-            started_ms,
-            helpers_asked: false,
-        });
-        self.send(target, Question::Ping { sequence });
-        // A seed nobody has heard of may be a group that split off.
-        if sequence.is_multiple_of(8) {
-            self.knock_at_seeds();
-        }
-    }
-
-    fn knock_at_seeds(&mut self) {
-        let unknown: Vec<Address> = self
-            .seeds
-            .iter()
-            .copied()
-            .filter(|seed| *seed != self.own.id.address)
-            .filter(|seed| {
-                self.table
-                    .member(*seed)
-                    .is_none_or(|member| member.state >= MemberState::Dead)
-            })
-            .collect();
-        for seed in unknown {
-            self.sequence += 1;
-            self.send(
-                seed,
-                Question::Ping {
-                    sequence: self.sequence,
-                },
-            );
-        }
-    }
-
-    /// Goes round all members in random order, so that each is probed once a
-    /// round (SWIM, section 4.3).
-    fn next_target(&mut self) -> Option<Address> {
-        if self.round.is_empty() {
-            self.round = self.others();
-            self.random.shuffle(&mut self.round);
-        }
-        while let Some(target) = self.round.pop() {
-            if self
-                .table
-                .member(target)
-                .is_some_and(|member| member.state <= MemberState::Suspect)
-            {
-                return Some(target);
-            }
-        }
-        None
-    }
-
-    fn others(&self) -> Vec<Address> {
-        let live = self.table.live().map(|member| member.id.address);
-        live.filter(|address| *address != self.own.id.address)
-            .collect()
-    }
-
-    fn follow_probe(&mut self) {
-        let Some(probe) = self.probe else { return };
-        if probe.helpers_asked || self.now_ms < probe.started_ms + self.settings.answer_ms {
-            return;
-        }
-        self.probe = Some(Probe {
-            helpers_asked: true,
-            ..probe
-        });
-        let mut helpers = self.others();
-        helpers.retain(|helper| *helper != probe.target);
-        self.random.shuffle(&mut helpers);
-        for helper in helpers.into_iter().take(self.settings.helpers) {
-            let question = Question::PingFor {
-                sequence: probe.sequence,
-                target: probe.target,
-            };
-            self.send(helper, question);
-        }
-    }
-
     fn suspect(&mut self, address: Address) {
         let Some(member) = self.table.member(address) else {
             return;
@@ -337,92 +245,6 @@
         }
     }
 
-    /// Takes a packet.
-    pub fn receive(&mut self, packet: Packet) -> Vec<Outgoing> {
-        for fact in packet.facts {
-            self.learn(fact);
-        }
-        let from = packet.from.address;
-        match packet.question {
-            Question::Ping { sequence } => {
-                self.tell_if_mistaken(packet.from);
-                self.send(from, Question::Ack { sequence });
-            }
-            Question::Join { sequence } => {
-                self.tell_if_mistaken(packet.from);
-                self.send(from, Question::Ack { sequence });
-                self.tell(from, self.table.all());
-            }
-            Question::Tell => {}
-            Question::Compare { digests } => {
-                let differing = self.table.differing(&digests);
-                self.tell(from, differing);
-            }
-            Question::Ack { sequence } => self.take_answer(sequence),
-            Question::PingFor { sequence, target } => {
-                self.sequence += 1;
-                self.errands.insert(
-                    self.sequence,
-                    Errand {
-                        asker: from,
-                        asker_sequence: sequence,
-                    },
-                );
-                self.send(
-                    target,
-                    Question::Ping {
-                        sequence: self.sequence,
-                    },
-                );
-            }
-        }
-        std::mem::take(&mut self.packets_out)
-    }
-
-    /// Sends facts, in as many packets as they need.
-    fn tell(&mut self, to: Address, told: Vec<Fact>) {
-        let mut facts = Vec::new();
-        let mut size = 0;
-        for fact in told {
-            if size + fact.size() > self.settings.packet_bytes {
-                self.push_packet(to, Question::Tell, std::mem::take(&mut facts));
-                size = 0;
-            }
-            size += fact.size();
-            facts.push(fact);
-        }
-        if !facts.is_empty() {
-            self.push_packet(to, Question::Tell, facts);
-        }
-    }
-
-    /// A sender that is held dead here must hear of it, or it never objects.
-    fn tell_if_mistaken(&mut self, from: ProcessId) {
-        let Some(member) = self.table.member(from.address) else {
-            return;
-        };
-        if member.id == from && member.state > MemberState::Alive {
-            let subject = Fact::Member(member.clone()).subject();
-            self.queue.add(subject);
-        }
-    }
-
-    fn take_answer(&mut self, sequence: u64) {
-        if let Some(errand) = self.errands.remove(&sequence) {
-            self.send(
-                errand.asker,
-                Question::Ack {
-                    sequence: errand.asker_sequence,
-                },
-            );
-            return;
-        }
-        let answered = |probe: &Probe| probe.sequence == sequence;
-        if self.probe.as_ref().is_some_and(answered) {
-            self.probe = None;
-        }
-    }
-
     fn send(&mut self, to: Address, question: Question) {
         let size = self.table.live().count().max(2);
         let limit = self.settings.repeats * (usize::BITS - size.leading_zeros());
