--- /dev/null
+++ b/crates/gateway/src/cold.rs
@@ -0,0 +1,174 @@
+//! What this daemon knows of cold servers (docs/design/cold-servers.md).
+
+use crate::places::Places;
+use fieldhook_traffic::cold::{Cause, Denials, Servers};
+use fieldhook_traffic::config::{Cold, TrafficConfig};
+use fieldhook_traffic::directory::ServerEntry;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Cold servers as one daemon knows them.
+pub struct ColdServers {
+    places: Rc<Places>,
+    servers: RefCell<Servers>,
+    denials: RefCell<Denials>,
+    /// What cold servers bear, by service.
+    services: RefCell<HashMap<String, Cold>>,
+    version: Cell<u64>,
+    /// Servers that were said to be cold: each is said once.
+    said: RefCell<HashSet<String>>,
+    started: Instant,
+}
+
+impl ColdServers {
+    /// Nothing is known.
+    pub fn new(places: Rc<Places>) -> Self {
+        Self {
+            places,
+            servers: RefCell::default(),
+            denials: RefCell::default(),
+            services: RefCell::default(),
+            version: Cell::new(0),
+            said: RefCell::default(),
+            started: Instant::now(),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// This configuration is in force.
+    pub fn set_config(&self, config: &TrafficConfig) {
+        let services = config.services.iter();
+        let bounded = services.filter_map(|service| Some((service.name.clone(), service.cold?)));
+        self.services.replace(bounded.collect());
+        self.version.set(config.version);
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// What a server bears, if it is cold now.
+    pub fn cold(&self, server: &ServerEntry) -> Option<Cold> {
+        let services = self.services.borrow();
+        let cold = services.get(&server.service)?;
+        self.cause(server, cold).map(|_| *cold)
+    }
+
+    /// Why a server is cold and for how much longer, in milliseconds.
+    fn cause(&self, server: &ServerEntry, cold: &Cold) -> Option<(&'static str, u64)> {
+        let now_ms = self.now_ms();
+        if let Some((cause, left_ms)) = self.servers.borrow().cold(&server.id, cold, now_ms) {
+            return Some((name(cause), left_ms));
+        }
+        // Servers of an evacuated zone may have turned cold before it takes part again.
+        let opened_for_ms = self.places.opened_for_ms(&server.zone)?;
+        let left_ms = cold.lasts_ms.checked_sub(opened_for_ms)?;
+        (left_ms > 0).then_some(("zone_opened", left_ms))
+    }
+
+    /// Time until a cold server may have a place, in milliseconds, where it has none now.
+    pub fn denied_ms(&self, id: &str) -> Option<u64> {
+        self.denials.borrow().wait_ms(id, self.now_ms())
+    }
+
+    /// A cold server has no place for so long.
+    pub fn deny(&self, id: &str, retry_after_ms: u64) {
+        let now_ms = self.now_ms();
+        self.denials.borrow_mut().denied(id, retry_after_ms, now_ms);
+    }
+
+    /// Takes in a record of a server.
+    pub fn told(&self, server: &ServerEntry) {
+        let now_ms = self.now_ms();
+        self.servers
+            .borrow_mut()
+            .told(&server.id, server.cold_ms, now_ms);
+        self.say(server);
+    }
+
+    /// The servers that existed at the start of this daemon are known.
+    pub fn listed(&self) {
+        self.servers.borrow_mut().listed();
+    }
+
+    /// A server is gone from discovery.
+    pub fn forget(&self, id: &str) {
+        self.servers.borrow_mut().forget(id);
+        self.said.borrow_mut().remove(id);
+    }
+
+    /// No connection to a server came about.
+    pub fn unreachable(&self, server: &ServerEntry) {
+        self.servers.borrow_mut().unreachable(&server.id);
+        self.say(server);
+    }
+
+    /// A connection to a server came about.
+    pub fn reached(&self, server: &ServerEntry) {
+        let now_ms = self.now_ms();
+        if self.servers.borrow_mut().reached(&server.id, now_ms) {
+            self.say(server);
+        }
+    }
+
+    /// A server broke off at once what was sent to it.
+    pub fn reset(&self, server: &ServerEntry) {
+        let now_ms = self.now_ms();
+        self.servers.borrow_mut().reset(&server.id, now_ms);
+        self.say(server);
+    }
+
+    /// How many of these servers are cold now. Those that are not any more are said again
+    /// when they become so.
+    pub fn count<'a>(&self, servers: impl Iterator<Item = &'a ServerEntry>) -> usize {
+        let mut said = self.said.borrow_mut();
+        let mut count = 0;
+        for server in servers {
+            match self.cold(server) {
+                Some(_) => count += 1,
+                None => {
+                    said.remove(&server.id);
+                }
+            }
+        }
+        count
+    }
+
+    /// Writes that a server is cold, once for each time.
+    fn say(&self, server: &ServerEntry) {
+        let services = self.services.borrow();
+        let Some(cold) = services.get(&server.service) else {
+            return;
+        };
+        let Some((cause, left_ms)) = self.cause(server, cold) else {
+            return;
+        };
+        if self.said.borrow_mut().insert(server.id.clone()) {
+            tracing::info!(
+                event = "server_cold",
+                server = server.id,
+                service = server.service,
+                zone = server.zone,
+                cause,
+                left_ms,
+                rate_per_s = cold.rate_per_s,
+                version = self.version.get()
+            );
+        }
+    }
+}
+
+fn name(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Told => "told",
+        Cause::New => "new",
+        Cause::Back => "took_no_connection",
+        Cause::Reset => "reset",
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks of a daemon share, and their start.
 
+use crate::cold::ColdServers;
 use crate::dialect::{Dialect, Topics};
 use crate::ledger::assigner::Assigner;
 use crate::ledger::client::LedgerClient;
@@ -56,6 +57,8 @@
     pub routes_changed: Notify,
     /// Zones of the deployment, and which are evacuated.
     pub places: Rc<Places>,
+    /// Servers that are cold.
+    pub cold: Rc<ColdServers>,
     /// Known servers.
     pub directory: Rc<RefCell<Directory>>,
     /// How long answers take.
@@ -102,10 +105,12 @@
         let directory = Rc::new(RefCell::new(Directory::default()));
         let pools = Rc::new(Pools::default());
         let places = Rc::new(Places::new(&settings));
+        let cold = Rc::new(ColdServers::new(places.clone()));
         let assigner = Assigner::new(
             directory.clone(),
             pools.clone(),
             places.clone(),
+            cold.clone(),
             settings.partitions,
         );
         let owner = Owner::new(
@@ -127,6 +132,7 @@
             routes: RefCell::new(None),
             routes_changed: Notify::new(),
             places,
+            cold,
             directory,
             answer_times: AnswerTimes::default(),
             pools,
@@ -220,5 +226,7 @@
         tokio::time::sleep(SWEEP_PERIOD).await;
         let directory = daemon.directory.borrow();
         daemon.pools.sweep(&|id| directory.takes_work(id));
+        let cold = daemon.cold.count(directory.entries());
+        daemon.metrics.cold_servers.set(cold as i64);
     }
 }
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -135,6 +135,7 @@
     if let Some(longest_ms) = turns.map(|route| route.timeout_ms).max() {
         daemon.owner.set_longest_turn(longest_ms);
     }
+    daemon.cold.set_config(&config);
     *daemon.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
     daemon.routes_changed.notify_waiters();
 }
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -49,11 +49,13 @@
         .borrow_mut()
         .retain(&|id| listed.contains(id.as_bytes()));
     for id in gone {
+        daemon.cold.forget(&id);
         tracing::info!(event = "server_gone", server = id, cause = "not listed");
     }
     for (offset, record) in records {
         take(daemon, *offset, record);
     }
+    daemon.cold.listed();
 }
 
 fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord) {
@@ -61,6 +63,7 @@
         return;
     };
     if record.value.is_empty() {
+        daemon.cold.forget(id);
         if daemon.directory.borrow_mut().remove(id) {
             tracing::info!(event = "server_gone", server = id, offset);
         }
@@ -75,6 +78,7 @@
     };
     let (service, address) = (entry.service.clone(), entry.address);
     let draining = entry.draining;
+    daemon.cold.told(&entry);
     let change = daemon.directory.borrow_mut().insert(entry);
     if change != DirectoryChange::Unchanged {
         tracing::info!(
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -6,6 +6,8 @@
 //!   serving it, `release`: giving it up.
 //! - `limits`: what tenants may send, counted where their partitions are owned; [`quota`]:
 //!   asking for it.
+//! - `cold`: what cold servers may get, counted by an owner while it is the only one for
+//!   certain, and asking for it.
 //! - [`peer`]: connections between daemons.
 //! - [`reach`]: whether the log is down or this daemon cut off.
 //! - [`client`]: opening and closing turns through owners that may change; `exchange`:
@@ -13,6 +15,7 @@
 
 pub mod assigner;
 pub mod client;
+mod cold;
 mod exchange;
 mod hold;
 mod limits;
--- a/crates/gateway/src/ledger/assigner.rs
+++ b/crates/gateway/src/ledger/assigner.rs
@@ -1,5 +1,6 @@
 //! Engines for the turns of programs whose partitions are owned here.
 
+use crate::cold::ColdServers;
 use crate::places::Places;
 use crate::upstream::pool::Pools;
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, Placement};
@@ -7,6 +8,7 @@
 use fieldhook_topology::region::Set;
 use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
+use fieldhook_traffic::cold;
 use fieldhook_traffic::directory::Directory;
 use fieldhook_traffic::groups::Groups;
 use std::cell::RefCell;
@@ -25,6 +27,7 @@
     directory: Rc<RefCell<Directory>>,
     pools: Rc<Pools>,
     pub(super) places: Rc<Places>,
+    cold: Rc<ColdServers>,
     table: RefCell<Table>,
     divisions: RefCell<HashMap<String, Division>>,
     partitions: u32,
@@ -39,12 +42,14 @@
         directory: Rc<RefCell<Directory>>,
         pools: Rc<Pools>,
         places: Rc<Places>,
+        cold: Rc<ColdServers>,
         partitions: u32,
     ) -> Self {
         Self {
             directory,
             pools,
             places,
+            cold,
             table: RefCell::new(Table::new(Settings::default())),
             divisions: RefCell::default(),
             partitions: partitions.max(1),
@@ -68,6 +73,7 @@
         let mut engines = engines(&directory, &placement.service);
         engines.retain(|engine| !self.pools.view(engine.id, now_ms).avoided);
         self.keep_allowed(&mut engines, placement);
+        self.limit_cold(&mut engines, &directory);
         for engine in &mut engines {
             engine.is_home = groups.of_engine(engine.id) == Some(home);
         }
@@ -98,6 +104,18 @@
         });
     }
 
+    /// Cold engines have as many places as what they bear fills.
+    fn limit_cold(&self, engines: &mut [Engine<'_>], directory: &Directory) {
+        for engine in engines {
+            let entry = directory.entry(engine.id);
+            let cold = entry.and_then(|entry| self.cold.cold(entry));
+            if let Some(cold) = cold {
+                engine.is_cold = true;
+                engine.slots = engine.slots.min(cold::slots(&cold));
+            }
+        }
+    }
+
     /// A turn has ended.
     pub fn end(&self, close: &CloseTurn) {
         let mut table = self.table.borrow_mut();
@@ -156,6 +174,7 @@
             distance: Distance::SameRegion,
             slots: server.slots,
             is_home: false,
+            is_cold: false,
         })
         .collect();
     engines.sort_by(|left, right| left.id.cmp(right.id));
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -65,6 +65,8 @@
     pub reach: Cell<Reach>,
     pub(super) peers: Peers,
     pub(super) claiming: RefCell<HashSet<u32>>,
+    /// Partitions whose owners are looked for beside the requests that need them.
+    pub(super) searching: RefCell<HashSet<u32>>,
     /// Doubts that were said, by partition: each is said once.
     pub(super) doubts: RefCell<HashMap<u32, Doubt>>,
 }
@@ -78,6 +80,7 @@
             reach: Cell::default(),
             peers: Peers::default(),
             claiming: RefCell::default(),
+            searching: RefCell::default(),
             doubts: RefCell::default(),
         }
     }
--- a/crates/gateway/src/ledger/limits.rs
+++ b/crates/gateway/src/ledger/limits.rs
@@ -1,8 +1,9 @@
-//! What tenants may send, counted where their partitions are owned.
+//! What tenants may send, and what cold servers may get, counted where their partitions are
+//! owned.
 
-use crate::settings::Quota;
-use fieldhook_ledger::message::{QuotaAnswer, QuotaQuestion};
+use fieldhook_ledger::message::{ColdQuestion, QuotaAnswer, QuotaQuestion};
 use fieldhook_log::ownership::{self, Claim};
+use fieldhook_traffic::cold;
 use fieldhook_traffic::quota::{Answer, Book, Former, Question};
 use fieldhook_traffic::tenants::Limit;
 use fieldhook_traffic::window::Bounds;
@@ -25,13 +26,9 @@
 }
 
 impl Limits {
-    pub(super) fn new(quota: Quota) -> Self {
+    pub(super) fn new(bounds: Bounds) -> Self {
         Self {
-            bounds: Bounds {
-                window_ms: quota.window_ms,
-                overshoot: quota.overshoot,
-                slack: quota.slack,
-            },
+            bounds,
             books: RefCell::default(),
             started: Instant::now(),
         }
@@ -51,12 +48,12 @@
         used
     }
 
-    /// Answers a question about a tenant of a partition that this daemon has claimed.
+    /// Answers a question about what is counted in a partition that this daemon has claimed.
     pub(super) fn ask(
         &self,
         partition: u32,
         claim: &Claim,
-        question: &QuotaQuestion,
+        question: &Question<'_>,
     ) -> QuotaAnswer {
         let now_ms = self.started.elapsed().as_millis() as u64;
         let mut books = self.books.borrow_mut();
@@ -73,7 +70,7 @@
         let Some(kept) = books.get_mut(&partition) else {
             return QuotaAnswer::Refused { retry_after_ms: 0 };
         };
-        answer(kept.book.ask(&read(question), now_ms))
+        answer(kept.book.ask(question, now_ms))
     }
 }
 
@@ -85,7 +82,18 @@
     }
 }
 
-fn read(question: &QuotaQuestion) -> Question<'_> {
+/// A question about a cold server.
+pub(super) fn of_cold(question: &ColdQuestion) -> Question<'_> {
+    cold::question(
+        &question.server,
+        question.rate_per_s,
+        question.version,
+        question.rank,
+    )
+}
+
+/// A question about a tenant.
+pub(super) fn of_tenant(question: &QuotaQuestion) -> Question<'_> {
     Question {
         tenant: &question.tenant,
         limit: Limit {
@@ -97,6 +105,7 @@
         route: &question.route,
         begins: question.begins,
         waits: question.waits,
+        leaves: 0,
     }
 }
 
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -42,6 +42,7 @@
             | LedgerRequest::HasLog
             | LedgerRequest::Config(_)
             | LedgerRequest::Quota(_)
+            | LedgerRequest::Cold(_)
             | LedgerRequest::Claim(_) => {}
         }
     }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,12 +1,13 @@
 //! The partitions owned by this daemon.
 
 use super::assigner::Assigner;
+use super::cold::{self, Counts};
 use super::hold::{Hold, hold};
-use super::limits::Limits;
+use super::limits::{self, Limits};
 use crate::follow::known::Known;
 use crate::metrics::Metrics;
 use crate::places::Places;
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewaySettings, Quota};
 use fieldhook_ledger::message::{
     ClaimPartition, KnownOwner, LedgerReply, LedgerRequest, QuotaQuestion,
 };
@@ -15,7 +16,9 @@
 use fieldhook_log::appender::fence;
 use fieldhook_log::claims::Claims;
 use fieldhook_log::contact::Contact;
+use fieldhook_log::ownership::Claim;
 use fieldhook_log::patience::{Capacity, before_claim};
+use fieldhook_traffic::window::Bounds;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -45,6 +48,8 @@
     longest_turn_ms: Cell<u64>,
     pub(super) assigner: Rc<Assigner>,
     limits: Limits,
+    /// What cold servers were allowed to get.
+    pub(super) counts: Counts,
     /// What this daemon knows of the configuration.
     pub config: Rc<Known>,
     /// What it knows of places.
@@ -79,7 +84,8 @@
             held: RefCell::default(),
             capacity: settings.capacity,
             longest_turn_ms: Cell::new(u64::MAX),
-            limits: Limits::new(settings.quota),
+            limits: Limits::new(bounds(settings.quota)),
+            counts: Counts::default(),
             config: Rc::default(),
             places: assigner.places.clone(),
             assigner,
@@ -139,6 +145,9 @@
                 ntex::rt::spawn(claim_for_another(self.clone(), claim, sender));
             }
             LedgerRequest::Quota(question) => self.handle_quota(partition, &question, &sender),
+            LedgerRequest::Cold(question) => {
+                ntex::rt::spawn(cold::answer(self.clone(), partition, question, sender));
+            }
             LedgerRequest::WhoOwns(_) => {
                 let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
             }
@@ -172,17 +181,25 @@
         question: &QuotaQuestion,
         sender: &mpsc::UnboundedSender<LedgerReply>,
     ) {
-        let is_held = self.held.borrow().contains_key(&partition);
-        let claim = self.claims.claim(partition);
-        let reply = match claim.filter(|claim| is_held && self.claims.is_mine(claim)) {
-            Some(claim) => LedgerReply::Quota(self.limits.ask(partition, &claim, question)),
+        let reply = match self.own_claim(partition) {
+            Some(claim) => {
+                let question = limits::of_tenant(question);
+                LedgerReply::Quota(self.limits.ask(partition, &claim, &question))
+            }
             None => LedgerReply::NotOwner(self.known_owner(partition)),
         };
         let _ = sender.send(reply);
     }
 
+    /// The claim by which this daemon holds a partition, read or not.
+    pub(super) fn own_claim(&self, partition: u32) -> Option<Claim> {
+        let is_held = self.held.borrow().contains_key(&partition);
+        let claim = self.claims.claim(partition);
+        claim.filter(|claim| is_held && self.claims.is_mine(claim))
+    }
+
     /// Who owns a partition, for a daemon that may not know.
-    fn known_owner(&self, partition: u32) -> Option<KnownOwner> {
+    pub(super) fn known_owner(&self, partition: u32) -> Option<KnownOwner> {
         let claim = self.claims.claim(partition)?;
         Some(KnownOwner {
             address: claim.address?.to_string(),
@@ -253,6 +270,14 @@
     }
 }
 
+fn bounds(quota: Quota) -> Bounds {
+    Bounds {
+        window_ms: quota.window_ms,
+        overshoot: quota.overshoot,
+        slack: quota.slack,
+    }
+}
+
 pub(super) fn place(partition: u32) -> LogPartition {
     LogPartition {
         topic: LEDGER_TOPIC.to_owned(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`store_exchange`]: connections to the log service, for adapters.
 //! - [`follow`]: configuration, evacuations and servers, followed on the log.
 //! - [`places`]: zones, and which are evacuated.
+//! - [`cold`]: servers that bear only a few requests for now.
 //! - [`ledger`]: owners of partitions and the gateways that ask them.
 //! - [`upstream`]: connections to servers.
 //! - [`serve`]: clients' connections and requests.
@@ -17,6 +18,7 @@
 //! - [`probes`]: readiness and metrics over HTTP.
 //! - [`metrics`], [`logging`]: what a daemon tells about itself.
 
+pub mod cold;
 pub mod daemon;
 pub mod dialect;
 pub mod drain;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,10 @@
     pub attempts: IntCounterVec,
     /// Requests of tenants by what became of them at their limit.
     pub quota: IntCounterVec,
+    /// Servers that this daemon knows to be cold.
+    pub cold_servers: IntGauge,
+    /// Questions whether a request may be sent to a cold server, by outcome.
+    pub cold_permits: IntCounterVec,
     /// Tenants whose limits are counted here.
     pub tenants: IntGauge,
     /// Part of its limit that a tenant uses: those nearest to it.
@@ -98,6 +102,12 @@
                 "Requests at tenants' limits",
                 "outcome",
             ),
+            cold_servers: b.gauge("fieldhook_cold_servers", "Servers known to be cold"),
+            cold_permits: b.counters(
+                "fieldhook_cold_permits_total",
+                "Requests for cold servers",
+                "outcome",
+            ),
             tenants: b.gauge(
                 "fieldhook_tenants_counted",
                 "Tenants with limits counted here",
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -53,6 +53,13 @@
         self.evacuations.borrow().is_evacuated(zone)
     }
 
+    /// For how long this daemon knows that a zone which was evacuated takes part again, in
+    /// milliseconds.
+    pub fn opened_for_ms(&self, zone: &str) -> Option<u64> {
+        let since_ms = self.evacuations.borrow().opened_since_ms(zone)?;
+        Some(self.now_ms().saturating_sub(since_ms))
+    }
+
     /// Takes in a record of the operator, read at a revision or told by another daemon.
     pub fn take(&self, zone: &str, state: State, revision: u64, source: &'static str) {
         let now_ms = self.now_ms();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,6 +12,7 @@
 pub mod answer_times;
 pub mod buffered;
 pub mod client;
+mod cold;
 pub mod connection;
 pub mod dispatch;
 pub mod listener;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,5 +1,6 @@
 //! One attempt: choosing a server, connecting, sending, reading the head.
 
+use super::cold;
 use super::request::RequestContext;
 use crate::dialect::Forwarding;
 use crate::http::write;
@@ -16,6 +17,10 @@
 /// server that fails while it works takes longer.
 const STALE_WITHIN: Duration = Duration::from_millis(20);
 
+/// A server that breaks off within this time what was sent to it may have become cold: it
+/// falls over rather than work.
+const BROKE_AT_ONCE: Duration = Duration::from_millis(50);
+
 /// An attempt whose answer has begun.
 pub struct Attempt {
     /// The server.
@@ -56,6 +61,11 @@
 pub enum DispatchFailure {
     /// No server takes the request now.
     NoServer,
+    /// Only cold servers are left, and none has a place.
+    Cold {
+        /// When one may have, in milliseconds from now.
+        wait_ms: u64,
+    },
     /// An attempt failed.
     Attempt(AttemptFailure),
     /// Its key was taken away meanwhile.
@@ -71,27 +81,67 @@
     tried: &mut Tried,
     last_event: Option<u64>,
 ) -> Result<Attempt, DispatchFailure> {
-    if !context.is_still_admitted() {
-        return Err(DispatchFailure::KeyGone);
+    for _ in 0..cold::MOST_ASKED {
+        if !context.is_still_admitted() {
+            return Err(DispatchFailure::KeyGone);
+        }
+        let Some(server) = choose(context, tried) else {
+            break;
+        };
+        tried.servers.push(server.id.clone());
+        context.sent_to.replace(Some(server.id.clone()));
+        let in_flight = context.daemon.pools.begin(&server.id);
+        let connection = connect(context, &server).await?;
+        if let Some(bears) = context.daemon.cold.cold(&server)
+            && !cold::permit(context, &server, &bears).await
+        {
+            // Nothing was sent: it does not count as an attempt.
+            tried.servers.pop();
+            context.daemon.pools.put_back(&server.id, connection);
+            continue;
+        }
+        return send(context, server, connection, in_flight, last_event).await;
+    }
+    match cold::wait_ms(context, tried) {
+        Some(wait_ms) => Err(DispatchFailure::Cold { wait_ms }),
+        None => Err(DispatchFailure::NoServer),
     }
-    let server = choose(context, tried).ok_or(DispatchFailure::NoServer)?;
-    tried.servers.push(server.id.clone());
-    context.sent_to.replace(Some(server.id.clone()));
+}
+
+async fn connect(
+    context: &RequestContext,
+    server: &ServerEntry,
+) -> Result<ServerConnection, DispatchFailure> {
     let daemon = &context.daemon;
-    let in_flight = daemon.pools.begin(&server.id);
     let taken = daemon
         .pools
-        .take(&server, daemon.now_ms(), &daemon.metrics)
+        .take(server, daemon.now_ms(), &daemon.metrics)
         .await;
-    let mut connection = match taken {
-        Ok(connection) => connection,
+    match taken {
+        Ok(connection) => {
+            daemon.cold.reached(server);
+            Ok(connection)
+        }
         Err(error) => {
-            observe(context, &server, Observation::Failed, "not_sent");
+            observe(context, server, Observation::Failed, "not_sent");
+            daemon.cold.unreachable(server);
             tracing::info!(event = "attempt_failed", request = context.meta.id,
                 server = server.id, outcome = "not_sent", %error, age_ms = context.age_ms());
-            return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
+            Err(DispatchFailure::Attempt(AttemptFailure::NotSent))
         }
-    };
+    }
+}
+
+/// Sends the request on a connection that is ready, and reads the head of the answer. Nothing
+/// is waited for before it is written: a permit for a cold server holds for a short time.
+async fn send(
+    context: &RequestContext,
+    server: ServerEntry,
+    mut connection: ServerConnection,
+    in_flight: InFlight,
+    last_event: Option<u64>,
+) -> Result<Attempt, DispatchFailure> {
+    let daemon = &context.daemon;
     // The server may have begun to leave while the connection came up.
     if !daemon.directory.borrow().takes_work(&server.id) {
         return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
@@ -132,6 +182,9 @@
                 let pools = &daemon.pools;
                 pools.was_stale(&server.id, daemon.now_ms(), connection.rested);
             }
+            if !stale && sent.elapsed() < BROKE_AT_ONCE {
+                daemon.cold.reset(&server);
+            }
             tracing::info!(
                 event = "attempt_failed",
                 request = context.meta.id,
@@ -305,6 +358,10 @@
         daemon.places.with_rule(&context.homes, zone, |rule| {
             let allowed = directory.serving(service).filter_map(|server| {
                 let distance = rule.serve(&server.zone).ok()?;
+                let is_cold = daemon.cold.cold(server).is_some();
+                if is_cold && daemon.cold.denied_ms(&server.id).is_some() {
+                    return None;
+                }
                 let view = daemon.pools.view(&server.id, now_ms);
                 Some(Candidate {
                     server,
@@ -312,6 +369,7 @@
                     in_flight: view.in_flight,
                     avoided: view.avoided,
                     unsound: view.unsound,
+                    is_cold,
                     has_idle_connection: view.has_idle_connection,
                 })
             });
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -2,6 +2,7 @@
 //! answers and streams.
 
 use super::answer::OwnAnswer;
+use super::cold;
 use super::dispatch::{DispatchFailure, Tried};
 use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext};
 use fieldhook_traffic::attempt::{Attempts, NextStep, Time};
@@ -59,6 +60,14 @@
                 return Err(OwnAnswer::new(401, Denial::UnknownKey.remedy()));
             }
             DispatchFailure::KeyGone => return Err(OwnAnswer::new(502, OUTCOME_UNKNOWN)),
+            // A place at a server that refused may come free before one at a cold server.
+            DispatchFailure::Cold { wait_ms } if self.nothing_ran() => {
+                return cold::wait(context, wait_ms).await;
+            }
+            DispatchFailure::Cold { .. } => {
+                self.counted
+                    .without_server(route.kind, route.max_attempts, time)
+            }
             // Waiting is for places: where no server is known, none would come free.
             DispatchFailure::NoServer if self.tried.refused.is_empty() => {
                 return Err(self.no_server());
@@ -130,6 +139,11 @@
         self.tried.forget_refusals();
     }
 
+    /// No server was asked but those that were not reached, and none may have run it.
+    fn nothing_ran(&self) -> bool {
+        self.counted.may_have_run == 0 && self.tried.refused.is_empty()
+    }
+
     /// Whether discovery may be about to tell of a server.
     fn waits_for_discovery(&self, context: &RequestContext) -> bool {
         let nothing_sent = self.counted == Attempts::default();
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -149,6 +149,18 @@
         }
     }
 
+    /// Keeps a connection that nothing was sent on, as it was taken.
+    pub fn put_back(&self, id: &str, mut connection: ServerConnection) {
+        if !connection.used {
+            connection.idle_limit = UNTOLD_IDLE;
+        }
+        let mut servers = self.servers.borrow_mut();
+        let state = servers.entry(id.to_owned()).or_default();
+        if state.idle.len() < MOST_IDLE {
+            state.idle.push(connection);
+        }
+    }
+
     /// Closes idle connections that are over their time, and forgets servers that
     /// `known` does not name.
     pub fn sweep(&self, known: &dyn Fn(&str) -> bool) {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -120,7 +120,20 @@
     pub waits: bool,
 }
 
-/// The owner's answer.
+/// Asks the owner of a cold server's count whether a request may be sent there now.
+#[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
+pub struct ColdQuestion {
+    /// Identity of the server.
+    pub server: String,
+    /// Requests a second that it bears, as the asking daemon knows.
+    pub rate_per_s: f64,
+    /// Version of the configuration that says so.
+    pub version: u64,
+    /// Rank of the request, 0 is the most urgent.
+    pub rank: u8,
+}
+
+/// The owner's answer to a question about a limit.
 #[derive(Clone, Copy, Debug, PartialEq, SerBin, DeBin)]
 pub enum QuotaAnswer {
     /// The request may be sent.
@@ -155,6 +168,8 @@
     Find(FindChain),
     /// Tell whether a tenant's limit lets a request through.
     Quota(QuotaQuestion),
+    /// Tell whether a request may be sent to a cold server now.
+    Cold(ColdQuestion),
     /// Tell who owns a partition, as far as known.
     WhoOwns(u32),
     /// Tell whether the log answers you.
@@ -175,6 +190,7 @@
             Self::Find(find) => find.partition,
             // A tenant has its limit where a program of that name would be.
             Self::Quota(question) => partition_of(&question.tenant, partitions),
+            Self::Cold(question) => partition_of(&question.server, partitions),
             Self::WhoOwns(partition) => *partition,
             Self::Claim(claim) => claim.partition,
             Self::HasLog | Self::Config(_) => 0,
@@ -230,7 +246,7 @@
         /// It is the first turn of its program.
         begins: bool,
     },
-    /// What the tenant's limit lets through.
+    /// What the limit of the tenant, or of the cold server, lets through.
     Quota(QuotaAnswer),
     /// The reservation of an opened turn is durable now.
     Durable,
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`ownership`]: the table of owners.
 //! - [`claims`]: learning of owners and becoming one.
 //! - [`appender`]: group commit of one owned partition.
+//! - [`lease`]: how long an owner may act as the only one.
 //! - [`hedge`]: one append, repeated until its outcome is known.
 //! - [`patience`]: who claims first.
 //! - [`reach`]: whether the log is down or this daemon cut off.
@@ -20,6 +21,7 @@
 pub mod contact;
 pub mod follow;
 pub mod hedge;
+pub mod lease;
 pub mod ownership;
 pub mod patience;
 pub mod reach;
--- a/crates/traffic/src/assignment.rs
+++ b/crates/traffic/src/assignment.rs
@@ -61,6 +61,8 @@
     pub distance: Distance,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// It is cold: beyond its places it gets nothing.
+    pub is_cold: bool,
     /// It belongs to the group of the turn's partition.
     pub is_home: bool,
 }
@@ -166,7 +168,8 @@
             .iter()
             .find(|engine| *engine.id == *program.engine)?;
         let limit = self.limit(engine, engines, share, self.settings.keep);
-        (f64::from(self.open(engine.id)) < limit).then(|| program.engine.clone())
+        let has_room = !engine.is_cold || !self.is_cold_full(engine, share);
+        (has_room && f64::from(self.open(engine.id)) < limit).then(|| program.engine.clone())
     }
 
     fn choose<'a>(&self, turn: &Turn<'_>, engines: &[Engine<'a>], share: f64) -> Option<&'a str> {
@@ -186,12 +189,37 @@
         let least = home(engines).min_by_key(load);
         match least.filter(|engine| !self.is_full(engine, share)) {
             Some(engine) => Some(engine.id),
-            None => engines.iter().min_by_key(load).map(|engine| engine.id),
+            None => self
+                .anywhere(engines, share)
+                .min_by_key(load)
+                .map(|engine| engine.id),
         }
     }
 
+    /// Engines of all groups, cold ones only where they have room or there are no others.
+    fn anywhere<'a, 'b>(
+        &'b self,
+        engines: &'b [Engine<'a>],
+        share: f64,
+    ) -> impl Iterator<Item = &'b Engine<'a>> {
+        let bears =
+            move |engine: &&Engine<'_>| !engine.is_cold || !self.is_cold_full(engine, share);
+        let all_full = !engines.iter().any(|engine| bears(&engine));
+        engines
+            .iter()
+            .filter(move |engine| all_full || bears(engine))
+    }
+
+    /// Whether a cold engine works on as many turns as it bears.
+    fn is_cold_full(&self, engine: &Engine<'_>, share: f64) -> bool {
+        f64::from(self.open(engine.id)) >= f64::from(engine.slots) * share
+    }
+
     /// Whether an engine of the group is too full for more programs.
     fn is_full(&self, engine: &Engine<'_>, share: f64) -> bool {
+        if engine.is_cold {
+            return self.is_cold_full(engine, share);
+        }
         f64::from(self.open(engine.id)) >= f64::from(engine.slots) * share * GROUP_FULL
     }
 
--- a/crates/traffic/src/balance.rs
+++ b/crates/traffic/src/balance.rs
@@ -21,6 +21,8 @@
     pub avoided: bool,
     /// It failed last time.
     pub unsound: bool,
+    /// It bears only a few requests.
+    pub is_cold: bool,
     /// An open connection waits for use.
     pub has_idle_connection: bool,
 }
@@ -55,7 +57,7 @@
         .filter(fresh)
         .filter(|index| !candidates[*index].avoided && !candidates[*index].unsound)
         .collect();
-    if let Some(index) = pick(candidates, &sound, request, random) {
+    if let Some(index) = pick_sound(candidates, &sound, request, random) {
         return Some(index);
     }
     let resting: Vec<usize> = (0..candidates.len())
@@ -69,17 +71,40 @@
     pick(candidates, &any, request, random)
 }
 
+/// Warm servers go first, unless the program was assigned to a cold one.
+fn pick_sound(
+    candidates: &[Candidate<'_>],
+    sound: &[usize],
+    request: &Request<'_>,
+    random: u64,
+) -> Option<usize> {
+    let warm: Vec<usize> = sound
+        .iter()
+        .copied()
+        .filter(|index| !candidates[*index].is_cold)
+        .collect();
+    preferred(candidates, sound, request)
+        .or_else(|| pick(candidates, &warm, request, random))
+        .or_else(|| by_load(candidates, sound, random))
+}
+
+fn preferred(
+    candidates: &[Candidate<'_>],
+    allowed: &[usize],
+    request: &Request<'_>,
+) -> Option<usize> {
+    let is_preferred = |index: &&usize| request.preferred == Some(&candidates[**index].server.id);
+    allowed.iter().find(is_preferred).copied()
+}
+
 fn pick(
     candidates: &[Candidate<'_>],
     allowed: &[usize],
     request: &Request<'_>,
     random: u64,
 ) -> Option<usize> {
-    let preferred = allowed
-        .iter()
-        .find(|index| request.preferred == Some(&candidates[**index].server.id));
-    if let Some(index) = preferred {
-        return Some(*index);
+    if let Some(index) = preferred(candidates, allowed, request) {
+        return Some(index);
     }
     match request.affinity {
         Some(key) => by_affinity(candidates, allowed, key),
--- /dev/null
+++ b/crates/traffic/src/cold.rs
@@ -0,0 +1,200 @@
+//! Which servers are cold: they bear a few requests a second, and fall over at well above
+//! that.
+//!
+//! A server tells in its record how much longer it is cold, but a record is read late, and a
+//! server may become cold again before it says so. So a server counts as cold also by what is
+//! seen of it: an incarnation that appears while traffic flows, one that takes connections
+//! again after it took none, one that broke off at once what was sent to it. All times err to
+//! the longer side (docs/design/cold-servers.md).
+
+use crate::config::Cold;
+use crate::quota::Question;
+use crate::tenants::Limit;
+use crate::window::Bounds;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+/// How long a request may be sent on a permit after the daemon asked for it, in
+/// milliseconds: an answer takes 2 to 20 ms, and what goes out later counts in a window that
+/// its owner does not know.
+pub const PERMIT_MS: u64 = 50;
+/// Cold servers are judged by seconds.
+const JUDGED_MS: u64 = 1_000;
+/// Places at a cold server that less urgent requests leave for urgent ones.
+const LEFT_FOR_URGENT: u32 = 1;
+/// Rate from which on a cold server has more places at one moment than those, a second.
+const LEAVES_FROM_RATE: f64 = 8.0;
+/// Rank of the most urgent requests.
+const MOST_URGENT: u8 = 0;
+/// How long a turn holds its place at an engine on the deployments so far, in milliseconds.
+const TURN_MS: f64 = 100.0;
+/// Identities that are remembered after they are gone: entries lapse while the log is away
+/// and come back the same.
+const MOST_REMEMBERED: usize = 8_192;
+
+/// Windows in which requests to cold servers are counted: a second, and for how long a permit
+/// may be used after its count. Nothing goes beyond the rate: the room above it that the
+/// operator's sheet leaves is for servers that nobody knows to be cold yet.
+pub const BOUNDS: Bounds = Bounds {
+    window_ms: JUDGED_MS + PERMIT_MS,
+    overshoot: 0.0,
+    slack: 0.0,
+};
+
+/// The question to the owner of a cold server's count.
+pub fn question(server: &str, rate_per_s: f64, version: u64, rank: u8) -> Question<'_> {
+    Question {
+        tenant: server,
+        limit: Limit {
+            rate_per_s,
+            burst: 0.0,
+        },
+        version,
+        program: None,
+        route: "",
+        begins: false,
+        waits: false,
+        leaves: match rank {
+            MOST_URGENT => 0,
+            _ if rate_per_s < LEAVES_FROM_RATE => 0,
+            _ => LEFT_FOR_URGENT,
+        },
+    }
+}
+
+/// Requests that an engine works on at once while it gets no more than it bears.
+pub fn slots(cold: &Cold) -> u32 {
+    (cold.rate_per_s * TURN_MS / 1_000.0).ceil().max(1.0) as u32
+}
+
+/// Why a server counts as cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Its record says so.
+    Told,
+    /// It appeared while traffic flowed.
+    New,
+    /// It takes connections again.
+    Back,
+    /// It broke off at once what was sent to it.
+    Reset,
+}
+
+/// What is known of one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    /// By its newest record.
+    told_until_ms: u64,
+    /// What was last seen of it, and when.
+    seen: Option<(Cause, u64)>,
+    /// No connection came about last time.
+    is_dark: bool,
+}
+
+/// What is known of all servers.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    states: HashMap<Rc<str>, State>,
+    remembered: HashSet<Rc<str>>,
+    /// The first listing was read: what comes after it is new.
+    is_listed: bool,
+}
+
+impl Servers {
+    /// Takes in a record: it says for how much longer the server is cold, from when it was
+    /// written, which is before it is read.
+    pub fn told(&mut self, id: &str, cold_ms: u64, now_ms: u64) {
+        let is_new = self.remember(id) && self.is_listed;
+        let state = self.state(id);
+        state.told_until_ms = now_ms + cold_ms;
+        if is_new {
+            state.seen = Some((Cause::New, now_ms));
+        }
+    }
+
+    /// The servers that existed at the start of this daemon are known.
+    pub fn listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// No connection to a server came about.
+    pub fn unreachable(&mut self, id: &str) {
+        self.state(id).is_dark = true;
+    }
+
+    /// A connection to a server came about. True if none had before: it may have started.
+    pub fn reached(&mut self, id: &str, now_ms: u64) -> bool {
+        let Some(state) = self.states.get_mut(id).filter(|state| state.is_dark) else {
+            return false;
+        };
+        state.is_dark = false;
+        state.seen = Some((Cause::Back, now_ms));
+        true
+    }
+
+    /// A server broke off what was sent to it on a connection that was open.
+    pub fn reset(&mut self, id: &str, now_ms: u64) {
+        self.state(id).seen = Some((Cause::Reset, now_ms));
+    }
+
+    /// Drops a server that is gone from discovery.
+    pub fn forget(&mut self, id: &str) {
+        self.states.remove(id);
+    }
+
+    /// Why a server is cold now and for how much longer, in milliseconds. One that takes no
+    /// connections is cold from when it does.
+    pub fn cold(&self, id: &str, cold: &Cold, now_ms: u64) -> Option<(Cause, u64)> {
+        let state = self.states.get(id)?;
+        let told = (Cause::Told, state.told_until_ms);
+        let seen = state
+            .seen
+            .map(|(cause, at_ms)| (cause, at_ms + cold.lasts_ms));
+        let dark = state
+            .is_dark
+            .then_some((Cause::Back, now_ms + cold.lasts_ms));
+        let all = [Some(told), seen, dark].into_iter().flatten();
+        let (cause, until_ms) = all.max_by_key(|(_, until_ms)| *until_ms)?;
+        let left_ms = until_ms
+            .checked_sub(now_ms)
+            .filter(|left_ms| *left_ms > 0)?;
+        Some((cause, left_ms))
+    }
+
+    fn state(&mut self, id: &str) -> &mut State {
+        self.states.entry(Rc::from(id)).or_default()
+    }
+
+    /// True if the identity was not known.
+    fn remember(&mut self, id: &str) -> bool {
+        if self.remembered.contains(id) {
+            return false;
+        }
+        if self.remembered.len() >= MOST_REMEMBERED {
+            let states = &self.states;
+            self.remembered.retain(|known| states.contains_key(known));
+        }
+        self.remembered.insert(Rc::from(id))
+    }
+}
+
+/// Cold servers at which no place is free for now, as their owners said, so that nobody asks
+/// before there is one.
+#[derive(Clone, Debug, Default)]
+pub struct Denials {
+    until_ms: HashMap<Rc<str>, u64>,
+}
+
+impl Denials {
+    /// No place is free before a time, in milliseconds from now.
+    pub fn denied(&mut self, id: &str, retry_after_ms: u64, now_ms: u64) {
+        self.until_ms.retain(|_, until_ms| *until_ms > now_ms);
+        self.until_ms.insert(Rc::from(id), now_ms + retry_after_ms);
+    }
+
+    /// Time until a place may be free, in milliseconds, if that is known to be later.
+    pub fn wait_ms(&self, id: &str, now_ms: u64) -> Option<u64> {
+        let until_ms = self.until_ms.get(id)?;
+        until_ms.checked_sub(now_ms).filter(|wait_ms| *wait_ms > 0)
+    }
+}
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -98,6 +98,11 @@
         self.servers.get(id).is_some_and(|server| !server.draining)
     }
 
+    /// The entry of a server.
+    pub fn entry(&self, id: &str) -> Option<&ServerEntry> {
+        self.servers.get(id)
+    }
+
     /// Known servers, leaving ones included.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`table`]: looking up a request's route and tenant.
 //! - [`split`]: dividing a route's requests among weighted services.
 //! - [`directory`]: which servers exist and which of them are leaving.
+//! - [`cold`]: which servers bear only a few requests for now.
 //! - [`health`]: leaving a failing server alone and trying it again.
 //! - [`rest`]: how long an idle connection may rest.
 //! - [`groups`]: which engines the owner of a partition assigns.
@@ -21,6 +22,7 @@
 pub mod assignment;
 pub mod attempt;
 pub mod balance;
+pub mod cold;
 pub mod config;
 pub mod directory;
 pub mod groups;
--- a/crates/traffic/src/quota.rs
+++ b/crates/traffic/src/quota.rs
@@ -43,6 +43,8 @@
     pub begins: bool,
     /// The daemon asks again where it is told when.
     pub waits: bool,
+    /// Requests that must be left for others, more urgent ones.
+    pub leaves: u32,
 }
 
 /// The owner's answer.
@@ -135,14 +137,14 @@
     }
 
     fn take(&mut self, question: &Question<'_>, now_ms: u64) -> Answer {
-        if self.window.free(now_ms) >= 1.0 {
+        if self.window.free(now_ms) >= f64::from(1 + question.leaves) {
             self.window.add(1, now_ms);
             return Answer::Granted {
                 used: self.window.used(now_ms),
             };
         }
         let ahead = self.promised.len() as u32;
-        let retry_after_ms = self.window.wait_ms(ahead + 1, now_ms);
+        let retry_after_ms = self.window.wait_ms(ahead + 1 + question.leaves, now_ms);
         if question.waits {
             self.promised.push_back(now_ms + retry_after_ms);
         }
--- a/crates/traffic/tests/assignment.rs
+++ b/crates/traffic/tests/assignment.rs
@@ -16,6 +16,7 @@
             distance: Distance::SameZone,
             slots: SLOTS,
             is_home: true,
+            is_cold: false,
         })
         .collect()
 }
--- a/crates/traffic/tests/groups.rs
+++ b/crates/traffic/tests/groups.rs
@@ -27,6 +27,7 @@
                 distance: Distance::SameZone,
                 slots: SLOTS,
                 is_home: true,
+                is_cold: false,
             })
             .collect()
     }
--- a/crates/traffic/tests/quota.rs
+++ b/crates/traffic/tests/quota.rs
@@ -27,6 +27,7 @@
         route: "r",
         begins: false,
         waits: false,
+        leaves: 0,
     }
 }
 
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -29,6 +29,7 @@
         in_flight: 0,
         avoided: false,
         unsound: false,
+        is_cold: false,
         has_idle_connection: true,
     }
 }
