--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::upstream::pool::Pools;
 use fieldhook_log::api::LogStore;
 use fieldhook_log::contact::Contact;
+use fieldhook_log::reach::Reach;
 use fieldhook_traffic::directory::Directory;
 use fieldhook_traffic::retry_budget;
 use fieldhook_traffic::table::RouteTable;
@@ -161,6 +162,20 @@
         }
     }
 
+    /// Whether nothing may be sent to servers before what is known of evacuations is
+    /// confirmed.
+    pub fn is_doubtful(&self) -> bool {
+        let is_isolated = self.ledger.reach.get() == Reach::Isolated;
+        self.places.is_doubtful(self.word_age_ms(), is_isolated)
+    }
+
+    /// Time since the operator's word as it is known was seen to be the newest, in
+    /// milliseconds.
+    fn word_age_ms(&self) -> u64 {
+        let age_ms = self.owner.config.age_ms();
+        age_ms.unwrap_or_else(|| self.now_ms())
+    }
+
     /// Whether new clients should come here.
     pub fn is_ready(&self) -> bool {
         let better_elsewhere = self.ledger.reach.get().others_are_better_off();
@@ -202,6 +217,7 @@
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
         ntex::rt::spawn(crate::ledger::reach::run(self.ledger.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
+        ntex::rt::spawn(watch_stops(self.clone()));
         Ok(())
     }
 }
@@ -222,3 +238,14 @@
         daemon.pools.sweep(&|id| directory.takes_work(id));
     }
 }
+
+/// How often the process notes that it runs: several times within the shortest stop that
+/// counts as one ([`fieldhook_topology::belief`]).
+const RUN_PERIOD: Duration = Duration::from_millis(250);
+
+async fn watch_stops(daemon: Rc<Daemon>) {
+    loop {
+        daemon.places.ran(daemon.word_age_ms());
+        tokio::time::sleep(RUN_PERIOD).await;
+    }
+}
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -63,12 +63,18 @@
 pub async fn run_peers(daemon: Rc<Daemon>) {
     loop {
         sleep(PEER_PERIOD).await;
-        let may_be_behind = daemon.contact.failing() && daemon.ledger.reach.get() != Reach::Outage;
-        if !may_be_behind {
+        let is_outage = daemon.ledger.reach.get() == Reach::Outage;
+        let is_doubtful = daemon.is_doubtful();
+        let may_be_behind = daemon.contact.failing() && !is_outage;
+        if !may_be_behind && !is_doubtful {
             continue;
         }
         let version = daemon.owner.config.version();
-        for news in daemon.ledger.ask_for_config(version).await {
+        let answers = daemon.ledger.ask_for_config(version).await;
+        if is_outage && !answers.is_empty() {
+            daemon.places.settle();
+        }
+        for news in answers {
             if let Some(document) = news.document {
                 take(&daemon, None, &document);
             }
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -3,11 +3,12 @@
 
 use crate::settings::GatewaySettings;
 use fieldhook_ledger::message::EvacuationNews;
+use fieldhook_topology::belief::Belief;
 use fieldhook_topology::evacuation::{State, Zones};
 use fieldhook_topology::place::Rule;
 use fieldhook_topology::region::Set;
 use fieldhook_topology::zone::Map;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -18,6 +19,8 @@
     /// The zones of the deployment.
     pub map: Map,
     evacuations: RefCell<Zones>,
+    belief: RefCell<Belief>,
+    all_evacuated: Cell<bool>,
     started: Instant,
 }
 
@@ -28,6 +31,8 @@
             zone: Rc::from(settings.zone.as_str()),
             map: settings.zones.clone(),
             evacuations: RefCell::default(),
+            belief: RefCell::new(Belief::new(settings.bounds.evacuation_ms)),
+            all_evacuated: Cell::new(false),
             started: Instant::now(),
         }
     }
@@ -62,6 +67,7 @@
             .take(zone, state, revision, now_ms);
         if is_change {
             tracing::info!(event = "zone_evacuation", zone, ?state, revision, source);
+            self.note_all_evacuated();
         }
     }
 
@@ -76,9 +82,52 @@
         for zone in opened {
             tracing::info!(event = "zone_evacuation", zone = &*zone, state = ?State::Open,
                 revision = end, source = "listing");
+            self.note_all_evacuated();
         }
     }
 
+    /// Says once that no server may serve any more, and once that some may again.
+    fn note_all_evacuated(&self) {
+        let evacuations = self.evacuations.borrow();
+        let mut zones = self.map.zones().peekable();
+        let is_told = zones.peek().is_some();
+        let all = is_told && zones.all(|zone| evacuations.is_evacuated(zone));
+        if self.all_evacuated.replace(all) == all {
+            return;
+        }
+        match all {
+            true => tracing::error!(
+                event = "all_zones_evacuated",
+                "no server may serve: every request is refused; withdraw an evacuation"
+            ),
+            false => tracing::info!(event = "not_all_zones_evacuated"),
+        }
+    }
+
+    /// The process runs, and what it knows was the newest `age_ms` ago.
+    pub fn ran(&self, age_ms: u64) {
+        let now_ms = self.now_ms();
+        if self.belief.borrow_mut().ran(now_ms, age_ms) {
+            tracing::warn!(
+                event = "process_was_stopped",
+                age_ms,
+                "what it knows of evacuations is confirmed before anything is sent"
+            );
+        }
+    }
+
+    /// Others were heard who know no more.
+    pub fn settle(&self) {
+        self.belief.borrow_mut().settle();
+    }
+
+    /// Whether what is known is too old to send anything by it.
+    pub fn is_doubtful(&self, age_ms: u64, is_isolated: bool) -> bool {
+        let now_ms = self.now_ms();
+        let belief = self.belief.borrow();
+        belief.is_doubtful(now_ms, age_ms, is_isolated)
+    }
+
     /// All that is known of evacuations, for daemons that cannot read it themselves.
     pub fn news(&self) -> Vec<EvacuationNews> {
         let evacuations = self.evacuations.borrow();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 //! Place in the request path: first. [`listener`] accepts, [`connection`] reads
 //! requests one after another, [`request`] decides what a request may do: whose it is
 //! ([`admission`]) and whether its tenant may send it ([`quota`]);
-//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
+//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]), sent to servers in places that are [`open`],
 //! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a
 //! program.
 
@@ -15,6 +15,7 @@
 pub mod connection;
 pub mod dispatch;
 pub mod listener;
+pub mod open;
 pub mod quota;
 pub mod request;
 pub mod retry;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,5 +1,6 @@
 //! One attempt: choosing a server, connecting, sending, reading the head.
 
+use super::open;
 use super::request::RequestContext;
 use crate::dialect::Forwarding;
 use crate::http::write;
@@ -60,6 +61,10 @@
     Attempt(AttemptFailure),
     /// Its key was taken away meanwhile.
     KeyGone,
+    /// All servers that could serve it stand in evacuated zones.
+    Evacuated,
+    /// What is known of evacuations is too old to send anything by it.
+    Uncertain,
 }
 
 /// Sends the request to a server that it was not sent to before.
@@ -74,7 +79,8 @@
     if !context.is_still_admitted() {
         return Err(DispatchFailure::KeyGone);
     }
-    let server = choose(context, tried).ok_or(DispatchFailure::NoServer)?;
+    open::confirm(context).await?;
+    let server = choose(context, tried).ok_or_else(|| open::absence(context))?;
     tried.servers.push(server.id.clone());
     context.sent_to.replace(Some(server.id.clone()));
     let daemon = &context.daemon;
@@ -92,14 +98,7 @@
             return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
         }
     };
-    // The server may have begun to leave while the connection came up.
-    if !daemon.directory.borrow().takes_work(&server.id) {
-        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
-    }
-    // Its zone may have been evacuated meanwhile.
-    if daemon.places.is_evacuated(&server.zone) {
-        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
-    }
+    open::still(context, &server)?;
     let bytes = message(context, &server, last_event);
     let outgoing = Outgoing {
         method: &context.method,
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -16,6 +16,12 @@
 /// How long a request waits for a server to appear, in milliseconds.
 const NO_SERVER_PATIENCE_MS: u64 = 120;
 
+/// When a client should come back where all servers for its request stand in evacuated
+/// zones, in milliseconds. Nobody knows when an operator withdraws an evacuation; it is done
+/// by hand, so sooner tries would be in vain, and most requests allow for two or three of
+/// these.
+const RETRY_EVACUATED_MS: u64 = 1_000;
+
 /// Part of a request's time that may go by before it is refused for want of a place: one
 /// in this. What is left lets the client ask elsewhere.
 const WAIT_DIVISOR: u32 = 2;
@@ -59,6 +65,9 @@
                 return Err(OwnAnswer::new(401, Denial::UnknownKey.remedy()));
             }
             DispatchFailure::KeyGone => return Err(OwnAnswer::new(502, OUTCOME_UNKNOWN)),
+            DispatchFailure::Evacuated | DispatchFailure::Uncertain => {
+                return Err(self.not_now(failure));
+            }
             // Waiting is for places: where no server is known, none would come free.
             DispatchFailure::NoServer if self.tried.refused.is_empty() => {
                 return Err(self.no_server());
@@ -136,6 +145,23 @@
         nothing_sent && context.age_ms() < NO_SERVER_PATIENCE_MS
     }
 
+    /// The operator's word, or that it is not known well enough, keeps all servers from it.
+    fn not_now(&self, failure: DispatchFailure) -> OwnAnswer {
+        if self.counted.may_have_run > 0 {
+            return OwnAnswer::new(502, OUTCOME_UNKNOWN);
+        }
+        match failure {
+            DispatchFailure::Uncertain => OwnAnswer::not_run(
+                "this daemon has yet to confirm which zones are evacuated",
+                RETRY_LATER_MS,
+            ),
+            _ => OwnAnswer::not_run(
+                "all servers for it stand in evacuated zones",
+                RETRY_EVACUATED_MS,
+            ),
+        }
+    }
+
     fn no_server(&self) -> OwnAnswer {
         if self.counted.may_have_run > 0 {
             OwnAnswer::new(502, OUTCOME_UNKNOWN)
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -30,6 +30,10 @@
     Events(Vec<String>, Option<usize>),
     /// Send these bytes as a whole stream, whatever they are.
     Stream(String),
+    /// Send events of these texts with a pause before each.
+    Paced(Vec<String>, Duration),
+    /// Read the request, and reset the connection after a while.
+    ResetAfter(Duration),
     /// Read the request and say nothing.
     Silent,
     /// Answer after a while.
@@ -163,6 +167,15 @@
                 let _ = stream.write_all(answer.as_bytes()).await;
             }
             Act::Reset => return reset(stream),
+            Act::ResetAfter(delay) => {
+                sleep(delay).await;
+                return reset(stream);
+            }
+            Act::Paced(events, pause) => {
+                if !send_paced(&mut stream, &id, &events, pause).await {
+                    return;
+                }
+            }
             Act::ForeignFirst(body) => {
                 let both = whole("another", 200, "not yours") + &whole(&id, 200, &body);
                 let _ = stream.write_all(both.as_bytes()).await;
@@ -195,6 +208,24 @@
     }
 }
 
+async fn send_events_head(stream: &mut TcpStream, id: &str) {
+    let head = format!(
+        "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let _ = stream.write_all(head.as_bytes()).await;
+}
+
+async fn send_paced(stream: &mut TcpStream, id: &str, events: &[String], pause: Duration) -> bool {
+    send_events_head(stream, id).await;
+    for (number, text) in events.iter().enumerate() {
+        sleep(pause).await;
+        let event = format!("id: {number}\ndata: {text}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        let _ = stream.write_all(chunk.as_bytes()).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
 async fn send_events(
     stream: &mut TcpStream,
     id: &str,
@@ -202,10 +233,7 @@
     last: Option<usize>,
     break_after: Option<usize>,
 ) -> bool {
-    let head = format!(
-        "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    let _ = stream.write_all(head.as_bytes()).await;
+    send_events_head(stream, id).await;
     let first = last.map_or(0, |last| last + 1);
     for (number, text) in events.iter().enumerate().skip(first) {
         let event = format!("id: {number}\ndata: {text}\n\n");
--- a/crates/log/src/follow.rs
+++ b/crates/log/src/follow.rs
@@ -4,8 +4,10 @@
 use crate::contact::Contact;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+/// Time for one page of a listing. A listing that took longer as a whole is followed by a
+/// read that does not wait.
 const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much longer than the wait it asked for a read may take.
 const READ_SLACK: Duration = Duration::from_millis(700);
@@ -29,7 +31,7 @@
     next: Option<u64>,
     wait: Duration,
     pause: Duration,
-    /// A call failed: the next read does not wait, so that it tells soon whether there is
+    /// A call failed or its answer is old: the next read does not wait, so that it tells soon whether there is
     /// anything new.
     is_behind: bool,
     on_answer: Option<Box<dyn Fn()>>,
@@ -62,6 +64,9 @@
     }
 
     fn tell_answer(&self) {
+        if self.is_behind {
+            return;
+        }
         if let Some(on_answer) = &self.on_answer {
             on_answer();
         }
@@ -118,6 +123,7 @@
     }
 
     async fn list(&mut self) -> Result<Vec<(u64, KeyedRecord)>, StoreError> {
+        let asked = Instant::now();
         let mut all = Vec::new();
         let mut after = None;
         // Pages are not a snapshot: read on from where the first one ended.
@@ -131,6 +137,7 @@
             all.extend(page.records);
             after = page.more_after;
             if after.is_none() {
+                self.is_behind = asked.elapsed() > LIST_TIMEOUT;
                 self.next = first_end;
                 return Ok(all);
             }
@@ -142,11 +149,15 @@
             true => Duration::ZERO,
             false => self.wait,
         };
+        let limit = wait + READ_SLACK;
+        let asked = Instant::now();
         let batch = self
             .store
-            .read(self.partition.clone(), from, wait, wait + READ_SLACK)
+            .read(self.partition.clone(), from, wait, limit)
             .await?;
-        self.is_behind = false;
+        // An answer that was taken after the time allowed lay there while this process was
+        // stopped: it tells what was, and the next read what is.
+        self.is_behind = asked.elapsed() > limit;
         self.next = Some(batch.next);
         Ok(batch.records)
     }
