--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,6 +1,7 @@
 //! One attempt: choosing a server, connecting, sending, reading the head.
 
 use super::cold;
+use super::open;
 use super::request::RequestContext;
 use crate::dialect::Forwarding;
 use crate::http::write;
@@ -70,6 +71,10 @@
     Attempt(AttemptFailure),
     /// Its key was taken away meanwhile.
     KeyGone,
+    /// All servers that could serve it stand in evacuated zones.
+    Evacuated,
+    /// What is known of evacuations is too old to send anything by it.
+    Uncertain,
 }
 
 /// Sends the request to a server that it was not sent to before.
@@ -85,6 +90,7 @@
         if !context.is_still_admitted() {
             return Err(DispatchFailure::KeyGone);
         }
+        open::confirm(context).await?;
         let Some(server) = choose(context, tried) else {
             break;
         };
@@ -104,7 +110,7 @@
     }
     match cold::wait_ms(context, tried) {
         Some(wait_ms) => Err(DispatchFailure::Cold { wait_ms }),
-        None => Err(DispatchFailure::NoServer),
+        None => Err(open::absence(context)),
     }
 }
 
@@ -142,14 +148,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, DispatchFailure> {
     let daemon = &context.daemon;
-    // The server may have begun to leave while the connection came up.
-    if !daemon.directory.borrow().takes_work(&server.id) {
-        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
-    }
-    // Its zone may have been evacuated meanwhile.
-    if daemon.places.is_evacuated(&server.zone) {
-        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
-    }
+    open::still(context, &server)?;
     let bytes = message(context, &server, last_event);
     let outgoing = Outgoing {
         method: &context.method,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! servers on loopback.
 
 mod cold;
+mod evacuation;
 mod forwarding;
 mod input;
 mod limits;
