--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -201,6 +201,7 @@
         ntex::rt::spawn(self.owner.claims.clone().run_unowned(patience));
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
         ntex::rt::spawn(crate::ledger::reach::run(self.ledger.clone()));
+        ntex::rt::spawn(crate::ledger::homes::run_watch(self.ledger.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
         Ok(())
     }
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -6,6 +6,8 @@
 use fieldhook_log::follow::{Follower, Update};
 use fieldhook_log::reach::Reach;
 use fieldhook_topology::evacuation::State;
+use fieldhook_traffic::config::TrafficConfig;
+use fieldhook_traffic::homes;
 use fieldhook_traffic::table::{RouteTable, supersedes};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +20,9 @@
 /// has to be in force (2 s on the smallest deployment).
 const PEER_PERIOD: Duration = Duration::from_millis(400);
 
+/// Problems of one configuration that are named, a line each: the volume of logs is bounded.
+const MOST_PROBLEMS: usize = 50;
+
 /// Follows the configuration for good.
 pub async fn run(daemon: Rc<Daemon>) {
     let partition = Partition {
@@ -129,6 +134,7 @@
         routes = config.routes.len(),
         tenants = config.tenants.as_ref().map(Vec::len),
     );
+    take_homes(daemon, &config);
     let is_route = |name: &str| config.routes.iter().any(|route| route.name == name);
     daemon.answer_times.retain(&is_route);
     let turns = config.routes.iter().filter(|route| route.kind.is_stream());
@@ -138,3 +144,26 @@
     *daemon.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
     daemon.routes_changed.notify_waiters();
 }
+
+/// Takes in the homes of a configuration, and says what is wrong with them.
+fn take_homes(daemon: &Daemon, config: &TrafficConfig) {
+    daemon.places.set_home_regions(homes::regions(config));
+    let problems = homes::problems(config, &daemon.places.map);
+    for problem in problems.iter().take(MOST_PROBLEMS) {
+        tracing::error!(
+            event = "homes_unservable",
+            version = config.version,
+            route = problem.route,
+            tenant = problem.tenant.as_deref(),
+            problem = %problem.fault
+        );
+    }
+    if let Some(more) = problems.len().checked_sub(MOST_PROBLEMS + 1) {
+        tracing::error!(
+            event = "homes_unservable",
+            version = config.version,
+            unnamed = more + 1,
+            problem = "more pairs of route and tenant are wrong; mend those named first"
+        );
+    }
+}
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -4,6 +4,7 @@
 //! - [`assigner`]: engines for the programs of partitions owned here.
 //! - [`owner`]: the partitions owned here; `hold`: what is done with one of them, `owned`:
 //!   serving it, `release`: giving it up.
+//! - [`homes`]: home partitions, owned within their regions alone.
 //! - `limits`: what tenants may send, counted where their partitions are owned; [`quota`]:
 //!   asking for it.
 //! - [`peer`]: connections between daemons.
@@ -15,6 +16,7 @@
 pub mod client;
 mod exchange;
 mod hold;
+pub mod homes;
 mod limits;
 pub mod load;
 mod owned;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -4,10 +4,11 @@
 use super::owner::Owner;
 use super::peer::Peers;
 use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
-use fieldhook_ledger::partition_of;
 use fieldhook_log::contact::Contact;
 use fieldhook_log::reach::Reach;
-use futures_util::future::join_all;
+use fieldhook_topology::region::Set;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -20,6 +21,10 @@
 /// An owner that noted an end and has not appended it in this time is asked again: it
 /// may be frozen or cut off.
 const APPEND_LIMIT: Duration = Duration::from_millis(900);
+/// How long the owner of a home partition is asked, and a new one awaited, before a turn is
+/// refused: two questions and the news of a claim between them. A region that is lost has no
+/// owner to wait for, and the client may be told so while its time lasts.
+const KEEPER_LIMIT: Duration = Duration::from_millis(600);
 /// Longest wait for news of the owners before looking again.
 pub(super) const CHANGE_WAIT: Duration = Duration::from_millis(40);
 /// Least time that another question needs.
@@ -34,6 +39,8 @@
     UnknownTurn,
     /// No owner answered in time.
     Unavailable,
+    /// No owner in its homes answered in time.
+    HomeUnavailable,
 }
 
 /// A turn that may begin.
@@ -92,6 +99,31 @@
         &self,
         request: &mut OpenTurn,
         deadline: Instant,
+    ) -> Result<OpenedTurn, OpenFailure> {
+        if request.keeper.is_none() {
+            return self.open_whole(request, deadline).await;
+        }
+        // Asked also where a program begins: without an owner that keeps what it says, it
+        // must not run.
+        let mut contents = request.contents();
+        let until = deadline.min(Instant::now() + KEEPER_LIMIT);
+        let kept = match self.open_whole(&mut contents, until).await {
+            Err(OpenFailure::Unavailable) => return Err(OpenFailure::HomeUnavailable),
+            kept => kept?,
+        };
+        request.brings_chain = contents.brings_chain;
+        let opened = self.open_at_home(&request.order(), deadline).await?;
+        Ok(OpenedTurn {
+            chain: kept.chain,
+            ..opened
+        })
+    }
+
+    /// Opens a turn where one partition orders it and keeps its chain.
+    async fn open_whole(
+        &self,
+        request: &mut OpenTurn,
+        deadline: Instant,
     ) -> Result<OpenedTurn, OpenFailure> {
         match self.open_at_home(request, deadline).await {
             Err(OpenFailure::UnknownTurn) => {}
@@ -103,15 +135,21 @@
         Ok(OpenedTurn { chain, ..opened })
     }
 
-    /// Asks the partitions of other programs for a chain, all at once.
+    /// Asks the partitions of other programs for a chain, all at once. It may also be kept in
+    /// a place that homes allowed when it was: read here, it lives on where they do now.
     async fn find_elsewhere(
         &self,
         request: &OpenTurn,
         deadline: Instant,
     ) -> Result<Vec<u8>, OpenFailure> {
-        let home = partition_of(&request.program, self.owner.claims.partitions());
+        let layout = &self.owner.places.layout;
+        let home = request
+            .keeper
+            .unwrap_or_else(|| layout.order(&request.program));
+        let was_claimed = |partition: &u32| self.owner.claims.claim(*partition).is_some();
         let turn = request.name(request.previous.as_deref().unwrap_or_default());
-        let questions: Vec<LedgerRequest> = (0..self.owner.claims.partitions())
+        let questions: Vec<LedgerRequest> = (0..layout.free())
+            .chain(layout.homes().filter(was_claimed))
             .filter(|partition| *partition != home)
             .map(|partition| {
                 LedgerRequest::Find(FindChain {
@@ -120,11 +158,14 @@
                 })
             })
             .collect();
-        let asked = questions
-            .iter()
-            .map(|question| self.ask(question, deadline));
+        let until = deadline.min(Instant::now() + KEEPER_LIMIT);
+        let asked = questions.iter().map(|question| {
+            let is_home = question.partition(layout.free()) >= layout.free();
+            self.ask(question, if is_home { until } else { deadline })
+        });
+        let mut answers: FuturesUnordered<_> = asked.collect();
         let mut failure = OpenFailure::UnknownTurn;
-        for answer in join_all(asked).await {
+        while let Some(answer) = answers.next().await {
             match answer {
                 Some((LedgerReply::Chain(chain), _)) => return Ok(chain),
                 Some((LedgerReply::UnknownTurn, _)) => {}
@@ -175,7 +216,7 @@
             match timeout_at(deadline, opened.replies.recv()).await {
                 Err(_) => return false,
                 Ok(Some(LedgerReply::Durable)) => opened.durable = true,
-                Ok(_) => match self.open_at_home(request, deadline).await {
+                Ok(_) => match self.open_at_home(&request.order(), deadline).await {
                     Ok(again) => *opened = again,
                     Err(_) => return false,
                 },
@@ -184,15 +225,20 @@
         true
     }
 
-    /// The partition of a program, for logs.
+    /// The partition that orders a program.
     pub fn partition_of(&self, program: &str) -> u32 {
-        partition_of(program, self.owner.claims.partitions())
+        self.owner.places.layout.order(program)
+    }
+
+    /// The home partition that keeps the contents of a program, where homes bind these.
+    pub fn keeper(&self, program: &str, homes: &Set) -> Option<u32> {
+        self.owner.places.layout.keeper(program, homes)
     }
 
     /// Records the end of a turn. True once it is durable.
     pub async fn close(&self, request: &CloseTurn, deadline: Instant) -> bool {
-        let program = &request.program;
         let request = LedgerRequest::Close(request.clone());
+        let partition = request.partition(self.owner.places.layout.free());
         while Instant::now() < deadline {
             let answer = self.ask(&request, deadline).await;
             let Some((LedgerReply::Noted, mut replies)) = answer else {
@@ -202,7 +248,7 @@
             match timeout_at(until, replies.recv()).await {
                 Ok(Some(LedgerReply::Closed)) => return true,
                 Ok(_) => {}
-                Err(_) => self.replace_stuck(self.partition_of(program)).await,
+                Err(_) => self.replace_stuck(partition).await,
             }
         }
         false
@@ -213,7 +259,7 @@
         request: &LedgerRequest,
         deadline: Instant,
     ) -> Option<(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>)> {
-        let partition = request.partition(self.owner.claims.partitions());
+        let partition = request.partition(self.owner.places.layout.free());
         loop {
             let exchange = self.exchange(partition, request, ANSWER_LIMIT);
             let exchange = timeout_at(deadline, exchange).await;
@@ -224,12 +270,20 @@
                 Ok(Exchange::Again | Exchange::Loading(_)) => {
                     let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
                 }
-                Ok(Exchange::Suspect(epoch)) => self.replace(partition, epoch).await,
-                Ok(Exchange::Silent(epoch)) => self.replace_silent(partition, epoch).await,
+                Ok(doubtful) => self.act_on_doubt(partition, &doubtful).await,
             }
             if Instant::now() + PAUSE >= deadline {
                 return None;
             }
         }
     }
+
+    /// Replaces an owner that is gone or silent.
+    pub(super) async fn act_on_doubt(&self, partition: u32, exchange: &Exchange) {
+        match exchange {
+            Exchange::Suspect(epoch) => self.replace(partition, *epoch).await,
+            Exchange::Silent(epoch) => self.replace_silent(partition, *epoch).await,
+            Exchange::Answered(..) | Exchange::Loading(_) | Exchange::Again => {}
+        }
+    }
 }
--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -2,7 +2,7 @@
 
 use super::load::Load;
 use super::owned::Owned;
-use super::owner::{Owner, place};
+use super::owner::Owner;
 use crate::daemon::unix_ms;
 use fieldhook_ledger::partition::Partition;
 use fieldhook_log::api::StoreError;
@@ -43,7 +43,7 @@
         Former::Settled { doubt_ms } => Partition::taken_over(unix_ms(), doubt_ms),
         Former::Lost => Partition::taken_over(unix_ms(), owner.doubt_after_loss_ms()),
     };
-    let mut load = Load::new(place(partition), epoch, state);
+    let mut load = Load::new(owner.place(partition), epoch, state);
     // Partitions that are read at once would share this machine's link.
     let _turn = owner.reading.lock().await;
     loop {
@@ -73,7 +73,7 @@
     };
     let state = Rc::new(RefCell::new(state));
     let appender = Rc::new(Appender::new(
-        place(partition),
+        owner.place(partition),
         epoch,
         owner.store.clone(),
         owner.contact.clone(),
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -2,6 +2,7 @@
 
 use super::assigner::Assigner;
 use super::hold::{Hold, hold};
+use super::homes::eligibility;
 use super::limits::Limits;
 use crate::follow::known::Known;
 use crate::metrics::Metrics;
@@ -25,6 +26,8 @@
 
 /// Topic of programs and turns.
 pub const LEDGER_TOPIC: &str = "keyed.fieldhook-ledger";
+/// Beginning of the topics of home partitions; the number of the region follows.
+pub const HOME_TOPIC: &str = "keyed.fieldhook-ledger-home-";
 /// Topic of the claims of its partitions.
 pub const OWNERS_TOPIC: &str = "keyed.fieldhook-owners";
 /// An answer of the log counts as fresh for this long: less than a daemon takes to hold
@@ -63,14 +66,16 @@
         assigner: Rc<Assigner>,
         incarnation: u64,
     ) -> Rc<Self> {
+        let places = assigner.places.clone();
         let claims = Claims::new(
             store.clone(),
             contact.clone(),
             OWNERS_TOPIC,
-            settings.partitions,
+            places.layout.count(),
             settings.peers,
             incarnation,
         );
+        claims.eligibility.set(eligibility(places.clone()));
         let owner = Rc::new(Self {
             claims: Rc::new(claims),
             store,
@@ -81,7 +86,7 @@
             longest_turn_ms: Cell::new(u64::MAX),
             limits: Limits::new(settings.quota),
             config: Rc::default(),
-            places: assigner.places.clone(),
+            places,
             assigner,
             reading: Mutex::default(),
         });
@@ -124,7 +129,7 @@
         request: LedgerRequest,
         sender: mpsc::UnboundedSender<LedgerReply>,
     ) {
-        let partition = request.partition(self.claims.partitions());
+        let partition = request.partition(self.places.layout.free());
         match request {
             LedgerRequest::HasLog => {
                 let has_log = self.contact.within(FRESH) && !self.contact.failing();
@@ -230,13 +235,16 @@
     /// # Errors
     /// [`StoreError::Fenced`] where it does, and anything else where it does not.
     pub async fn probe(&self, partition: u32, timeout: Duration) -> Result<(), StoreError> {
-        fence(self.store.as_ref(), place(partition), 0, timeout).await
+        fence(self.store.as_ref(), self.place(partition), 0, timeout).await
     }
 
     /// Tells those who depend on it which partitions are held now.
     pub(super) fn note_held(&self, held: &HashMap<u32, Hold>) {
         self.metrics.partitions_owned.set(held.len() as i64);
-        self.assigner.set_owned(held.keys().copied().collect());
+        // Engines are assigned where programs are ordered.
+        let free = self.places.layout.free();
+        let ordering = held.keys().copied().filter(|partition| *partition < free);
+        self.assigner.set_owned(ordering.collect());
     }
 
     /// Tells how near to their limits the tenants are that are counted here.
@@ -251,12 +259,17 @@
     pub fn held_count(&self) -> usize {
         self.held.borrow().len()
     }
-}
 
-pub(super) fn place(partition: u32) -> LogPartition {
-    LogPartition {
-        topic: LEDGER_TOPIC.to_owned(),
-        number: partition,
+    /// Where the records of a partition are.
+    pub(super) fn place(&self, partition: u32) -> LogPartition {
+        let place = self.places.layout.place(partition);
+        LogPartition {
+            topic: match place.region {
+                Some(region) => format!("{HOME_TOPIC}{region}"),
+                None => LEDGER_TOPIC.to_owned(),
+            },
+            number: place.number,
+        }
     }
 }
 
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -143,6 +143,45 @@
         news
     }
 
+    /// Asks other owners of the region that a partition belongs to, to claim it.
+    async fn have_region_claim(&self, partition: u32, epoch: u64) {
+        let claims = &self.owner.claims;
+        let layout = &self.owner.places.layout;
+        let region = layout.region(partition);
+        let suspected = claims.claim(partition).and_then(|claim| claim.address);
+        let mut others: Vec<SocketAddr> = layout
+            .homes()
+            .filter(|other| layout.region(*other) == region)
+            .filter_map(|other| claims.claim(other)?.address)
+            .filter(|other| Some(*other) != suspected)
+            .collect();
+        others.sort();
+        others.dedup();
+        let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
+        for other in others {
+            let answer = self.ask_peer(other, &question, CLAIM_ANSWER_LIMIT).await;
+            if let Some(LedgerReply::NotOwner(Some(known))) = answer
+                && self.learn(partition, &known)
+            {
+                return;
+            }
+        }
+        let _ = timeout(CHANGE_WAIT, claims.changed.notified()).await;
+    }
+
+    /// Waits for news of a partition that only daemons of another region may own; false
+    /// where this one may. They look after their owners themselves: a daemon that is cut off
+    /// their region would otherwise replace owners that serve it well.
+    async fn left_to_region(&self, partition: u32, epoch: Option<u64>) -> bool {
+        if self.owner.claims.is_eligible(partition) {
+            return false;
+        }
+        if !self.contact.failing() || !self.learn_from_peers(partition, epoch).await {
+            let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
+        }
+        true
+    }
+
     /// Takes a partition from an owner that noted an end and does not append it, if that
     /// owner says itself that the log does not answer it.
     pub(super) async fn replace_stuck(&self, partition: u32) {
@@ -155,8 +194,13 @@
         };
         let question = LedgerRequest::HasLog;
         let answer = self.ask_peer(address, &question, PEER_ANSWER_LIMIT).await;
-        if answer != Some(LedgerReply::HasLog(true)) {
-            self.replace_silent(partition, claim.epoch).await;
+        match answer {
+            Some(LedgerReply::HasLog(true)) => {}
+            // By the owner's own word: a daemon of its region may claim without a look.
+            Some(LedgerReply::HasLog(false)) if !claims.is_eligible(partition) => {
+                self.have_region_claim(partition, claim.epoch).await;
+            }
+            _ => self.replace_silent(partition, claim.epoch).await,
         }
     }
 
@@ -172,6 +216,9 @@
     /// Takes a partition from an owner that does not answer, unless the log itself was
     /// in trouble a moment ago: the owner may be about to append what waits.
     pub(super) async fn replace_silent(&self, partition: u32, epoch: u64) {
+        if self.left_to_region(partition, Some(epoch)).await {
+            return;
+        }
         if self.contact.steady_for(STEADY) && self.reaches(partition).await {
             self.replace(partition, Some(epoch)).await;
         } else if !self.learn_from_peers(partition, Some(epoch)).await {
@@ -183,6 +230,9 @@
     /// the log service nobody can; the owner's own appends wait as well then. One
     /// request claims for all that wait for the partition.
     pub(super) async fn replace(&self, partition: u32, epoch: Option<u64>) {
+        if self.left_to_region(partition, epoch).await {
+            return;
+        }
         if self.contact.failing() && self.learn_from_peers(partition, epoch).await {
             return;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub attempts: IntCounterVec,
     /// Requests of tenants by what became of them at their limit.
     pub quota: IntCounterVec,
+    /// Requests that homes of data decided about, by what became of them.
+    pub homes: IntCounterVec,
     /// Tenants whose limits are counted here.
     pub tenants: IntGauge,
     /// Part of its limit that a tenant uses: those nearest to it.
@@ -98,6 +100,11 @@
                 "Requests at tenants' limits",
                 "outcome",
             ),
+            homes: b.counters(
+                "fieldhook_homes_total",
+                "Requests that homes decided about",
+                "outcome",
+            ),
             tenants: b.gauge(
                 "fieldhook_tenants_counted",
                 "Tenants with limits counted here",
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -2,12 +2,14 @@
 //! docs/design/places.md tells who decides and what happens when the log is away.
 
 use crate::settings::GatewaySettings;
+use fieldhook_ledger::layout::Layout;
 use fieldhook_ledger::message::EvacuationNews;
 use fieldhook_topology::evacuation::{State, Zones};
 use fieldhook_topology::place::Rule;
 use fieldhook_topology::region::Set;
 use fieldhook_topology::zone::Map;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -17,6 +19,10 @@
     pub zone: Rc<str>,
     /// The zones of the deployment.
     pub map: Map,
+    /// Which partition keeps what.
+    pub layout: Layout,
+    /// Regions that the configuration in force names as homes.
+    home_regions: RefCell<BTreeSet<Rc<str>>>,
     evacuations: RefCell<Zones>,
     started: Instant,
 }
@@ -27,11 +33,28 @@
         Self {
             zone: Rc::from(settings.zone.as_str()),
             map: settings.zones.clone(),
+            layout: Layout::new(settings.partitions, &settings.zones),
+            home_regions: RefCell::default(),
             evacuations: RefCell::default(),
             started: Instant::now(),
         }
     }
 
+    /// Region of this daemon, where it was told.
+    pub fn region(&self) -> Option<&Rc<str>> {
+        self.map.region(&self.zone)
+    }
+
+    /// Takes in the regions that the configuration names as homes.
+    pub fn set_home_regions(&self, regions: BTreeSet<Rc<str>>) {
+        self.home_regions.replace(regions);
+    }
+
+    /// Whether the configuration names a region as a home.
+    pub fn is_home(&self, region: &str) -> bool {
+        self.home_regions.borrow().contains(region)
+    }
+
     fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,8 @@
 //!
 //! Place in the request path: first. [`listener`] accepts, [`connection`] reads
 //! requests one after another, [`request`] decides what a request may do: whose it is
-//! ([`admission`]) and whether its tenant may send it ([`quota`]);
+//! ([`admission`]), where it may be served and kept ([`homes`]) and whether its tenant may
+//! send it ([`quota`]);
 //! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
 //! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a
 //! program.
@@ -14,6 +15,7 @@
 pub mod client;
 pub mod connection;
 pub mod dispatch;
+pub mod homes;
 pub mod listener;
 pub mod quota;
 pub mod request;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,10 +1,13 @@
 //! One attempt: choosing a server, connecting, sending, reading the head.
 
+use super::homes;
 use super::request::RequestContext;
 use crate::dialect::Forwarding;
 use crate::http::write;
 use crate::upstream::connection::{Answer, ExchangeError, Outgoing, ServerConnection};
 use crate::upstream::pool::InFlight;
+use fieldhook_topology::place::Rule;
+use fieldhook_topology::region::Set;
 use fieldhook_traffic::attempt::AttemptFailure;
 use fieldhook_traffic::balance::{self, Candidate, Request};
 use fieldhook_traffic::directory::ServerEntry;
@@ -74,7 +77,8 @@
     if !context.is_still_admitted() {
         return Err(DispatchFailure::KeyGone);
     }
-    let server = choose(context, tried).ok_or(DispatchFailure::NoServer)?;
+    let homes = homes::now(context);
+    let server = choose(context, &homes, tried).ok_or(DispatchFailure::NoServer)?;
     tried.servers.push(server.id.clone());
     context.sent_to.replace(Some(server.id.clone()));
     let daemon = &context.daemon;
@@ -100,6 +104,12 @@
     if daemon.places.is_evacuated(&server.zone) {
         return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
     }
+    // Its homes may have been narrowed.
+    let is_allowed = |rule: &Rule<'_>| rule.may_hold(&server.zone);
+    let homes = homes::now(context);
+    if !daemon.places.with_rule(&homes, &server.zone, is_allowed) {
+        return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
+    }
     let bytes = message(context, &server, last_event);
     let outgoing = Outgoing {
         method: &context.method,
@@ -295,28 +305,27 @@
     write::request(&context.method, &context.target, &headers, &context.body)
 }
 
-fn choose(context: &RequestContext, tried: &Tried) -> Option<ServerEntry> {
+fn choose(context: &RequestContext, homes: &Set, tried: &Tried) -> Option<ServerEntry> {
     let daemon = &context.daemon;
     let service = context.service()?;
     let directory = daemon.directory.borrow();
     let now_ms = daemon.now_ms();
     let zone = &daemon.settings.zone;
-    let mut candidates: Vec<Candidate<'_>> =
-        daemon.places.with_rule(&context.homes, zone, |rule| {
-            let allowed = directory.serving(service).filter_map(|server| {
-                let distance = rule.serve(&server.zone).ok()?;
-                let view = daemon.pools.view(&server.id, now_ms);
-                Some(Candidate {
-                    server,
-                    distance,
-                    in_flight: view.in_flight,
-                    avoided: view.avoided,
-                    unsound: view.unsound,
-                    has_idle_connection: view.has_idle_connection,
-                })
-            });
-            allowed.collect()
+    let mut candidates: Vec<Candidate<'_>> = daemon.places.with_rule(homes, zone, |rule| {
+        let allowed = directory.serving(service).filter_map(|server| {
+            let distance = rule.serve(&server.zone).ok()?;
+            let view = daemon.pools.view(&server.id, now_ms);
+            Some(Candidate {
+                server,
+                distance,
+                in_flight: view.in_flight,
+                avoided: view.avoided,
+                unsound: view.unsound,
+                has_idle_connection: view.has_idle_connection,
+            })
         });
+        allowed.collect()
+    });
     candidates.sort_by(|left, right| left.server.id.cmp(&right.server.id));
     let is_stream = context.entry.route.kind.is_stream();
     let affinity = context.meta.program.as_deref().filter(|_| is_stream);
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -3,7 +3,7 @@
 use super::answer::OwnAnswer;
 use super::client::{ClientRequest, ClientWriter};
 use super::turn::{self, Turn, TurnRefusal};
-use super::{admission, buffered, quota, stream};
+use super::{admission, buffered, homes, quota, stream};
 use crate::daemon::Daemon;
 use crate::dialect::RequestMeta;
 use crate::http::headers::Headers;
@@ -44,6 +44,8 @@
     pub tenant: Option<Rc<Tenant>>,
     /// Regions that it may be served in and its data kept in: its route's and its tenant's.
     pub homes: region::Set,
+    /// Version of the configuration that said so.
+    pub version: u64,
     /// Method as it came.
     pub method: String,
     /// Path with query as it came.
@@ -79,12 +81,6 @@
         self.tenant.as_ref().map(|tenant| &*tenant.name)
     }
 
-    /// Names of the regions that it may be served in, where they are bounded.
-    pub fn region_names(&self) -> Option<Vec<String>> {
-        let names = self.homes.names()?;
-        Some(names.map(|region| region.to_string()).collect())
-    }
-
     /// Rank at an engine: the tenant's goes before the route's.
     pub fn priority(&self) -> u8 {
         let tenant = self.tenant.as_ref();
@@ -196,6 +192,9 @@
         TurnRefusal::TooLarge => {
             OwnAnswer::new(413, "the input or its names are too large to be kept")
         }
+        TurnRefusal::NoHome => {
+            OwnAnswer::not_run("no daemon of its homes keeps what it says", RETRY_LATER_MS)
+        }
         TurnRefusal::Unavailable => {
             OwnAnswer::not_run("the program's ledger cannot be reached", RETRY_LATER_MS)
         }
@@ -239,10 +238,9 @@
         Ok(tenant) => tenant,
         Err(answer) => return Err((meta.id, answer)),
     };
-    let route_homes = &entry.route.homes;
-    let homes = match &tenant {
-        Some(tenant) => route_homes.and(&tenant.homes),
-        None => route_homes.clone(),
+    let homes = match homes::admit(daemon, &meta.id, &entry.route, tenant.as_deref()) {
+        Ok(homes) => homes,
+        Err(answer) => return Err((meta.id, answer)),
     };
     let allowed_ms = meta
         .deadline_ms
@@ -260,6 +258,7 @@
         meta,
         tenant,
         homes,
+        version: table.config.version,
         method: head.method,
         target: head.target,
         headers,
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -3,6 +3,7 @@
 
 use super::answer::OwnAnswer;
 use super::dispatch::{DispatchFailure, Tried};
+use super::homes;
 use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext};
 use fieldhook_traffic::attempt::{Attempts, NextStep, Time};
 use fieldhook_traffic::tenants::Denial;
@@ -61,6 +62,7 @@
             DispatchFailure::KeyGone => return Err(OwnAnswer::new(502, OUTCOME_UNKNOWN)),
             // Waiting is for places: where no server is known, none would come free.
             DispatchFailure::NoServer if self.tried.refused.is_empty() => {
+                homes::note_no_server(context);
                 return Err(self.no_server());
             }
             DispatchFailure::NoServer => {
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -270,7 +270,7 @@
         return Err(OwnAnswer::new(502, "the engine sent no event"));
     }
     if let Some(turn) = turn
-        && !turn.complete(context.deadline).await
+        && !turn.complete(context).await
     {
         return Err(OwnAnswer::not_run(
             "the turn could not be recorded",
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -1,6 +1,7 @@
 //! A turn of a program: asked for at the ledger before it runs, and its end told
 //! there, whatever becomes of the client's connection.
 
+use super::homes;
 use super::request::RequestContext;
 use crate::http::events::Event;
 use crate::ledger::client::{LedgerClient, OpenFailure, OpenedTurn};
@@ -8,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, Placement, TurnContent};
 use fieldhook_log::reach::Reach;
+use fieldhook_topology::region::Set;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +29,8 @@
     UnknownTurn,
     /// It could not be kept.
     TooLarge,
+    /// No owner in its homes answered.
+    NoHome,
     /// No owner answered.
     Unavailable,
 }
@@ -38,6 +42,8 @@
     request: OpenTurn,
     opened: OpenedTurn,
     input: Bytes,
+    /// All that the engine was sent.
+    prompt: Bytes,
     output: BytesMut,
     tokens: u64,
     tokens_per_event: u64,
@@ -59,23 +65,33 @@
     if route.keeps_context && context.body.len() > LARGEST_KEPT {
         return Err(TurnRefusal::TooLarge);
     }
+    let homes = homes::now(context);
+    let ledger = context.daemon.ledger.clone();
+    let program = meta.program.clone().unwrap_or_default();
+    let keeper = ledger
+        .keeper(&program, &homes)
+        .filter(|_| route.keeps_context);
+    if route.keeps_context && keeper.is_none() && !homes.is_all() {
+        homes::note_no_owner(context, None);
+        return Err(TurnRefusal::NoHome);
+    }
     let mut request = OpenTurn {
         tenant: context.tenant_name().map(str::to_owned),
         turn: meta.id.clone(),
-        program: meta.program.clone().unwrap_or_default(),
+        program,
         previous: meta.previous.clone(),
         wants_chain: route.keeps_context,
         keeps_context: route.keeps_context,
         brings_chain: false,
         budget: meta.budget,
         most_tokens: meta.most_tokens,
-        placement: placement(context),
+        placement: placement(context, &homes),
+        keeper,
     };
     if !request.name(&request.turn).fits() || !request.name(&request.program).fits() {
         return Err(TurnRefusal::TooLarge);
     }
     let started = Instant::now();
-    let ledger = context.daemon.ledger.clone();
     if ledger.reach.get() == Reach::Isolated {
         // No owner can be asked from here, and none could become one.
         tracing::info!(
@@ -96,6 +112,9 @@
         .observe(took.as_secs_f64());
     match result {
         Ok(opened) => {
+            if request.brings_chain && keeper.is_some() {
+                homes::note_chain_brought(context, keeper);
+            }
             tracing::info!(
                 event = "turn_opened",
                 request = meta.id,
@@ -104,6 +123,7 @@
                 budget = meta.budget,
                 most = meta.most_tokens,
                 partition = ledger.partition_of(&request.program),
+                keeper,
                 durable = opened.is_durable(),
                 engine = opened.engine,
                 took_ms = took.as_millis() as u64
@@ -114,6 +134,7 @@
                 request,
                 opened,
                 input: context.body.clone(),
+                prompt: context.body.clone(),
                 output: BytesMut::new(),
                 tokens: 0,
                 tokens_per_event: tokens_per_event(context),
@@ -131,23 +152,33 @@
                 OpenFailure::BudgetSpent => TurnRefusal::BudgetSpent,
                 OpenFailure::UnknownTurn => TurnRefusal::UnknownTurn,
                 OpenFailure::Unavailable => TurnRefusal::Unavailable,
+                OpenFailure::HomeUnavailable => {
+                    homes::note_no_owner(context, keeper);
+                    TurnRefusal::NoHome
+                }
             })
         }
     }
 }
 
 /// What the owner needs to assign an engine.
-fn placement(context: &RequestContext) -> Option<Placement> {
+fn placement(context: &RequestContext, homes: &Set) -> Option<Placement> {
     let meta = &context.meta;
     let beginning = meta.prefix.as_ref().or(meta.program.as_ref())?;
     Some(Placement {
         service: context.service()?.to_owned(),
         prefix: fieldhook_traffic::assignment::prefix_hash(beginning),
         zone: context.daemon.settings.zone.clone(),
-        regions: context.region_names(),
+        regions: region_names(homes),
     })
 }
 
+/// Names of the regions that it may run in, where they are bounded.
+fn region_names(homes: &Set) -> Option<Vec<String>> {
+    let names = homes.names()?;
+    Some(names.map(|region| region.to_string()).collect())
+}
+
 fn tokens_per_event(context: &RequestContext) -> u64 {
     let routes = context.daemon.routes.borrow();
     let service = routes.as_ref().and_then(|table| {
@@ -169,6 +200,7 @@
         let mut prompt = BytesMut::from(chain.as_slice());
         prompt.extend_from_slice(input);
         let prompt = prompt.freeze();
+        self.prompt = prompt.clone();
         if self.request.brings_chain {
             self.input = prompt.clone();
         }
@@ -206,10 +238,15 @@
 
     /// Records that the turn ended whole. Where context is kept, the answer may end
     /// only once this returned true.
-    pub async fn complete(&mut self, deadline: Instant) -> bool {
+    pub async fn complete(&mut self, context: &RequestContext) -> bool {
         if !self.request.keeps_context {
             return true;
         }
+        let homes = homes::now(context);
+        if !self.stay_home(&homes) {
+            homes::note_no_owner(context, None);
+            return false;
+        }
         let started = Instant::now();
         let content = TurnContent {
             previous: self.kept_previous(),
@@ -218,8 +255,9 @@
             retention_ms: self.retention_ms,
         };
         let close = self.close_request(Some(content));
-        let recorded = self.ledger.close(&close, deadline).await;
-        self.closed = recorded;
+        let recorded = self.ledger.close(&close, context.deadline).await;
+        // The partition that orders it hears of its end by itself.
+        self.closed = recorded && self.request.keeper.is_none();
         tracing::info!(
             event = "turn_recorded",
             request = self.request.turn,
@@ -234,6 +272,23 @@
         recorded
     }
 
+    /// Sees to it that what was said is kept where homes allow it now: they may have been
+    /// narrowed since the turn began. What it went on from goes along. False where no region
+    /// is allowed any more.
+    fn stay_home(&mut self, homes: &Set) -> bool {
+        let layout = &self.ledger.owner.places.layout;
+        let program = &self.request.program;
+        let kept_at = self.request.keeper;
+        let partition = kept_at.unwrap_or_else(|| layout.order(program));
+        if layout.may_keep(partition, homes) {
+            return true;
+        }
+        self.request.keeper = layout.keeper(program, homes);
+        self.request.brings_chain = true;
+        self.input = self.prompt.clone();
+        self.request.keeper.is_some()
+    }
+
     fn kept_previous(&self) -> Option<String> {
         let previous = self.request.previous.clone();
         previous.filter(|_| !self.request.brings_chain)
@@ -242,23 +297,29 @@
     /// The turn is over.
     pub fn end(self) {}
 
+    /// What is told of its end: to the partition that keeps its content, or to the one that
+    /// ordered it.
     fn close_request(&self, content: Option<TurnContent>) -> CloseTurn {
+        let has_content = content.is_some();
+        let is_apart = has_content && self.request.keeper.is_some();
         CloseTurn {
             tenant: self.request.tenant.clone(),
             turn: self.request.turn.clone(),
             program: self.request.program.clone(),
-            budget: self.request.budget,
+            budget: self.request.budget.filter(|_| !is_apart),
             most_tokens: self.request.most_tokens,
             tokens: self.tokens,
             content,
             engine: self.ran_at.borrow().clone(),
+            keeper: self.request.keeper.filter(|_| has_content),
         }
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        if self.closed || self.request.budget.is_none() {
+        let is_apart = self.request.keeper.is_some();
+        if self.closed || (self.request.budget.is_none() && !is_apart) {
             return;
         }
         let close = self.close_request(None);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! servers on loopback.
 
 mod forwarding;
+mod homes;
 mod input;
 mod limits;
 mod outage;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -2,10 +2,13 @@
 
 mod client;
 mod dialect;
+mod lines;
 mod server;
+mod spy;
 mod world;
 
 pub use client::Reply;
+pub use lines::Lines;
 pub use server::{Act, Seen, Server};
 pub use world::{CONFIG, Gateway, SERVERS, World, config, config_of, tenant};
 
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -4,6 +4,7 @@
 use super::client::{Client, Reply};
 use super::dialect::TestDialect;
 use super::server::Server;
+use super::spy::Spy;
 use bytes::BytesMut;
 use fieldhook_emulator::log::memory::{MemoryLog, SharedLog};
 use fieldhook_gateway::daemon::{Adapter, Daemon};
@@ -58,6 +59,8 @@
 pub struct Gateway {
     pub daemon: Rc<Daemon>,
     pub store: Rc<MemoryLog>,
+    /// What it wrote to the log and read from it.
+    pub spy: Rc<Spy>,
     pub address: SocketAddr,
 }
 
@@ -210,11 +213,12 @@
             grace_ms: 4_000,
         };
         let address = settings.clients;
+        let spy = Rc::new(Spy::new(store.clone()));
         let adapter = Adapter {
             dialect: Rc::new(TestDialect {
                 config: self.configs.clone(),
             }),
-            store: store.clone(),
+            store: spy.clone(),
             topics: Topics {
                 config: CONFIG.to_owned(),
                 config_key: b"config".to_vec(),
@@ -229,6 +233,7 @@
         Gateway {
             daemon,
             store,
+            spy,
             address,
         }
     }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,12 +5,14 @@
 //! from the newest record of each key.
 //!
 //! - [`scope`]: names of programs and turns within their tenants.
+//! - [`layout`]: which partition keeps what, and which region may own it.
 //! - [`message`]: what gateways ask an owner, and its answers.
 //! - [`record`]: what is appended, and its keys.
 //! - [`budget`]: how much of its budget a program may still hand out.
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
+pub mod layout;
 pub mod message;
 pub mod partition;
 pub mod record;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -40,9 +40,32 @@
     pub most_tokens: u64,
     /// For the choice of its engine, where it needs one.
     pub placement: Option<Placement>,
+    /// Home partition that keeps its chain apart from its order, where homes bound it.
+    pub keeper: Option<u32>,
 }
 
 impl OpenTurn {
+    /// The part of it that needs what was said: for the partition that keeps the chain, which
+    /// neither counts nor assigns.
+    pub fn contents(&self) -> Self {
+        Self {
+            budget: None,
+            placement: None,
+            ..self.clone()
+        }
+    }
+
+    /// The part of it that needs names alone: for the program's own partition, which orders,
+    /// counts and assigns. All of it where one partition does both.
+    pub fn order(&self) -> Self {
+        Self {
+            wants_chain: self.wants_chain && self.keeper.is_none(),
+            keeps_context: self.keeps_context && self.keeper.is_none(),
+            keeper: None,
+            ..self.clone()
+        }
+    }
+
     /// A name within its tenant.
     pub fn name(&self, text: &str) -> Name {
         Name::new(self.tenant.as_deref(), text)
@@ -81,6 +104,8 @@
     pub content: Option<TurnContent>,
     /// Engine that it ran at last.
     pub engine: Option<String>,
+    /// Home partition that keeps its content apart from its order, where homes bound it.
+    pub keeper: Option<u32>,
 }
 
 impl CloseTurn {
@@ -167,11 +192,15 @@
 }
 
 impl LedgerRequest {
-    /// Partition that the request is for.
+    /// Partition that the request is for, where so many are free.
     pub fn partition(&self, partitions: u32) -> u32 {
         match self {
-            Self::Open(open) => partition_of(&open.program, partitions),
-            Self::Close(close) => partition_of(&close.program, partitions),
+            Self::Open(open) => open
+                .keeper
+                .unwrap_or_else(|| partition_of(&open.program, partitions)),
+            Self::Close(close) => close
+                .keeper
+                .unwrap_or_else(|| partition_of(&close.program, partitions)),
             Self::Find(find) => find.partition,
             // A tenant has its limit where a program of that name would be.
             Self::Quota(question) => partition_of(&question.tenant, partitions),
--- a/crates/ledger/tests/budget_fuzz.rs
+++ b/crates/ledger/tests/budget_fuzz.rs
@@ -152,6 +152,7 @@
             budget: Some(BUDGET),
             most_tokens: MOST,
             placement: None,
+            keeper: None,
         }
     }
 
@@ -213,6 +214,7 @@
             tokens: running.tokens,
             content: None,
             engine: None,
+            keeper: None,
         };
         let records = self.owner.close(&request, 2);
         self.push(records);
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -88,6 +88,7 @@
             budget: None,
             most_tokens: 10,
             placement: None,
+            keeper: None,
         };
         self.owner.open(&request, self.now_ms)
     }
@@ -140,6 +141,7 @@
                 retention_ms: RETENTION_MS,
             }),
             engine: None,
+            keeper: None,
         };
         let records = self.owner.close(&close, self.now_ms);
         if !acknowledged {
--- a/crates/ledger/tests/doubt.rs
+++ b/crates/ledger/tests/doubt.rs
@@ -20,6 +20,7 @@
         budget: Some(BUDGET),
         most_tokens: MOST,
         placement: None,
+        keeper: None,
     }
 }
 
--- /dev/null
+++ b/crates/ledger/tests/layout.rs
@@ -0,0 +1,132 @@
+//! Which partition keeps what, against random sets of homes.
+
+use fieldhook_ledger::layout::Layout;
+use fieldhook_ledger::partition_of;
+use fieldhook_topology::region::Set;
+use fieldhook_topology::zone::Map;
+use quickcheck::{Gen, QuickCheck};
+
+const NAMES: [&str; 6] = ["ash", "birch", "cedar", "elm", "fir", "oak"];
+const PROGRAMS: u32 = 300;
+
+fn map(regions: usize) -> Map {
+    let zones: Vec<(String, &str)> = NAMES
+        .iter()
+        .take(regions)
+        .flat_map(|region| {
+            [
+                (format!("{region}-1"), *region),
+                (format!("{region}-2"), *region),
+            ]
+        })
+        .collect();
+    Map::new(zones.iter().map(|(zone, region)| (zone.as_str(), *region)))
+}
+
+/// A subset of the names, by the bits of a number; some may not be regions of the map.
+fn homes(bits: u8) -> Set {
+    let chosen = NAMES
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| bits & (1 << index) != 0);
+    let names: Vec<&str> = chosen.map(|(_, name)| *name).collect();
+    match names.is_empty() {
+        true => Set::of(["nowhere"]),
+        false => Set::of(names),
+    }
+}
+
+fn check(property: fn(u8, u8, u8) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, 17))
+        .tests(300)
+        .quickcheck(property);
+}
+
+#[test]
+fn a_program_is_kept_within_its_homes_or_nowhere() {
+    fn property(regions: u8, partitions: u8, bits: u8) -> bool {
+        let map = map(usize::from(regions % 7));
+        let layout = Layout::new(u32::from(partitions % 12), &map);
+        let homes = homes(bits);
+        let known: Vec<_> = map.regions();
+        let allowed = known.iter().any(|region| homes.contains(Some(region)));
+        (0..PROGRAMS).all(|number| {
+            let program = format!("p{number}");
+            match layout.keeper(&program, &homes) {
+                None => !allowed && !layout.has_home(&homes),
+                Some(partition) => {
+                    let region = layout.region(partition).expect("a region");
+                    allowed
+                        && layout.homes().contains(&partition)
+                        && homes.contains(Some(region))
+                        && layout.may_keep(partition, &homes)
+                        && layout.keeper(&program, &homes) == Some(partition)
+                }
+            }
+        })
+    }
+    check(property);
+}
+
+#[test]
+fn a_change_of_homes_moves_only_what_must_move() {
+    fn property(regions: u8, bits: u8, changed: u8) -> bool {
+        let map = map(usize::from(regions % 7));
+        let layout = Layout::new(8, &map);
+        let (wide, narrow) = (homes(bits | changed), homes(bits));
+        (0..PROGRAMS).all(|number| {
+            let program = format!("p{number}");
+            let before = layout.keeper(&program, &wide);
+            let after = layout.keeper(&program, &narrow);
+            let stays = before.is_some_and(|partition| layout.may_keep(partition, &narrow));
+            !stays || before == after
+        })
+    }
+    check(property);
+}
+
+#[test]
+fn unbounded_programs_stay_where_they_are_without_homes() {
+    let layout = Layout::new(8, &map(3));
+    for number in 0..PROGRAMS {
+        let program = format!("p{number}");
+        assert_eq!(layout.keeper(&program, &Set::All), None);
+        assert_eq!(layout.order(&program), partition_of(&program, 8));
+        assert!(layout.may_keep(layout.order(&program), &Set::All));
+        assert!(!layout.may_keep(layout.order(&program), &homes(1)));
+    }
+    assert_eq!(Layout::new(8, &Map::default()).count(), 8);
+}
+
+#[test]
+fn no_two_partitions_share_a_place() {
+    fn property(regions: u8, partitions: u8, _unused: u8) -> bool {
+        let partitions = u32::from(partitions % 12);
+        let layout = Layout::new(partitions, &map(usize::from(regions % 7)));
+        let mut places: Vec<_> = (0..layout.count())
+            .map(|partition| layout.place(partition))
+            .map(|place| (place.region, place.number))
+            .collect();
+        let fits = places.iter().all(|(_, number)| *number < partitions.max(1));
+        places.sort_unstable();
+        places.dedup();
+        fits && places.len() == layout.count() as usize
+    }
+    check(property);
+}
+
+#[test]
+fn programs_spread_over_all_allowed_regions() {
+    let layout = Layout::new(8, &map(4));
+    let homes = Set::of(["ash", "elm"]);
+    for region in ["ash", "elm"] {
+        let kept = (0..PROGRAMS).filter(|number| {
+            let partition = layout.keeper(&format!("p{number}"), &homes);
+            let kept_in = partition.and_then(|partition| layout.region(partition));
+            kept_in.is_some_and(|name| &**name == region)
+        });
+        let part = kept.count() as f64 / f64::from(PROGRAMS);
+        assert!((0.35..0.65).contains(&part), "{region} {part}");
+    }
+}
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Append, KeyedRecord, LogStore, Partition, StoreError};
 use crate::contact::Contact;
+use crate::eligibility::Eligibility;
 use crate::follow::{Follower, Update};
 use crate::ownership::{Claim, Ownership};
 use std::cell::{Cell, RefCell};
@@ -28,6 +29,8 @@
     Overtaken,
     /// The daemon is about to stop, or does not know the claims yet.
     NotNow,
+    /// The partition is not for this daemon.
+    NotEligible,
     /// The log service did not append the claim, or nobody can tell.
     NotAppended,
 }
@@ -47,6 +50,8 @@
     pub incarnation: u64,
     /// Told at each change.
     pub changed: Notify,
+    /// Which partitions this daemon may own.
+    pub eligibility: Eligibility,
     ownership: RefCell<Ownership>,
     on_change: RefCell<Option<OnChange>>,
     released: Cell<bool>,
@@ -70,6 +75,7 @@
             address,
             incarnation,
             changed: Notify::new(),
+            eligibility: Eligibility::default(),
             ownership: RefCell::default(),
             on_change: RefCell::default(),
             released: Cell::new(false),
@@ -112,6 +118,12 @@
         claim.incarnation == self.incarnation && claim.address == Some(self.address)
     }
 
+    /// Whether this daemon may own a partition.
+    pub fn is_eligible(&self, partition: u32) -> bool {
+        self.eligibility
+            .allows(partition, self.claim(partition).as_ref())
+    }
+
     /// Whether the claims were read at all.
     pub fn is_known(&self) -> bool {
         self.ownership.borrow().is_known()
@@ -164,7 +176,8 @@
     /// `suspected_epoch`.
     ///
     /// # Errors
-    /// Another daemon was first, or the log service did not do it.
+    /// Another daemon was first, the partition is not for this one, or the log service did
+    /// not do it.
     pub async fn take_over(
         &self,
         partition: u32,
@@ -174,6 +187,9 @@
             if self.released.get() || !self.is_known() {
                 return Err(ClaimError::NotNow);
             }
+            if !self.is_eligible(partition) {
+                return Err(ClaimError::NotEligible);
+            }
             let current = self.claim(partition);
             let former_epoch = current.map(|claim| claim.epoch);
             let mine = current.is_some_and(|claim| self.is_mine(&claim));
@@ -329,6 +345,7 @@
         let first = self.incarnation as u32;
         (0..self.partitions)
             .filter(is_unowned)
+            .filter(|partition| self.is_eligible(*partition))
             .min_by_key(|partition| partition.wrapping_add(first) % self.partitions)
     }
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`follow`]: following one compacted partition.
 //! - [`ownership`]: the table of owners.
 //! - [`claims`]: learning of owners and becoming one.
+//! - [`eligibility`]: which partitions a daemon may own.
 //! - [`appender`]: group commit of one owned partition.
 //! - [`hedge`]: one append, repeated until its outcome is known.
 //! - [`patience`]: who claims first.
@@ -18,6 +19,7 @@
 pub mod appender;
 pub mod claims;
 pub mod contact;
+pub mod eligibility;
 pub mod follow;
 pub mod hedge;
 pub mod ownership;
--- a/crates/log/tests/owners.rs
+++ b/crates/log/tests/owners.rs
@@ -454,3 +454,37 @@
         .tests(40)
         .quickcheck(acknowledged_records_stand_once as fn(Vec<Step>) -> bool);
 }
+
+#[test]
+fn who_is_not_eligible_claims_nothing_and_replaces_nobody() {
+    run(async {
+        let log = Rc::new(SharedLog::default());
+        let (inside, outside) = (daemon(&log, 1), daemon(&log, 2));
+        outside
+            .claims
+            .eligibility
+            .set(Rc::new(|partition, _| partition != 0));
+        sleep(SHORT).await;
+        let refused = outside.claims.take_over(0, None).await;
+        assert_eq!(refused, Err(ClaimError::NotEligible));
+        inside.claims.take_over(0, None).await.expect("claims");
+        sleep(SHORT).await;
+        let epoch = outside.claims.claim(0).map(|claim| claim.epoch);
+        let refused = outside.claims.take_over(0, epoch).await;
+        assert_eq!(refused, Err(ClaimError::NotEligible));
+        inside.claims.release(0, None).await.expect("released");
+        for daemon in [&inside, &outside] {
+            let claims = daemon.claims.clone();
+            ntex::rt::spawn(claims.run_unowned(Duration::ZERO));
+        }
+        inside.claims.stop_claiming();
+        sleep(Duration::from_millis(3_000)).await;
+        let claim = outside.claims.claim(0).expect("a release");
+        assert_eq!(claim.address, None);
+        let others = (1..PARTITIONS).filter(|partition| {
+            let claim = outside.claims.claim(*partition);
+            claim.is_some_and(|claim| outside.claims.is_mine(&claim))
+        });
+        assert!(others.count() > 0);
+    });
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`config`]: the traffic configuration: routes, services, limits.
 //! - [`tenants`]: whose request it is.
+//! - [`homes`]: regions that may serve a request and keep its data.
 //! - [`quota`]: what tenants may still send, as the owner of their limits counts it.
 //! - [`window`]: counting what was sent in a sliding window.
 //! - [`share`]: what one daemon may send of it while no owner can be asked.
@@ -25,6 +26,7 @@
 pub mod directory;
 pub mod groups;
 pub mod health;
+pub mod homes;
 pub mod overdue;
 pub mod quota;
 pub mod rest;
--- /dev/null
+++ b/crates/traffic/tests/homes.rs
@@ -0,0 +1,91 @@
+//! Homes of routes and tenants, both together, and what is wrong with them.
+
+use fieldhook_topology::region::Set;
+use fieldhook_topology::zone::Map;
+use fieldhook_traffic::config::{Route, RouteKind, TrafficConfig};
+use fieldhook_traffic::homes::{self, Fault};
+use fieldhook_traffic::tenants::Tenant;
+use std::rc::Rc;
+
+fn route(name: &str, homes: Set) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "test.example".to_owned(),
+        prefix: format!("/{name}/"),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        priority: 1,
+        parts: Vec::new(),
+        max_attempts: 2,
+        keeps_context: false,
+        retention_ms: 0,
+        is_open: false,
+        homes,
+    }
+}
+
+fn tenant(name: &str, homes: Set) -> Tenant {
+    Tenant {
+        name: Rc::from(name),
+        keys: Vec::new(),
+        priority: None,
+        limit: None,
+        homes,
+    }
+}
+
+#[test]
+fn both_bind_and_each_fault_names_whose_it_is() {
+    let map = Map::new([("a1", "a"), ("b1", "b")]);
+    let config = TrafficConfig {
+        routes: vec![
+            route("anywhere", Set::All),
+            route("north", Set::of(["a"])),
+            route("typo", Set::of(["b", "bb"])),
+        ],
+        tenants: Some(vec![
+            tenant("free", Set::All),
+            tenant("red", Set::of(["b"])),
+            tenant("lost", Set::of(["x"])),
+        ]),
+        ..TrafficConfig::default()
+    };
+    let tenants = config.tenants.as_deref().expect("tenants");
+    assert_eq!(
+        homes::of(&config.routes[0], Some(&tenants[1])),
+        Set::of(["b"])
+    );
+    assert_eq!(homes::of(&config.routes[1], None), Set::of(["a"]));
+    assert!(homes::of(&config.routes[1], Some(&tenants[1])).is_empty());
+    let regions: Vec<Rc<str>> = homes::regions(&config).into_iter().collect();
+    assert_eq!(regions, ["a", "b", "bb", "x"].map(Rc::from));
+    let problems: Vec<(Option<String>, Option<String>, Fault)> = homes::problems(&config, &map)
+        .into_iter()
+        .map(|problem| {
+            let tenant = problem.tenant.map(|name| name.to_string());
+            (problem.route, tenant, problem.fault)
+        })
+        .collect();
+    let owned = |name: &str| Some(name.to_owned());
+    let unknown = |name: &str| Fault::UnknownRegion(Rc::from(name));
+    let wanted = [
+        (owned("typo"), None, unknown("bb")),
+        (None, owned("lost"), unknown("x")),
+        (owned("north"), owned("red"), Fault::NothingInCommon),
+        (owned("north"), owned("lost"), Fault::NothingInCommon),
+        (owned("typo"), owned("lost"), Fault::NothingInCommon),
+    ];
+    assert_eq!(problems, wanted);
+}
+
+#[test]
+fn no_homes_are_no_fault() {
+    let config = TrafficConfig {
+        routes: vec![route("anywhere", Set::All)],
+        tenants: Some(vec![tenant("free", Set::All)]),
+        ..TrafficConfig::default()
+    };
+    assert!(homes::problems(&config, &Map::default()).is_empty());
+    assert!(homes::regions(&config).is_empty());
+}
