Homes: owners without the log are replaced by their region, long chains move in pieces

Cause: a test that took 200 for served showed an owner of all home partitions of its region that the log had left: nobody but gateways of the region replaced it. A chain brought along was one record, however long; the log bounds records.

Excluded: asking HasLog, which a daemon with nothing to append answers with no after 0.8 s.

Change: daemons of a region ask its owners whether the log has been lost for a while; a cut-off owner has its home partitions claimed by owners of its region; pieces of a long chain go into records of their own. Addresses of test gateways depend on two bytes of the process's number: five tests of one run found theirs taken while other gateway tests ran on the machine.

--- a/crates/gateway/src/ledger/homes.rs
+++ b/crates/gateway/src/ledger/homes.rs
@@ -2,8 +2,9 @@
 //! are there. docs/design/homes.md tells what was weighed.
 
 use super::client::LedgerClient;
+use super::exchange::Exchange;
 use crate::places::Places;
-use fieldhook_ledger::message::LedgerRequest;
+use fieldhook_ledger::message::{LedgerReply, LedgerRequest};
 use fieldhook_log::eligibility::Predicate;
 use fieldhook_log::ownership::Claim;
 use std::rc::Rc;
@@ -47,7 +48,8 @@
     }
 }
 
-/// Asks the owner of a partition for a sign of life; one that gives none is replaced.
+/// Asks the owner of a partition for a sign of life; one that gives none, or that the log has
+/// left, is replaced.
 async fn look(ledger: &LedgerClient, partition: u32) {
     let claims = &ledger.owner.claims;
     let Some(claim) = claims.claim(partition) else {
@@ -57,8 +59,13 @@
         return;
     }
     let exchange = ledger
-        .exchange(partition, &LedgerRequest::HasLog, ANSWER_LIMIT)
+        .exchange(partition, &LedgerRequest::KeepsLog, ANSWER_LIMIT)
         .await;
     ledger.note(partition, Some(&exchange));
-    ledger.act_on_doubt(partition, &exchange).await;
+    match exchange {
+        Exchange::Answered(LedgerReply::HasLog(false), _) => {
+            ledger.replace_silent(partition, claim.epoch).await;
+        }
+        doubtful => ledger.act_on_doubt(partition, &doubtful).await,
+    }
 }
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -40,6 +40,7 @@
             LedgerRequest::Find(find) => self.find(&find.turn, sender),
             LedgerRequest::WhoOwns(_)
             | LedgerRequest::HasLog
+            | LedgerRequest::KeepsLog
             | LedgerRequest::Config(_)
             | LedgerRequest::Quota(_)
             | LedgerRequest::Claim(_) => {}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -135,6 +135,9 @@
                 let has_log = self.contact.within(FRESH) && !self.contact.failing();
                 let _ = sender.send(LedgerReply::HasLog(has_log));
             }
+            LedgerRequest::KeepsLog => {
+                let _ = sender.send(LedgerReply::HasLog(!self.contact.lost()));
+            }
             LedgerRequest::Config(version) => {
                 let _ = sender.send(LedgerReply::Config(
                     self.config.news_after(version, &self.places),
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -132,6 +132,9 @@
     /// Asks daemons that reach the log to claim a partition. True if there is a newer
     /// owner.
     async fn have_it_claimed(&self, partition: u32, epoch: u64) -> bool {
+        if self.owner.places.layout.region(partition).is_some() {
+            return self.have_region_claim(partition, epoch).await;
+        }
         let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
         let answers = self.ask_peers(None, &question, CLAIM_ANSWER_LIMIT).await;
         let mut news = false;
@@ -143,8 +146,9 @@
         news
     }
 
-    /// Asks other owners of the region that a partition belongs to, to claim it.
-    async fn have_region_claim(&self, partition: u32, epoch: u64) {
+    /// Asks other owners of the region that a partition belongs to, to claim it. True if there
+    /// is a newer owner.
+    async fn have_region_claim(&self, partition: u32, epoch: u64) -> bool {
         let claims = &self.owner.claims;
         let layout = &self.owner.places.layout;
         let region = layout.region(partition);
@@ -163,10 +167,10 @@
             if let Some(LedgerReply::NotOwner(Some(known))) = answer
                 && self.learn(partition, &known)
             {
-                return;
+                return true;
             }
         }
-        let _ = timeout(CHANGE_WAIT, claims.changed.notified()).await;
+        false
     }
 
     /// Waits for news of a partition that only daemons of another region may own; false
@@ -198,7 +202,9 @@
             Some(LedgerReply::HasLog(true)) => {}
             // By the owner's own word: a daemon of its region may claim without a look.
             Some(LedgerReply::HasLog(false)) if !claims.is_eligible(partition) => {
-                self.have_region_claim(partition, claim.epoch).await;
+                if !self.have_region_claim(partition, claim.epoch).await {
+                    let _ = timeout(CHANGE_WAIT, claims.changed.notified()).await;
+                }
             }
             _ => self.replace_silent(partition, claim.epoch).await,
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 //! send it ([`quota`]);
 //! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
 //! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a
-//! program.
+//! program and `record` at its end.
 
 pub mod admission;
 pub mod answer;
@@ -18,6 +18,7 @@
 pub mod homes;
 pub mod listener;
 pub mod quota;
+mod record;
 pub mod request;
 pub mod retry;
 pub mod stream;
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 /// Largest input or output that one record of the log holds, in bytes.
-const LARGEST_KEPT: usize = 200 << 10;
+pub(super) const LARGEST_KEPT: usize = 200 << 10;
 /// How long the end of a turn that broke off is told.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(20);
 
@@ -37,19 +37,19 @@
 
 /// A turn under way. Dropping it tells the ledger that it broke off.
 pub struct Turn {
-    ledger: Rc<LedgerClient>,
-    metrics: Rc<Metrics>,
-    request: OpenTurn,
-    opened: OpenedTurn,
-    input: Bytes,
+    pub(super) ledger: Rc<LedgerClient>,
+    pub(super) metrics: Rc<Metrics>,
+    pub(super) request: OpenTurn,
+    pub(super) opened: OpenedTurn,
+    pub(super) input: Bytes,
     /// All that the engine was sent.
-    prompt: Bytes,
-    output: BytesMut,
-    tokens: u64,
-    tokens_per_event: u64,
-    retention_ms: u64,
-    ran_at: Rc<RefCell<Option<String>>>,
-    closed: bool,
+    pub(super) prompt: Bytes,
+    pub(super) output: BytesMut,
+    pub(super) tokens: u64,
+    pub(super) tokens_per_event: u64,
+    pub(super) retention_ms: u64,
+    pub(super) ran_at: Rc<RefCell<Option<String>>>,
+    pub(super) closed: bool,
 }
 
 /// Opens a turn where the route keeps context or the program has a budget.
@@ -236,70 +236,12 @@
         }
     }
 
-    /// Records that the turn ended whole. Where context is kept, the answer may end
-    /// only once this returned true.
-    pub async fn complete(&mut self, context: &RequestContext) -> bool {
-        if !self.request.keeps_context {
-            return true;
-        }
-        let homes = homes::now(context);
-        if !self.stay_home(&homes) {
-            homes::note_no_owner(context, None);
-            return false;
-        }
-        let started = Instant::now();
-        let content = TurnContent {
-            previous: self.kept_previous(),
-            input: self.input.to_vec(),
-            output: self.output.to_vec(),
-            retention_ms: self.retention_ms,
-        };
-        let close = self.close_request(Some(content));
-        let recorded = self.ledger.close(&close, context.deadline).await;
-        // The partition that orders it hears of its end by itself.
-        self.closed = recorded && self.request.keeper.is_none();
-        tracing::info!(
-            event = "turn_recorded",
-            request = self.request.turn,
-            program = self.request.program,
-            tokens = self.tokens,
-            recorded,
-            took_ms = started.elapsed().as_millis() as u64
-        );
-        self.metrics
-            .close_seconds
-            .observe(started.elapsed().as_secs_f64());
-        recorded
-    }
-
-    /// Sees to it that what was said is kept where homes allow it now: they may have been
-    /// narrowed since the turn began. What it went on from goes along. False where no region
-    /// is allowed any more.
-    fn stay_home(&mut self, homes: &Set) -> bool {
-        let layout = &self.ledger.owner.places.layout;
-        let program = &self.request.program;
-        let kept_at = self.request.keeper;
-        let partition = kept_at.unwrap_or_else(|| layout.order(program));
-        if layout.may_keep(partition, homes) {
-            return true;
-        }
-        self.request.keeper = layout.keeper(program, homes);
-        self.request.brings_chain = true;
-        self.input = self.prompt.clone();
-        self.request.keeper.is_some()
-    }
-
-    fn kept_previous(&self) -> Option<String> {
-        let previous = self.request.previous.clone();
-        previous.filter(|_| !self.request.brings_chain)
-    }
-
     /// The turn is over.
     pub fn end(self) {}
 
     /// What is told of its end: to the partition that keeps its content, or to the one that
     /// ordered it.
-    fn close_request(&self, content: Option<TurnContent>) -> CloseTurn {
+    pub(super) fn close_request(&self, content: Option<TurnContent>) -> CloseTurn {
         let has_content = content.is_some();
         let is_apart = has_content && self.request.keeper.is_some();
         CloseTurn {
--- a/crates/gateway/tests/gateway/homes.rs
+++ b/crates/gateway/tests/gateway/homes.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// Bytes that no record may reach: the input of one turn and its names fit in.
+const LARGEST_RECORD: usize = 210 << 10;
 /// Free partitions of the worlds.
 const FREE: u32 = 2;
 /// Time for the partitions of two daemons of a region to find their owners.
@@ -106,11 +108,12 @@
         let homes = Set::of(["a"]);
         let ledger = &self.at("b1").daemon.ledger;
         let partition = ledger.keeper("p", &homes).expect("a home partition");
-        let owner = self.gateways.iter().find(|(_, gateway)| {
-            let claims = &gateway.daemon.owner.claims;
-            let claim = claims.claim(partition);
-            claim.is_some_and(|claim| claims.is_mine(&claim))
-        });
+        // By the claim that b1 knows: a former owner without the log still believes in its own.
+        let claim = ledger.owner.claims.claim(partition).expect("a claim");
+        let owner = self
+            .gateways
+            .iter()
+            .find(|(_, gateway)| gateway.daemon.owner.claims.is_mine(&claim));
         owner.expect("an owner").0
     }
 }
@@ -131,6 +134,14 @@
     String::from_utf8_lossy(&last.body).into_owned()
 }
 
+/// The same, tried again as clients do while an owner is replaced.
+async fn turn_in_the_end(gateway: &Gateway, name: &str, previous: &str) {
+    let begun = Instant::now();
+    while turn(gateway, name, Some(previous)).await != (200, true) {
+        assert!(begun.elapsed() < Duration::from_secs(10), "never served");
+    }
+}
+
 #[test]
 fn without_homes_nobody_claims_for_them() {
     run(async {
@@ -155,12 +166,7 @@
         let first = fleet.keeper();
         // Its owner loses the log: only a daemon of the region may take over.
         fleet.at(first).store.set_fault(LogFault::Silent);
-        let mut status = 0;
-        let begun = Instant::now();
-        while status != 200 && begun.elapsed() < Duration::from_secs(10) {
-            status = turn(b, "t3", Some("t2")).await.0;
-        }
-        assert_eq!(status, 200);
+        turn_in_the_end(b, "t3", "t2").await;
         let second = fleet.keeper();
         assert!(
             second != first && second.starts_with('a'),
@@ -203,6 +209,22 @@
     gone
 }
 
+#[test]
+fn an_only_owner_without_the_log_is_replaced_by_its_region() {
+    run(async {
+        let mut fleet = Fleet::start(chat_in(1, &["a"]), &["a1", "b1"]).await;
+        assert_eq!(turn(fleet.at("b1"), "t1", None).await, (200, true));
+        // It owns all home partitions: who else is there is not known from claims.
+        let late = fleet.world.gateway_in("a2", "a2").await;
+        late.wait_ready(2).await;
+        fleet.gateways.push(("a2", late));
+        fleet.at("a1").store.set_fault(LogFault::Silent);
+        turn_in_the_end(fleet.at("b1"), "t2", "t1").await;
+        assert_eq!(fleet.keeper(), "a2");
+        assert!(!fleet.keepers("t2-said").contains(&"b1"));
+    });
+}
+
 #[test]
 fn daemons_of_a_region_find_its_lost_owner_by_themselves() {
     run(async {
@@ -296,6 +318,55 @@
     });
 }
 
+#[test]
+fn a_chain_longer_than_a_record_is_moved_in_pieces() {
+    run(async {
+        let fleet = Fleet::start(config(1), &["a1", "a2", "b1"]).await;
+        let b = fleet.at("b1");
+        let long = Act::Events(vec!["x".repeat(150_000)], None);
+        fleet.at_a.set(long.clone());
+        fleet.at_b.set(long);
+        assert_eq!(turn(b, "t1", None).await, (200, true));
+        assert_eq!(turn(b, "t2", Some("t1")).await, (200, true));
+        assert_eq!(turn(b, "t3", Some("t2")).await, (200, true));
+        fleet.publish(chat_in(2, &["a"])).await;
+        sleep(SETTLED).await;
+        fleet.at_a.set(events());
+        assert_eq!(turn(b, "t4", Some("t3")).await, (200, true));
+        assert_eq!(turn(fleet.at("a2"), "t5", Some("t4")).await, (200, true));
+        let said = "x".repeat(150_000);
+        let wanted =
+            format!("t1-said;{said}\nt2-said;{said}\nt3-said;{said}\nt4-said;one\nt5-said;");
+        assert!(last_body(&fleet.at_a) == wanted);
+        let largest = fleet
+            .gateways
+            .iter()
+            .map(|(_, gateway)| gateway.spy.largest());
+        assert!(largest.max() < Some(LARGEST_RECORD));
+    });
+}
+
+#[test]
+fn the_line_of_a_refusal_names_the_rule_of_place() {
+    run(async {
+        let lines = Lines::start();
+        let mut first = config(1);
+        for route in &mut first.routes {
+            route.homes = Set::of(["c"]);
+        }
+        let fleet = Fleet::start(first, &["a1", "b1"]).await;
+        let fields = "Request: r1\r\n";
+        let reply = fleet.at("b1").ask("POST", "/safe/1", fields, "x").await;
+        assert_eq!(reply.head.status, 503);
+        assert!(reply.head.headers.has("come-back-ms"));
+        let told = lines.of("no_server_in_place");
+        assert_eq!(told.len(), 1);
+        assert!(told[0].contains("\"not_home\":2") && told[0].contains("region is not allowed"));
+        assert_eq!([fleet.at_a.count(), fleet.at_b.count()], [0, 0]);
+        assert!(lines.of("homes_unservable").is_empty());
+    });
+}
+
 #[test]
 fn an_owner_that_leaves_hands_over_within_its_region() {
     run(async {
@@ -437,7 +508,8 @@
         let told = lines.of("homes_unservable");
         let names_both = |line: &String| line.contains("\"chat\"") && line.contains("\"red\"");
         assert!(told.iter().any(names_both), "{told:?}");
-        assert_eq!(lines.of("refused_for_home").len(), 3);
+        let refused = lines.of("refused_for_home");
+        assert_eq!(refused.len(), 3, "{refused:?}");
         let fields = "Request: r2\r\nProgram: p\r\nKey: k2\r\n";
         let reply = fleet.at("b1").ask("POST", "/chat/1", fields, "x").await;
         assert_eq!(reply.head.status, 200);
--- a/crates/gateway/tests/gateway/support/lines.rs
+++ b/crates/gateway/tests/gateway/support/lines.rs
@@ -1,23 +1,30 @@
-//! Log lines of a test, as the daemons write them.
+//! Log lines of a test, as the daemons write them. All of a test runs on its own thread, and
+//! one subscriber serves all threads: those that come and go beside each other would decide
+//! about the lines of one another.
 
+use std::cell::RefCell;
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex, PoisonError};
-use tracing::subscriber::DefaultGuard;
+use std::sync::Once;
 use tracing_subscriber::fmt::MakeWriter;
 
-/// The lines written on this thread since then, until it is dropped.
-pub struct Lines {
-    written: Buffer,
-    _guard: DefaultGuard,
+thread_local! {
+    static WRITTEN: RefCell<Option<Vec<u8>>> = const { RefCell::new(None) };
 }
 
-#[derive(Clone, Default)]
-struct Buffer(Arc<Mutex<Vec<u8>>>);
+static SUBSCRIBED: Once = Once::new();
 
-impl Write for Buffer {
+/// The lines written on this thread since then.
+pub struct Lines;
+
+struct ThreadBuffer;
+
+impl Write for ThreadBuffer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut written = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        written.extend_from_slice(bytes);
+        WRITTEN.with_borrow_mut(|written| {
+            if let Some(written) = written {
+                written.extend_from_slice(bytes);
+            }
+        });
         Ok(bytes.len())
     }
 
@@ -26,36 +33,35 @@
     }
 }
 
-impl<'a> MakeWriter<'a> for Buffer {
+impl MakeWriter<'_> for ThreadBuffer {
     type Writer = Self;
 
-    fn make_writer(&'a self) -> Self {
-        self.clone()
+    fn make_writer(&self) -> Self {
+        Self
     }
 }
 
 impl Lines {
     pub fn start() -> Self {
-        let written = Buffer::default();
-        let subscriber = tracing_subscriber::fmt()
-            .json()
-            .flatten_event(true)
-            .with_target(false)
-            .with_writer(written.clone())
-            .finish();
-        Self {
-            written,
-            _guard: tracing::subscriber::set_default(subscriber),
-        }
+        SUBSCRIBED.call_once(|| {
+            tracing_subscriber::fmt()
+                .json()
+                .flatten_event(true)
+                .with_target(false)
+                .with_writer(ThreadBuffer)
+                .init();
+        });
+        WRITTEN.set(Some(Vec::new()));
+        Self
     }
 
     /// Lines of an event.
     pub fn of(&self, event: &str) -> Vec<String> {
-        let written = self.written.0.lock();
-        let written = written.unwrap_or_else(PoisonError::into_inner);
-        let text = String::from_utf8_lossy(&written);
         let wanted = format!("\"event\":\"{event}\"");
-        let lines = text.lines().filter(|line| line.contains(&wanted));
-        lines.map(str::to_owned).collect()
+        WRITTEN.with_borrow(|written| {
+            let text = String::from_utf8_lossy(written.as_deref().unwrap_or_default());
+            let lines = text.lines().filter(|line| line.contains(&wanted));
+            lines.map(str::to_owned).collect()
+        })
     }
 }
--- a/crates/gateway/tests/gateway/support/spy.rs
+++ b/crates/gateway/tests/gateway/support/spy.rs
@@ -35,6 +35,13 @@
         passed.iter().any(|record| holds(&record.value))
     }
 
+    /// Bytes of the largest record that passed.
+    pub fn largest(&self) -> usize {
+        let passed = self.passed.borrow();
+        let sizes = passed.iter().map(|record| record.value.len());
+        sizes.max().unwrap_or_default()
+    }
+
     fn note<'a>(&self, records: impl Iterator<Item = &'a KeyedRecord>) {
         self.passed.borrow_mut().extend(records.cloned());
     }
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -35,11 +35,16 @@
 /// be taken by a server of a test beside this one before the gateway binds it.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 const FIRST_PORT: u16 = 7_100;
+/// Ports of a gateway.
+const PORTS: u16 = 4;
 
-fn own_host() -> [u8; 4] {
+/// An address of a gateway's own, also beside the tests of other processes, and the first of
+/// its ports.
+fn own_place() -> ([u8; 4], u16) {
     let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let process = (std::process::id() % 200) as u8 + 1;
-    [127, process, (number >> 8) as u8, number as u8]
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let first_port = FIRST_PORT + PORTS * (number >> 8);
+    ([127, high, low, number as u8], first_port)
 }
 
 /// A log, a configuration, servers, and gateways on them.
@@ -194,8 +199,8 @@
 
     pub async fn gateway_in(&self, name: &str, zone: &str) -> Gateway {
         let store = Rc::new(MemoryLog::new(self.log.clone()));
-        let host = own_host();
-        let at = |offset| SocketAddr::from((host, FIRST_PORT + offset));
+        let (host, first_port) = own_place();
+        let at = |offset| SocketAddr::from((host, first_port + offset));
         let settings = GatewaySettings {
             name: name.to_owned(),
             zone: zone.to_owned(),
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -184,6 +184,9 @@
     WhoOwns(u32),
     /// Tell whether the log answers you.
     HasLog,
+    /// Tell whether the log answers you, or was silent for a moment only: an owner with nothing
+    /// to append need not have heard of it.
+    KeepsLog,
     /// Tell the newest configuration, if it is newer than this version.
     Config(u64),
     /// Claim a partition from the owner of this epoch: the sender is cut off the log,
@@ -206,7 +209,7 @@
             Self::Quota(question) => partition_of(&question.tenant, partitions),
             Self::WhoOwns(partition) => *partition,
             Self::Claim(claim) => claim.partition,
-            Self::HasLog | Self::Config(_) => 0,
+            Self::HasLog | Self::KeepsLog | Self::Config(_) => 0,
         }
     }
 }
