--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -4,6 +4,7 @@
 //! - [`assigner`]: engines for the programs of partitions owned here.
 //! - [`owner`]: the partitions owned here; `hold`: what is done with one of them, `owned`:
 //!   serving it, `release`: giving it up.
+//! - [`homes`]: home partitions, owned within their regions alone.
 //! - `limits`: what tenants may send, counted where their partitions are owned; [`quota`]:
 //!   asking for it.
 //! - `cold`: what cold servers may get, counted by an owner while it is the only one for
@@ -18,6 +19,7 @@
 mod cold;
 mod exchange;
 mod hold;
+pub mod homes;
 mod limits;
 pub mod load;
 mod owned;
--- a/crates/gateway/src/ledger/cold.rs
+++ b/crates/gateway/src/ledger/cold.rs
@@ -4,7 +4,7 @@
 use super::client::LedgerClient;
 use super::exchange::Exchange;
 use super::limits::{self, Limits};
-use super::owner::{Owner, place};
+use super::owner::Owner;
 use fieldhook_ledger::message::{ColdQuestion, LedgerReply, LedgerRequest, QuotaAnswer};
 use fieldhook_log::api::StoreError;
 use fieldhook_log::appender::fence;
@@ -137,7 +137,13 @@
     }
     let asked_ms = counts.now_ms();
     let limit = Duration::from_millis(TERM_MS);
-    let told = fence(owner.store.as_ref(), place(partition), claim.epoch, limit).await;
+    let told = fence(
+        owner.store.as_ref(),
+        owner.place(partition),
+        claim.epoch,
+        limit,
+    )
+    .await;
     counts.asked.borrow_mut().remove(&partition);
     match told {
         // An owner that has appended records is told their number: its epoch is in force.
@@ -167,7 +173,7 @@
         if let Ok(Some(answer)) = answer {
             return Some(answer);
         }
-        let partition = request.partition(self.owner.claims.partitions());
+        let partition = request.partition(self.owner.places.layout.free());
         if self.searching.borrow_mut().insert(partition) {
             let ledger = self.clone();
             ntex::rt::spawn(async move {
@@ -183,7 +189,7 @@
     }
 
     async fn ask_cold_owner(&self, request: &LedgerRequest) -> Option<QuotaAnswer> {
-        let partition = request.partition(self.owner.claims.partitions());
+        let partition = request.partition(self.owner.places.layout.free());
         loop {
             match self.exchange(partition, request, PERMIT).await {
                 Exchange::Answered(LedgerReply::Quota(answer), _) => return Some(answer),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub cold_servers: IntGauge,
     /// Questions whether a request may be sent to a cold server, by outcome.
     pub cold_permits: IntCounterVec,
+    /// Requests that homes of data decided about, by what became of them.
+    pub homes: IntCounterVec,
     /// Tenants whose limits are counted here.
     pub tenants: IntGauge,
     /// Part of its limit that a tenant uses: those nearest to it.
@@ -108,6 +110,11 @@
                 "Requests for cold servers",
                 "outcome",
             ),
+            homes: b.counters(
+                "fieldhook_homes_total",
+                "Requests that homes decided about",
+                "outcome",
+            ),
             tenants: b.gauge(
                 "fieldhook_tenants_counted",
                 "Tenants with limits counted here",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,10 +2,12 @@
 //!
 //! Place in the request path: first. [`listener`] accepts, [`connection`] reads
 //! requests one after another, [`request`] decides what a request may do: whose it is
-//! ([`admission`]) and whether its tenant may send it ([`quota`]);
-//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]), sent to servers in places that are [`open`],
+//! ([`admission`]), where it may be served and kept ([`homes`]) and whether its tenant may
+//! send it ([`quota`]);
+//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
+//! sent to servers in places that are [`open`],
 //! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a
-//! program.
+//! program and `record` at its end.
 
 pub mod admission;
 pub mod answer;
@@ -15,9 +17,11 @@
 mod cold;
 pub mod connection;
 pub mod dispatch;
+pub mod homes;
 pub mod listener;
 pub mod open;
 pub mod quota;
+mod record;
 pub mod request;
 pub mod retry;
 pub mod stream;
--- a/crates/gateway/src/serve/open.rs
+++ b/crates/gateway/src/serve/open.rs
@@ -2,6 +2,7 @@
 //! before the choice of a server, and once more right before the bytes go out.
 
 use super::dispatch::DispatchFailure;
+use super::homes;
 use super::request::RequestContext;
 use fieldhook_topology::place::Denial;
 use fieldhook_traffic::attempt::AttemptFailure;
@@ -50,6 +51,8 @@
         "server_leaves"
     } else if daemon.places.is_evacuated(&server.zone) {
         "zone_evacuated"
+    } else if !may_hold(context, server) {
+        "homes_narrowed"
     } else if daemon.is_doubtful() {
         "evacuations_uncertain"
     } else {
@@ -66,6 +69,13 @@
     Err(DispatchFailure::Attempt(AttemptFailure::NotSent))
 }
 
+/// Whether the regions that the configuration of this moment allows hold a server.
+fn may_hold(context: &RequestContext, server: &ServerEntry) -> bool {
+    let places = &context.daemon.places;
+    let homes = homes::now(context);
+    places.with_rule(&homes, &server.zone, |rule| rule.may_hold(&server.zone))
+}
+
 /// Why no server was found: all that could serve the request may stand in evacuated zones.
 pub fn absence(context: &RequestContext) -> DispatchFailure {
     let daemon = &context.daemon;
@@ -74,7 +84,8 @@
     };
     let directory = daemon.directory.borrow();
     let zone = &daemon.settings.zone;
-    let denials: Result<Vec<Denial>, ()> = daemon.places.with_rule(&context.homes, zone, |rule| {
+    let homes = homes::now(context);
+    let denials: Result<Vec<Denial>, ()> = daemon.places.with_rule(&homes, zone, |rule| {
         let servers = directory.serving(service);
         servers
             .map(|server| rule.serve(&server.zone).err().ok_or(()))
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -4,6 +4,7 @@
 use super::answer::OwnAnswer;
 use super::cold;
 use super::dispatch::{DispatchFailure, Tried};
+use super::homes;
 use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext};
 use fieldhook_traffic::attempt::{Attempts, NextStep, Time};
 use fieldhook_traffic::tenants::Denial;
@@ -79,6 +80,7 @@
             }
             // Waiting is for places: where no server is known, none would come free.
             DispatchFailure::NoServer if self.tried.refused.is_empty() => {
+                homes::note_no_server(context);
                 return Err(self.no_server());
             }
             DispatchFailure::NoServer => {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod evacuation;
 mod forwarding;
+mod homes;
 mod input;
 mod limits;
 mod outage;
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -4,6 +4,7 @@
 use super::client::{Client, Reply};
 use super::dialect::TestDialect;
 use super::server::Server;
+use super::spy::Spy;
 use bytes::BytesMut;
 use fieldhook_emulator::log::memory::{MemoryLog, SharedLog};
 use fieldhook_gateway::daemon::{Adapter, Daemon};
@@ -34,11 +35,16 @@
 /// be taken by a server of a test beside this one before the gateway binds it.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 const FIRST_PORT: u16 = 7_100;
+/// Ports of a gateway.
+const PORTS: u16 = 4;
 
-fn own_host() -> [u8; 4] {
+/// An address of a gateway's own, also beside the tests of other processes, and the first of
+/// its ports.
+fn own_place() -> ([u8; 4], u16) {
     let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let process = (std::process::id() % 200) as u8 + 1;
-    [127, process, (number >> 8) as u8, number as u8]
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let first_port = FIRST_PORT + PORTS * (number >> 8);
+    ([127, high, low, number as u8], first_port)
 }
 
 /// A log, a configuration, servers, and gateways on them.
@@ -58,6 +64,8 @@
 pub struct Gateway {
     pub daemon: Rc<Daemon>,
     pub store: Rc<MemoryLog>,
+    /// What it wrote to the log and read from it.
+    pub spy: Rc<Spy>,
     pub address: SocketAddr,
 }
 
@@ -197,8 +205,8 @@
 
     pub async fn gateway_in(&self, name: &str, zone: &str) -> Gateway {
         let store = Rc::new(MemoryLog::new(self.log.clone()));
-        let host = own_host();
-        let at = |offset| SocketAddr::from((host, FIRST_PORT + offset));
+        let (host, first_port) = own_place();
+        let at = |offset| SocketAddr::from((host, first_port + offset));
         let settings = GatewaySettings {
             name: name.to_owned(),
             zone: zone.to_owned(),
@@ -216,11 +224,12 @@
             grace_ms: 4_000,
         };
         let address = settings.clients;
+        let spy = Rc::new(Spy::new(store.clone()));
         let adapter = Adapter {
             dialect: Rc::new(TestDialect {
                 config: self.configs.clone(),
             }),
-            store: store.clone(),
+            store: spy.clone(),
             topics: Topics {
                 config: CONFIG.to_owned(),
                 config_key: b"config".to_vec(),
@@ -235,6 +244,7 @@
         Gateway {
             daemon,
             store,
+            spy,
             address,
         }
     }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`follow`]: following one compacted partition.
 //! - [`ownership`]: the table of owners.
 //! - [`claims`]: learning of owners and becoming one.
+//! - [`eligibility`]: which partitions a daemon may own.
 //! - [`appender`]: group commit of one owned partition.
 //! - [`lease`]: how long an owner may act as the only one.
 //! - [`hedge`]: one append, repeated until its outcome is known.
@@ -19,6 +20,7 @@
 pub mod appender;
 pub mod claims;
 pub mod contact;
+pub mod eligibility;
 pub mod follow;
 pub mod hedge;
 pub mod lease;
