Budgets: no more is reserved ahead than can be of use, and the excess covers what was counted in vain

Cause: after each loss of an owner its successor counts all that was reserved ahead, a third of what was left, although most of it was never used; several losses add up, and a living program whose turn was answered whole is told that its budget is spent (LOST, "reached no server in 32 tries").

Change: a program whose turns are kept has one turn's most ahead (its turns end only with their record, so without the log it gets no further than that), any other a half of what is left. The excess of one turn's most, which only a first owner used, now covers what was counted in vain: a turn begins if what is known leaves room for it and all that may have been used is within the budget. What is handed out stays at most what is counted, so the bound is the budget and one turn's most as before; the existing oracle is untouched and holds. A record is written where the mark is passed, not a turn before.

Tests: crates/ledger/tests/budget_room.rs, a second oracle and the traced story.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -1,26 +1,30 @@
 //! Token budget of one program.
 //!
 //! Every token handed to a client must be counted after any crash. A turn's most is
-//! therefore reserved before its first token, and an owner grants only what its successor
+//! therefore reserved before its first token, and an owner hands out only what its successor
 //! will count without a word from it. That is a mark: what the newest durable record
 //! tells, and a part of what that leaves, reserved ahead. A program without a record has a
-//! mark as well: the same part of its whole budget. So programs go on, and new ones begin,
+//! mark as well: a part of its whole budget. So programs go on, and new ones begin,
 //! while the log is away; a record raises the mark again once it is back.
 //!
-//! Beyond the mark, a program may hand out the most of one turn: the excess over the
-//! budget that is allowed. Only the first owner of a program may use it: what an owner
-//! grants beyond the mark is lost with it, so each owner that did would add another turn's
-//! most. An owner that can't know whether it is the first counts the mark of a program
-//! without a record as spent, and grants nothing before its own record
-//! (docs/PROOF.md, BUDGET).
+//! A successor can't tell what was reserved ahead and used from what was not: it counts all
+//! of it. So no more is reserved than can be of use ([`Ahead`]): a turn whose content is kept
+//! ends only with its record, so a program of such turns gets no further than one turn
+//! without the log.
+//!
+//! A budget may be exceeded by the most of one turn. That covers what was counted in vain:
+//! a turn begins if what is known to be used leaves room for it, and what may have been used
+//! is within the budget. Tokens handed out are never more than what is counted, and the last
+//! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
 
 use crate::record::{OpenReservation, ProgramRecord};
 use std::collections::VecDeque;
 
-/// Part of what is left of a budget that is reserved ahead: one in this. With the excess,
-/// a turn fits at every point of a program that uses no more than a half of its budget,
-/// and two parts in three are left to a program whose owner was lost without a record.
-const AHEAD_DIVISOR: u64 = 3;
+/// Part of what is left of a budget that is reserved ahead where turns end without the log,
+/// and of the whole budget of a program without a record: one in this. Programs use about a
+/// half of their budget, so that part carries most of them through an outage, and with the
+/// excess a program whose owner was lost still has a half and one turn.
+const AHEAD_DIVISOR: u64 = 2;
 /// Ended turns that are remembered.
 const ENDED_REMEMBERED: usize = 24;
 
@@ -35,6 +39,16 @@
     Spent,
 }
 
+/// How far reservations go ahead of the turns that were asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ahead {
+    /// One turn: its end needs the log, so none after it could begin.
+    #[default]
+    Turn,
+    /// A part of what is left: turns end without the log.
+    Part,
+}
+
 /// State of a program's budget in the memory of its owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Budget {
@@ -47,8 +61,9 @@
     pending_marks: VecDeque<u64>,
     /// Reserved ahead by an earlier owner; turns that it granted may use it.
     inherited: u64,
-    /// One turn's most may go out before its reservation is durable.
-    may_exceed: bool,
+    ahead: Ahead,
+    /// The most of a turn, as far as seen.
+    turn_most: u64,
     /// The budget, as long as no record of it was made.
     unrecorded_budget: Option<u64>,
     changed_ms: u64,
@@ -62,7 +77,6 @@
         Self {
             durable_mark: if is_first { unrecorded } else { 0 },
             inherited: if is_first { 0 } else { unrecorded },
-            may_exceed: is_first,
             unrecorded_budget: Some(budget),
             ..Self::default()
         }
@@ -77,7 +91,8 @@
             durable_mark: mark_of(record),
             pending_marks: VecDeque::new(),
             inherited: record.ahead,
-            may_exceed: false,
+            ahead: Ahead::default(),
+            turn_most: 0,
             unrecorded_budget: None,
             changed_ms: record.changed_ms,
         }
@@ -85,8 +100,19 @@
 
     /// Tokens that were handed out or may be.
     pub fn committed(&self) -> u64 {
+        self.known() + self.inherited
+    }
+
+    /// Tokens of turns that are known: the ended ones, and the most of those under way.
+    fn known(&self) -> u64 {
         let open: u64 = self.open.iter().map(|open| open.tokens).sum();
-        self.settled + open + self.inherited
+        self.settled + open
+    }
+
+    /// Takes in what is seen of the program's turns.
+    pub fn observe(&mut self, most: u64, ahead: Option<Ahead>) {
+        self.turn_most = self.turn_most.max(most);
+        self.ahead = ahead.unwrap_or(self.ahead);
     }
 
     /// Unix time of the last change, in milliseconds.
@@ -108,7 +134,7 @@
     /// Reserves the most of a turn. Asking again for the same turn changes nothing.
     pub fn reserve(&mut self, turn: &str, most: u64, budget: u64, now_ms: u64) -> Reservation {
         if !self.has_open(turn) {
-            if self.committed() + most > budget {
+            if self.known() + most > budget || self.committed() > budget {
                 return Reservation::Spent;
             }
             self.open.push(OpenReservation {
@@ -117,7 +143,7 @@
             });
             self.changed_ms = now_ms;
         }
-        if self.is_durable(most) {
+        if self.is_durable() {
             Reservation::Durable
         } else {
             Reservation::Pending
@@ -158,8 +184,7 @@
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
-        let left = budget.saturating_sub(self.committed());
-        let ahead = left / AHEAD_DIVISOR;
+        let ahead = self.ahead_of(budget.saturating_sub(self.committed()));
         let record = ProgramRecord {
             settled: self.settled,
             open: self.open.clone(),
@@ -173,6 +198,14 @@
         record
     }
 
+    fn ahead_of(&self, left: u64) -> u64 {
+        let turn = self.turn_most.min(left);
+        match self.ahead {
+            Ahead::Turn => turn,
+            Ahead::Part => turn.max(left / AHEAD_DIVISOR),
+        }
+    }
+
     /// The oldest record under way was appended: what it reserves is durable,
     /// as far as no later record lowers it.
     pub fn appended(&mut self, record: &ProgramRecord) {
@@ -182,15 +215,10 @@
         self.durable_mark = lowest_pending.map_or(mark, |pending| pending.min(mark));
     }
 
-    /// Whether the reservations are within the durable mark and the allowed excess.
-    pub fn is_durable(&self, most: u64) -> bool {
-        let excess = if self.may_exceed { most } else { 0 };
-        self.committed() <= self.durable_mark + excess
-    }
-
-    /// Whether a record that extends the durable mark is worth an append now.
-    pub fn needs_record(&self, most: u64) -> bool {
-        self.committed() + most > self.durable_mark
+    /// Whether the reservations are within the durable mark; where not, a record is needed
+    /// before anything more is handed out.
+    pub fn is_durable(&self) -> bool {
+        self.committed() <= self.durable_mark
     }
 }
 
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,6 +1,6 @@
 //! The state machine of one partition, as its owner runs it.
 
-use crate::budget::{Budget, Reservation};
+use crate::budget::{Ahead, Budget, Reservation};
 use crate::message::{CloseTurn, OpenTurn};
 use crate::record::{Record, TurnRecord};
 use crate::scope::Name;
@@ -31,6 +31,14 @@
         .min(LONGEST_DOUBT_MS)
 }
 
+/// Turns whose content is kept end only with their record.
+fn ahead_for(request: &OpenTurn) -> Ahead {
+    match request.keeps_context {
+        true => Ahead::Turn,
+        false => Ahead::Part,
+    }
+}
+
 /// What became of a request to begin a turn.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OpenOutcome {
@@ -159,13 +167,14 @@
         };
         let name = request.name(&request.program);
         let program = self.program(name.clone(), budget, now_ms);
+        program.observe(request.most_tokens, Some(ahead_for(request)));
         let reservation = program.reserve(&request.turn, request.most_tokens, budget, now_ms);
         if reservation == Reservation::Spent {
             return OpenOutcome::BudgetSpent;
         }
         let begins = request.previous.is_none() && program.begins_with(&request.turn);
         let mut records = Vec::new();
-        if program.needs_record(request.most_tokens) {
+        if reservation == Reservation::Pending {
             let record = program.record(budget);
             records.push(Record::Program(name, Some(record)));
         }
@@ -184,6 +193,7 @@
         if let Some(budget) = request.budget {
             let name = request.name(&request.program);
             let program = self.program(name.clone(), budget, now_ms);
+            program.observe(request.most_tokens, None);
             if program.settle(&request.turn, request.tokens, now_ms) {
                 let record = program.record(budget);
                 records.push(Record::Program(name, Some(record)));
@@ -217,13 +227,6 @@
         }
     }
 
-    /// Whether output of a program's turns may reach clients.
-    pub fn is_durable(&self, program: &Name, most: u64) -> bool {
-        self.programs
-            .get(program)
-            .is_none_or(|budget| budget.is_durable(most))
-    }
-
     /// Deletes what need not be kept any longer.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Record> {
         let mut records = Vec::new();
--- /dev/null
+++ b/crates/ledger/tests/budget_room.rs
@@ -0,0 +1,364 @@
+//! What losses of owners take from a program's budget: a turn is refused only where what the
+//! program can have used at its most leaves no room for it, beyond a stated bound.
+//!
+//! The oracle counts a turn whose end was recorded by its tokens, any other turn that may
+//! have handed something out at its most. Each loss of an owner may hide at most what was
+//! reserved ahead; of that the most of one turn costs nothing, as a budget may be exceeded by
+//! it. `budget_fuzz.rs` has the other side: nothing is handed out beyond that.
+
+use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
+use fieldhook_ledger::partition::{OpenOutcome, Partition};
+use fieldhook_ledger::record::Record;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use std::collections::{BTreeMap, VecDeque};
+
+const BUDGET: u64 = 2_700;
+const MOST: u64 = 580;
+const PROGRAM: &str = "p";
+/// Longer than any story: its clock stands still.
+const DOUBT_MS: u64 = 60_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A turn asks to begin; its gateway waits for the append where it has to.
+    Open,
+    /// A running turn ends whole, having handed out so much of its most (in 255ths).
+    Close(u8, u8),
+    /// The oldest append is done.
+    Append,
+    /// All appends are done.
+    AppendAll,
+    /// The owner gives the partition up in order.
+    HandOver,
+    /// The owner is lost; turns under way go on at their gateways.
+    LoseOwner,
+    /// All daemons are lost: nobody tells the end of any turn.
+    LoseAll,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let which = u8::arbitrary(g);
+        let part = u8::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0..5 => Self::Open,
+            5..9 => Self::Close(which, part),
+            9..11 => Self::Append,
+            11..14 => Self::AppendAll,
+            14 if which < 64 => Self::HandOver,
+            14 => Self::LoseOwner,
+            _ => Self::LoseAll,
+        }
+    }
+}
+
+/// A turn that may have handed something out.
+#[derive(Clone, Debug)]
+struct Turn {
+    id: String,
+    /// What it handed out, once it ended.
+    ended: Option<u64>,
+    /// Appends after which its end is recorded.
+    recorded_at: usize,
+    gateway_lives: bool,
+}
+
+struct World {
+    owner: Partition,
+    keeps_context: bool,
+    log: BTreeMap<Vec<u8>, Vec<u8>>,
+    queue: VecDeque<Record>,
+    /// Turns that wait for an append before they may hand anything out.
+    waiting: Vec<(usize, String)>,
+    turns: Vec<Turn>,
+    next_turn: u64,
+    appended: usize,
+    queued: usize,
+    /// What the losses so far leave of the budget at least.
+    room: u64,
+    losses: u32,
+}
+
+impl World {
+    fn new(keeps_context: bool) -> Self {
+        Self {
+            owner: Partition::default(),
+            keeps_context,
+            log: BTreeMap::new(),
+            queue: VecDeque::new(),
+            waiting: Vec::new(),
+            turns: Vec::new(),
+            next_turn: 0,
+            appended: 0,
+            queued: 0,
+            room: BUDGET,
+            losses: 0,
+        }
+    }
+
+    /// Tokens that the program can have used at its most.
+    fn used(&self) -> u64 {
+        let of_turn = |turn: &Turn| turn.ended.unwrap_or(MOST);
+        let begun: u64 = self.turns.iter().map(of_turn).sum();
+        begun + self.waiting.len() as u64 * MOST
+    }
+
+    /// A refusal is right if the budget does not hold the turn, or the losses may have hidden
+    /// so much.
+    fn may_refuse(&self) -> bool {
+        let used = self.used();
+        used + MOST > BUDGET || used > self.room
+    }
+
+    fn push(&mut self, records: Vec<Record>) {
+        self.queued += records.len();
+        self.queue.extend(records);
+    }
+
+    /// Begins a turn. False if it was refused.
+    fn open(&mut self) -> bool {
+        let id = format!("t{}", self.next_turn);
+        self.next_turn += 1;
+        let request = OpenTurn {
+            tenant: None,
+            turn: id.clone(),
+            program: PROGRAM.to_owned(),
+            previous: None,
+            wants_chain: self.keeps_context,
+            keeps_context: self.keeps_context,
+            brings_chain: false,
+            budget: Some(BUDGET),
+            most_tokens: MOST,
+            placement: None,
+        };
+        match self.owner.open(&request, 1) {
+            OpenOutcome::Opened {
+                durable, records, ..
+            } => {
+                self.push(records);
+                match durable {
+                    true => self.begun(id),
+                    false => self.waiting.push((self.queued, id)),
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn begun(&mut self, id: String) {
+        self.turns.push(Turn {
+            id,
+            ended: None,
+            recorded_at: usize::MAX,
+            gateway_lives: true,
+        });
+    }
+
+    fn close(&mut self, which: u8, part: u8) {
+        let running = |turn: &&mut Turn| turn.ended.is_none() && turn.gateway_lives;
+        let mut running: Vec<&mut Turn> = self.turns.iter_mut().filter(running).collect();
+        let Some(index) = usize::from(which).checked_rem(running.len()) else {
+            return;
+        };
+        let turn = &mut running[index];
+        let tokens = MOST * u64::from(part) / 255;
+        turn.ended = Some(tokens);
+        let id = turn.id.clone();
+        self.tell_end(&id, tokens);
+    }
+
+    fn tell_end(&mut self, id: &str, tokens: u64) {
+        let request = CloseTurn {
+            tenant: None,
+            turn: id.to_owned(),
+            program: PROGRAM.to_owned(),
+            budget: Some(BUDGET),
+            most_tokens: MOST,
+            tokens,
+            content: self.keeps_context.then(|| TurnContent {
+                previous: None,
+                input: Vec::new(),
+                output: Vec::new(),
+                retention_ms: 60_000,
+            }),
+            engine: None,
+        };
+        let records = self.owner.close(&request, 2);
+        self.push(records);
+        let recorded_at = self.queued;
+        for turn in self.turns.iter_mut().filter(|turn| turn.id == id) {
+            turn.recorded_at = recorded_at;
+        }
+    }
+
+    fn append(&mut self) {
+        let Some(record) = self.queue.pop_front() else {
+            return;
+        };
+        self.appended += 1;
+        self.log.insert(record.key(), record.value());
+        self.owner.appended(&record);
+        let appended = self.appended;
+        let waiting = std::mem::take(&mut self.waiting);
+        for (position, id) in waiting {
+            match position <= appended {
+                true => self.begun(id),
+                false => self.waiting.push((position, id)),
+            }
+        }
+    }
+
+    fn append_all(&mut self) {
+        while !self.queue.is_empty() {
+            self.append();
+        }
+    }
+
+    fn read_back(&mut self) {
+        for (key, value) in &self.log {
+            let record = Record::read(key, value).expect("a record as it was written");
+            self.owner.load(record);
+        }
+        self.owner.loaded();
+    }
+
+    /// What one more owner may have reserved ahead is gone.
+    fn count_loss(&mut self) {
+        self.losses += 1;
+        let hidden = match (self.losses, self.keeps_context) {
+            // Half of the budget of a program that had no record.
+            (1, _) | (_, false) => MOST.max(self.room / 2),
+            (_, true) => MOST,
+        };
+        self.room = self.room.saturating_sub(hidden);
+    }
+
+    fn hand_over(&mut self) {
+        let records = self.owner.hand_over();
+        self.push(records);
+        self.append_all();
+        let doubt_ms = self.owner.doubt_ms(1);
+        self.owner = Partition::taken_over(1, doubt_ms);
+        self.read_back();
+        self.count_loss();
+    }
+
+    fn lose_owner(&mut self, gateways_live: bool) {
+        self.owner = Partition::taken_over(1, DOUBT_MS);
+        self.queue.clear();
+        self.queued = self.appended;
+        self.waiting.clear();
+        self.read_back();
+        self.count_loss();
+        let appended = self.appended;
+        let mut told_again = Vec::new();
+        for turn in &mut self.turns {
+            turn.gateway_lives &= gateways_live;
+            if let Some(tokens) = turn.ended
+                && turn.recorded_at > appended
+            {
+                match turn.gateway_lives {
+                    true => told_again.push((turn.id.clone(), tokens)),
+                    // No client has seen its end: it waited for the record.
+                    false => turn.ended = None,
+                }
+            }
+        }
+        for (id, tokens) in told_again {
+            self.tell_end(&id, tokens);
+        }
+    }
+
+    /// Does a step. False if a turn was refused that has to be granted.
+    fn step(&mut self, step: Step) -> bool {
+        match step {
+            Step::Open => {
+                let may_refuse = self.may_refuse();
+                return self.open() || may_refuse;
+            }
+            Step::Close(which, part) => self.close(which, part),
+            Step::Append => self.append(),
+            Step::AppendAll => self.append_all(),
+            Step::HandOver => self.hand_over(),
+            Step::LoseOwner => self.lose_owner(true),
+            Step::LoseAll => self.lose_owner(false),
+        }
+        true
+    }
+}
+
+fn refusals_are_owed(keeps_context: bool, steps: &[Step]) -> TestResult {
+    let mut world = World::new(keeps_context);
+    for step in steps {
+        if !world.step(*step) {
+            return TestResult::error(format!(
+                "refused with {} of {BUDGET} used at most, after {} losses",
+                world.used(),
+                world.losses
+            ));
+        }
+    }
+    TestResult::passed()
+}
+
+fn kept(steps: Vec<Step>) -> TestResult {
+    refusals_are_owed(true, &steps)
+}
+
+fn not_kept(steps: Vec<Step>) -> TestResult {
+    refusals_are_owed(false, &steps)
+}
+
+#[test]
+fn a_program_whose_turns_are_kept_loses_one_turns_most_to_each_loss_after_the_first() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 31))
+        .tests(20_000)
+        .quickcheck(kept as fn(Vec<Step>) -> TestResult);
+}
+
+#[test]
+fn a_program_whose_turns_are_not_kept_loses_half_of_what_is_left_to_each_loss() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 32))
+        .tests(20_000)
+        .quickcheck(not_kept as fn(Vec<Step>) -> TestResult);
+}
+
+/// One turn is recorded, the second is under way when all daemons are lost, the third is
+/// recorded, and all are lost once more: 1,595 of 2,700 tokens at most.
+#[test]
+fn a_turn_of_a_living_program_begins_after_two_losses_of_all_daemons() {
+    let mut world = World::new(true);
+    let whole_turn = |part| [Step::Open, Step::AppendAll, Step::Close(0, part)];
+    let story = whole_turn(191)
+        .into_iter()
+        .chain([Step::AppendAll, Step::Open, Step::AppendAll, Step::LoseAll])
+        .chain(whole_turn(255))
+        .chain([Step::AppendAll, Step::LoseAll]);
+    for step in story {
+        assert!(world.step(step), "{step:?}");
+    }
+    assert_eq!(world.used(), 434 + 2 * MOST);
+    assert!(world.open(), "the budget holds one more turn");
+}
+
+/// Between two turns nothing is under way: losses there cost nothing that a turn needs, as
+/// long as there are no more of them than the bound tells.
+#[test]
+fn a_loss_between_two_turns_takes_no_turn_from_a_program() {
+    let mut world = World::new(true);
+    for step in [Step::Open, Step::AppendAll, Step::Close(0, 255)] {
+        assert!(world.step(step));
+    }
+    world.step(Step::AppendAll);
+    world.step(Step::LoseAll);
+    for turn in 1..4 {
+        assert!(world.open(), "turn {turn}");
+        world.append_all();
+        world.step(Step::Close(0, 255));
+        world.append_all();
+    }
+    assert!(!world.open(), "2,320 of 2,700 are used");
+}
