Doubt: a first successor has a part of budgets to hand out without a record; turns begin with what the mark holds

Change: a first owner may hand out a third of a budget without a record, its first successor in doubt another quarter, which it says in its partition before it does; when the doubt is over it records what it began and then that.

Tests: budget_room now has parts, partial allowances and former owners that live on, with the bound of the rule beside the one on refusals; two gateway tests, both seen to fail on the sources before. budget_fuzz is untouched and holds.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -45,6 +45,7 @@
     /// It is the first turn of its program.
     pub begins: bool,
     durable: bool,
+    allowed: u64,
     replies: mpsc::UnboundedReceiver<LedgerReply>,
 }
 
@@ -53,6 +54,11 @@
     pub fn is_durable(&self) -> bool {
         self.durable
     }
+
+    /// Whether so many tokens may reach the client at once.
+    pub fn allows(&self, tokens: u64) -> bool {
+        self.durable || tokens <= self.allowed
+    }
 }
 
 /// Asks owners.
@@ -146,6 +152,7 @@
                 LedgerReply::Opened {
                     chain,
                     durable,
+                    allowed,
                     engine,
                     begins,
                 } => Ok(OpenedTurn {
@@ -153,6 +160,7 @@
                     engine,
                     begins,
                     durable,
+                    allowed,
                     replies,
                 }),
                 LedgerReply::BudgetSpent => Err(OpenFailure::BudgetSpent),
@@ -163,15 +171,16 @@
         }
     }
 
-    /// Waits until an opened turn's reservation is durable; opens it again where
-    /// the owner was lost meanwhile.
-    pub async fn wait_durable(
+    /// Waits until so many tokens of an opened turn may reach the client; opens it again
+    /// where the owner was lost meanwhile.
+    pub async fn wait_allowed(
         &self,
         opened: &mut OpenedTurn,
+        tokens: u64,
         request: &OpenTurn,
         deadline: Instant,
     ) -> bool {
-        while !opened.durable {
+        while !opened.allows(tokens) {
             match timeout_at(deadline, opened.replies.recv()).await {
                 Err(_) => return false,
                 Ok(Some(LedgerReply::Durable)) => opened.durable = true,
--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -97,6 +97,7 @@
         appender: appender.clone(),
         assigner: owner.assigner.clone(),
     };
+    owned.claim_part();
     owner
         .held
         .borrow_mut()
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -52,6 +52,7 @@
             OpenOutcome::Opened {
                 chain,
                 durable,
+                allowed,
                 begins,
                 records,
             } => {
@@ -59,6 +60,7 @@
                 let _ = sender.send(LedgerReply::Opened {
                     chain,
                     durable,
+                    allowed,
                     engine,
                     begins,
                 });
@@ -105,6 +107,14 @@
         settled
     }
 
+    /// Appends what lets programs begin without the log while unknown ones are in doubt.
+    pub(super) fn claim_part(&self) {
+        let records = self.state.borrow().claim_part(unix_ms());
+        if !records.is_empty() {
+            self.push(records, None, Urgency::Now);
+        }
+    }
+
     /// Deletes what need not be kept any longer.
     pub(super) fn expire(&self) {
         let records = self.state.borrow_mut().expire(unix_ms());
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -182,7 +182,7 @@
             continue;
         }
         if let Some(turn) = turn
-            && !turn.wait_durable(context.deadline).await
+            && !turn.wait_allowed(batch.len(), context.deadline).await
         {
             return StreamEnd::NotDurable;
         }
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -185,10 +185,11 @@
         self.opened.engine.clone()
     }
 
-    /// Waits until output may reach the client.
-    pub async fn wait_durable(&mut self, deadline: Instant) -> bool {
+    /// Waits until so many further events may reach the client.
+    pub async fn wait_allowed(&mut self, events: usize, deadline: Instant) -> bool {
+        let tokens = self.tokens + self.tokens_per_event * events as u64;
         self.ledger
-            .wait_durable(&mut self.opened, &self.request, deadline)
+            .wait_allowed(&mut self.opened, tokens, &self.request, deadline)
             .await
     }
 
--- a/crates/gateway/tests/gateway/ownership.rs
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -266,3 +266,55 @@
         }
     });
 }
+
+/// A name whose partition is that of program `p`.
+fn beside_p(number: u32) -> String {
+    let names = (0..).map(|salt| format!("new{number}-{salt}"));
+    let partition_of = |name: &str| fieldhook_ledger::partition_of(name, 2);
+    names
+        .into_iter()
+        .find(|name| partition_of(name) == partition_of("p"))
+        .expect("one of many names")
+}
+
+/// Whoever took over does not know what its predecessor began, but what that may have handed
+/// out is bounded: new programs need not wait for the log.
+#[test]
+fn programs_begin_while_the_log_is_away_soon_after_their_owner_was_lost() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        owner.store.set_fault(LogFault::Silent);
+        assert_eq!(turn(&other, "t2", Some("t1")).await, (200, true));
+        sleep(Duration::from_millis(100)).await;
+        other.store.set_fault(LogFault::Silent);
+        for number in 0..3 {
+            let begun = Instant::now();
+            let program = beside_p(number);
+            let fields =
+                format!("Request: {program}t\r\nProgram: {program}\r\nBudget: 180\r\nMost: 40\r\n");
+            let reply = other.ask("POST", "/resume/1", &fields, "A").await;
+            assert!(reply.whole && reply.head.status == 200, "{program}");
+            assert!(begun.elapsed() < Duration::from_millis(300), "{program}");
+        }
+    });
+}
+
+/// The mark holds a part of a turn's most: what it holds goes out, the rest waits for the log.
+#[test]
+fn a_turn_hands_out_what_its_budget_is_sure_of_while_the_log_is_away() {
+    run(async {
+        let short = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&short]).await;
+        let first = "Request: f\r\nProgram: f\r\nBudget: 180\r\nMost: 40\r\n";
+        assert!(gateway.ask("POST", "/resume/1", first, "A").await.whole);
+        sleep(Duration::from_millis(600)).await;
+        gateway.store.set_fault(LogFault::Silent);
+        let fields = "Request: g\r\nProgram: g\r\nBudget: 180\r\nMost: 170\r\n";
+        let begun = Instant::now();
+        assert!(gateway.ask("POST", "/resume/1", fields, "A").await.whole);
+        assert!(begun.elapsed() < Duration::from_millis(300));
+    });
+}
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -1,11 +1,13 @@
 //! Token budget of one program.
 //!
 //! Every token handed to a client must be counted after any crash. A turn's most is
-//! therefore reserved before its first token, and an owner hands out only what its successor
-//! will count without a word from it. That is a mark: what the newest durable record
+//! therefore reserved before its first token, and no more is handed out than a successor
+//! will count without a word from this owner. That is a mark: what the newest durable record
 //! tells, and a part of what that leaves, reserved ahead. A program without a record has a
-//! mark as well: a part of its whole budget. So programs go on, and new ones begin,
-//! while the log is away; a record raises the mark again once it is back.
+//! mark as well ([`crate::doubt`]): a part of its whole budget. So programs go on, and new ones
+//! begin, while the log is away; a record raises the mark again once it is back. Turns mostly
+//! take much less than their most, so a turn that the mark does not hold whole begins with
+//! what is left of it, and needs the record only if it comes to that.
 //!
 //! A successor can't tell what was reserved ahead and used from what was not: it counts all
 //! of it. So no more is reserved than can be of use ([`Ahead`]): a turn whose content is kept
@@ -17,13 +19,13 @@
 //! is within the budget. Tokens handed out are never more than what is counted, and the last
 //! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
 
+use crate::doubt::Unrecorded;
 use crate::record::{OpenReservation, ProgramRecord};
 use std::collections::VecDeque;
 
-/// Part of what is left of a budget that is reserved ahead where turns end without the log,
-/// and of the whole budget of a program without a record: one in this. Programs use about a
-/// half of their budget, so that part carries most of them through an outage, and with the
-/// excess a program whose owner was lost still has a half and one turn.
+/// Part of what is left of a budget that is reserved ahead where turns end without the log:
+/// one in this. Programs use less than a half of their budget, so that part carries nearly all
+/// of them through an outage, and what is left holds them after a loss as well.
 const AHEAD_DIVISOR: u64 = 2;
 /// Ended turns that are remembered.
 const ENDED_REMEMBERED: usize = 24;
@@ -33,8 +35,11 @@
 pub enum Reservation {
     /// Granted, and within the durable mark.
     Durable,
-    /// Granted, but output has to wait for the append.
-    Pending,
+    /// Granted, but output has to wait for the append once it comes to more than that.
+    Pending {
+        /// Tokens that may be handed out before.
+        allowed: u64,
+    },
     /// The budget does not hold it.
     Spent,
 }
@@ -49,11 +54,20 @@
     Part,
 }
 
+/// A turn under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Open {
+    turn: String,
+    most: u64,
+    /// Tokens of it that are within the mark.
+    allowed: u64,
+}
+
 /// State of a program's budget in the memory of its owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Budget {
     settled: u64,
-    open: Vec<OpenReservation>,
+    open: Vec<Open>,
     ended: Vec<String>,
     /// Tokens that every later owner counts as spent.
     durable_mark: u64,
@@ -70,13 +84,11 @@
 }
 
 impl Budget {
-    /// The budget of a program that no record tells of. `is_first` says that no earlier
-    /// owner can have granted it anything.
-    pub fn fresh(budget: u64, is_first: bool) -> Self {
-        let unrecorded = budget / AHEAD_DIVISOR;
+    /// The budget of a program that no record tells of.
+    pub fn fresh(budget: u64, unrecorded: Unrecorded) -> Self {
         Self {
-            durable_mark: if is_first { unrecorded } else { 0 },
-            inherited: if is_first { 0 } else { unrecorded },
+            durable_mark: unrecorded.mark(budget),
+            inherited: unrecorded.spent(budget),
             unrecorded_budget: Some(budget),
             ..Self::default()
         }
@@ -86,7 +98,7 @@
     pub fn recover(record: &ProgramRecord) -> Self {
         Self {
             settled: record.settled,
-            open: record.open.clone(),
+            open: record.open.iter().map(Open::recorded).collect(),
             ended: record.ended.clone(),
             durable_mark: mark_of(record),
             pending_marks: VecDeque::new(),
@@ -105,10 +117,16 @@
 
     /// Tokens of turns that are known: the ended ones, and the most of those under way.
     fn known(&self) -> u64 {
-        let open: u64 = self.open.iter().map(|open| open.tokens).sum();
+        let open: u64 = self.open.iter().map(|open| open.most).sum();
         self.settled + open
     }
 
+    /// Tokens that were handed out, or may be without a further record.
+    fn covered(&self) -> u64 {
+        let open: u64 = self.open.iter().map(|open| open.allowed).sum();
+        self.settled + open + self.inherited
+    }
+
     /// Takes in what is seen of the program's turns.
     pub fn observe(&mut self, most: u64, ahead: Option<Ahead>) {
         self.turn_most = self.turn_most.max(most);
@@ -137,16 +155,30 @@
             if self.known() + most > budget || self.committed() > budget {
                 return Reservation::Spent;
             }
-            self.open.push(OpenReservation {
+            self.open.push(Open {
                 turn: turn.to_owned(),
-                tokens: most,
+                most,
+                allowed: 0,
             });
             self.changed_ms = now_ms;
         }
-        if self.is_durable() {
+        self.allow(turn)
+    }
+
+    /// Lets a turn have what the mark holds of its most.
+    fn allow(&mut self, turn: &str) -> Reservation {
+        let room = self.durable_mark.saturating_sub(self.covered());
+        let open = self.open.iter_mut().find(|open| open.turn == turn);
+        let Some(open) = open else {
+            return Reservation::Durable;
+        };
+        open.allowed += room.min(open.most - open.allowed);
+        if open.allowed == open.most {
             Reservation::Durable
         } else {
-            Reservation::Pending
+            Reservation::Pending {
+                allowed: open.allowed,
+            }
         }
     }
 
@@ -187,7 +219,7 @@
         let ahead = self.ahead_of(budget.saturating_sub(self.committed()));
         let record = ProgramRecord {
             settled: self.settled,
-            open: self.open.clone(),
+            open: self.open.iter().map(Open::reservation).collect(),
             ahead: self.inherited + ahead,
             ended: self.ended.clone(),
             changed_ms: self.changed_ms,
@@ -213,12 +245,29 @@
         let lowest_pending = self.pending_marks.iter().copied().min();
         let mark = mark_of(record);
         self.durable_mark = lowest_pending.map_or(mark, |pending| pending.min(mark));
+        for open in &mut self.open {
+            if record.open.iter().any(|known| known.turn == open.turn) {
+                open.allowed = open.most;
+            }
+        }
+    }
+}
+
+impl Open {
+    /// A turn that a record tells of.
+    fn recorded(reservation: &OpenReservation) -> Self {
+        Self {
+            turn: reservation.turn.clone(),
+            most: reservation.tokens,
+            allowed: reservation.tokens,
+        }
     }
 
-    /// Whether the reservations are within the durable mark; where not, a record is needed
-    /// before anything more is handed out.
-    pub fn is_durable(&self) -> bool {
-        self.committed() <= self.durable_mark
+    fn reservation(&self) -> OpenReservation {
+        OpenReservation {
+            turn: self.turn.clone(),
+            tokens: self.most,
+        }
     }
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
+pub mod doubt;
 pub mod message;
 pub mod partition;
 pub mod record;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -218,13 +218,15 @@
 /// Answer of an owner.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum LedgerReply {
-    /// The turn may be sent to an engine. Until `durable`, no output may reach the
-    /// client; a later [`LedgerReply::Durable`] lifts that.
+    /// The turn may be sent to an engine. Until `durable`, no more than `allowed` tokens may
+    /// reach the client; a later [`LedgerReply::Durable`] lifts that.
     Opened {
         /// Inputs and outputs of the chain, oldest first, where wanted.
         chain: Vec<u8>,
         /// The reservation will survive the owner.
         durable: bool,
+        /// Tokens that an owner after it will count in any case.
+        allowed: u64,
         /// Engine that its program is assigned to.
         engine: Option<String>,
         /// It is the first turn of its program.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,6 +1,8 @@
 //! The state machine of one partition, as its owner runs it.
 
 use crate::budget::{Ahead, Budget, Reservation};
+use crate::doubt::Doubt;
+pub use crate::doubt::doubt_after_loss;
 use crate::message::{CloseTurn, OpenTurn};
 use crate::record::{Record, TurnRecord};
 use crate::scope::Name;
@@ -12,25 +14,6 @@
 /// How long a program's budget is kept after its last change, in milliseconds.
 const PROGRAM_RETENTION_MS: u64 = 180_000;
 
-/// Turns' times for which a program without a record may be out of sight after its owner was
-/// lost: a client sends a turn three times, and calls tools for less than a turn's time
-/// before the next one.
-const TURNS_OUT_OF_SIGHT: u64 = 4;
-/// How long a former owner that was cut off or frozen may go on granting, in milliseconds:
-/// twice what it takes to notice that the log answers others and not itself.
-const FORMER_OWNER_MS: u64 = 4_000;
-/// The doubt at most, also as long as the times of turns are not known, in milliseconds.
-const LONGEST_DOUBT_MS: u64 = 60_000;
-
-/// How long after a take-over an unknown program may have begun under the earlier owner, in
-/// milliseconds, where a turn takes `longest_turn_ms` at most.
-pub fn doubt_after_loss(longest_turn_ms: u64) -> u64 {
-    let out_of_sight = longest_turn_ms.saturating_mul(TURNS_OUT_OF_SIGHT);
-    out_of_sight
-        .saturating_add(FORMER_OWNER_MS)
-        .min(LONGEST_DOUBT_MS)
-}
-
 /// Turns whose content is kept end only with their record.
 fn ahead_for(request: &OpenTurn) -> Ahead {
     match request.keeps_context {
@@ -48,6 +31,8 @@
         chain: Vec<u8>,
         /// Output need not wait for the append.
         durable: bool,
+        /// Where it has to, tokens that may be handed out before.
+        allowed: u64,
         /// It is the first turn of its program.
         begins: bool,
         /// To append.
@@ -77,8 +62,8 @@
 pub struct Partition {
     programs: HashMap<Name, Budget>,
     turns: HashMap<Name, Turn>,
-    /// Until then a program that no record tells of may be an earlier owner's.
-    doubtful_until_ms: u64,
+    /// Whether a program that no record tells of may be an earlier owner's.
+    doubt: Doubt,
 }
 
 impl Partition {
@@ -88,14 +73,21 @@
     /// partition up.
     pub fn taken_over(now_ms: u64, doubt_ms: u64) -> Self {
         Self {
-            doubtful_until_ms: now_ms + doubt_ms,
+            doubt: Doubt::until(now_ms + doubt_ms),
             ..Self::default()
         }
     }
 
     /// How long unknown programs are in doubt from now on, in milliseconds.
     pub fn doubt_ms(&self, now_ms: u64) -> u64 {
-        self.doubtful_until_ms.saturating_sub(now_ms)
+        self.doubt.left_ms(now_ms)
+    }
+
+    /// What to append once the partition was read, so that programs may begin without the log
+    /// while unknown ones are in doubt.
+    pub fn claim_part(&self, now_ms: u64) -> Vec<Record> {
+        let claimed = self.doubt.claim_part(now_ms);
+        claimed.map(Record::Doubt).into_iter().collect()
     }
 
     /// Records of the programs that none tells of yet, to be appended before the partition
@@ -109,10 +101,10 @@
     }
 
     fn program(&mut self, name: Name, budget: u64, now_ms: u64) -> &mut Budget {
-        let is_first = now_ms >= self.doubtful_until_ms;
+        let unrecorded = self.doubt.unrecorded(now_ms);
         self.programs
             .entry(name)
-            .or_insert_with(|| Budget::fresh(budget, is_first))
+            .or_insert_with(|| Budget::fresh(budget, unrecorded))
     }
 
     /// Takes in a record of the topic while taking over.
@@ -131,6 +123,7 @@
                     },
                 );
             }
+            Record::Doubt(successors) => self.doubt.load(successors),
             Record::Program(name, None) => {
                 self.programs.remove(&name);
             }
@@ -161,6 +154,7 @@
             return OpenOutcome::Opened {
                 chain,
                 durable: true,
+                allowed: request.most_tokens,
                 begins: request.previous.is_none(),
                 records: Vec::new(),
             };
@@ -174,13 +168,18 @@
         }
         let begins = request.previous.is_none() && program.begins_with(&request.turn);
         let mut records = Vec::new();
-        if reservation == Reservation::Pending {
+        let allowed = match reservation {
+            Reservation::Pending { allowed } => allowed,
+            _ => request.most_tokens,
+        };
+        if reservation != Reservation::Durable {
             let record = program.record(budget);
             records.push(Record::Program(name, Some(record)));
         }
         OpenOutcome::Opened {
             chain,
             durable: reservation == Reservation::Durable,
+            allowed,
             begins,
             records,
         }
@@ -220,16 +219,20 @@
 
     /// A record was appended.
     pub fn appended(&mut self, record: &Record) {
-        if let Record::Program(name, Some(record)) = record
-            && let Some(program) = self.programs.get_mut(name)
-        {
-            program.appended(record);
+        match record {
+            Record::Program(name, Some(record)) => {
+                if let Some(program) = self.programs.get_mut(name) {
+                    program.appended(record);
+                }
+            }
+            Record::Doubt(successors) => self.doubt.appended(*successors),
+            _ => {}
         }
     }
 
     /// Deletes what need not be kept any longer.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Record> {
-        let mut records = Vec::new();
+        let mut records = self.end_doubt(now_ms);
         self.turns.retain(|name, turn| {
             let keep = now_ms < turn.keep_until_ms + RETENTION_MARGIN_MS;
             if !keep {
@@ -247,6 +250,16 @@
         records
     }
 
+    /// Says that the doubt is over, after all that was handed out in it.
+    fn end_doubt(&mut self, now_ms: u64) -> Vec<Record> {
+        if !self.doubt.needs_end(now_ms) {
+            return Vec::new();
+        }
+        let mut records = self.hand_over();
+        records.push(Record::Doubt(0));
+        records
+    }
+
     /// Turns kept.
     pub fn turns(&self) -> usize {
         self.turns.len()
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -8,6 +8,7 @@
 const TURN_KEY: u8 = b't';
 const TENANT_PROGRAM_KEY: u8 = b'P';
 const TENANT_TURN_KEY: u8 = b'T';
+const DOUBT_KEY: u8 = b'd';
 
 /// A turn whose end is not known yet.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
@@ -57,6 +58,9 @@
     Program(Name, Option<ProgramRecord>),
     /// Content of a turn.
     Turn(Name, Option<TurnRecord>),
+    /// Successors in a row that may have handed out their part of programs without a record:
+    /// see [`crate::doubt`].
+    Doubt(u32),
 }
 
 /// A record that cannot be read.
@@ -69,6 +73,7 @@
         let (kind, tenant_kind, name) = match self {
             Self::Program(name, _) => (PROGRAM_KEY, TENANT_PROGRAM_KEY, name),
             Self::Turn(name, _) => (TURN_KEY, TENANT_TURN_KEY, name),
+            Self::Doubt(_) => return vec![DOUBT_KEY],
         };
         let mut key = Vec::with_capacity(name.text.len() + 1);
         match &name.tenant {
@@ -88,6 +93,7 @@
         match self {
             Self::Program(_, Some(record)) => record.serialize_bin(),
             Self::Turn(_, Some(record)) => record.serialize_bin(),
+            Self::Doubt(successors) => successors.serialize_bin(),
             _ => Vec::new(),
         }
     }
@@ -98,6 +104,10 @@
     /// The key or the value is not one of this module's.
     pub fn read(key: &[u8], value: &[u8]) -> Result<Self, UnreadableRecord> {
         let (kind, name) = key.split_first().ok_or(UnreadableRecord)?;
+        if *kind == DOUBT_KEY && name.is_empty() {
+            let successors = u32::deserialize_bin(value).map_err(|_| UnreadableRecord)?;
+            return Ok(Self::Doubt(successors));
+        }
         let (kind, name) = match *kind {
             TENANT_PROGRAM_KEY => (PROGRAM_KEY, tenants_name(name)?),
             TENANT_TURN_KEY => (TURN_KEY, tenants_name(name)?),
--- a/crates/ledger/tests/budget_room.rs
+++ b/crates/ledger/tests/budget_room.rs
@@ -4,7 +4,9 @@
 //! The oracle counts a turn whose end was recorded by its tokens, any other turn that may
 //! have handed something out at its most. Each loss of an owner may hide at most what was
 //! reserved ahead; of that the most of one turn costs nothing, as a budget may be exceeded by
-//! it. `budget_fuzz.rs` has the other side: nothing is handed out beyond that.
+//! it. The other side is checked beside it, as in `budget_fuzz.rs`: the tokens handed out are
+//! never more than the budget and one turn's most, also where turns hand out what they are
+//! allowed before their record and successors in doubt have parts of their own.
 
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
@@ -22,6 +24,10 @@
 enum Step {
     /// A turn asks to begin; its gateway waits for the append where it has to.
     Open,
+    /// A turn asks a former owner that lives on and does not know that it was replaced.
+    OpenAtFormer(u8),
+    /// A running turn hands out so much of what it may (in 255ths).
+    HandOut(u8, u8),
     /// A running turn ends whole, having handed out so much of its most (in 255ths).
     Close(u8, u8),
     /// The oldest append is done.
@@ -41,7 +47,9 @@
         let which = u8::arbitrary(g);
         let part = u8::arbitrary(g);
         match u8::arbitrary(g) % 16 {
-            0..5 => Self::Open,
+            0..3 => Self::Open,
+            3 if part < 64 => Self::OpenAtFormer(which),
+            3..5 => Self::HandOut(which, part),
             5..9 => Self::Close(which, part),
             9..11 => Self::Append,
             11..14 => Self::AppendAll,
@@ -56,8 +64,14 @@
 #[derive(Clone, Debug)]
 struct Turn {
     id: String,
-    /// What it handed out, once it ended.
-    ended: Option<u64>,
+    /// What it may hand out.
+    allowed: u64,
+    /// What it handed out.
+    tokens: u64,
+    /// It ended with that, and its client has seen so or its gateway can tell.
+    ended: bool,
+    /// Appends after which it may hand out all of its most.
+    durable_at: usize,
     /// Appends after which its end is recorded.
     recorded_at: usize,
     gateway_lives: bool,
@@ -65,11 +79,10 @@
 
 struct World {
     owner: Partition,
+    formers: Vec<Partition>,
     keeps_context: bool,
     log: BTreeMap<Vec<u8>, Vec<u8>>,
     queue: VecDeque<Record>,
-    /// Turns that wait for an append before they may hand anything out.
-    waiting: Vec<(usize, String)>,
     turns: Vec<Turn>,
     next_turn: u64,
     appended: usize,
@@ -83,10 +96,10 @@
     fn new(keeps_context: bool) -> Self {
         Self {
             owner: Partition::default(),
+            formers: Vec::new(),
             keeps_context,
             log: BTreeMap::new(),
             queue: VecDeque::new(),
-            waiting: Vec::new(),
             turns: Vec::new(),
             next_turn: 0,
             appended: 0,
@@ -98,9 +111,15 @@
 
     /// Tokens that the program can have used at its most.
     fn used(&self) -> u64 {
-        let of_turn = |turn: &Turn| turn.ended.unwrap_or(MOST);
-        let begun: u64 = self.turns.iter().map(of_turn).sum();
-        begun + self.waiting.len() as u64 * MOST
+        let of_turn = |turn: &Turn| match turn.ended {
+            true => turn.tokens,
+            false => MOST,
+        };
+        self.turns.iter().map(of_turn).sum()
+    }
+
+    fn handed_out(&self) -> u64 {
+        self.turns.iter().map(|turn| turn.tokens).sum()
     }
 
     /// A refusal is right if the budget does not hold the turn, or the losses may have hidden
@@ -115,13 +134,12 @@
         self.queue.extend(records);
     }
 
-    /// Begins a turn. False if it was refused.
-    fn open(&mut self) -> bool {
-        let id = format!("t{}", self.next_turn);
+    fn request(&mut self) -> OpenTurn {
+        let turn = format!("t{}", self.next_turn);
         self.next_turn += 1;
-        let request = OpenTurn {
+        OpenTurn {
             tenant: None,
-            turn: id.clone(),
+            turn,
             program: PROGRAM.to_owned(),
             previous: None,
             wants_chain: self.keeps_context,
@@ -130,44 +148,82 @@
             budget: Some(BUDGET),
             most_tokens: MOST,
             placement: None,
+        }
+    }
+
+    /// Begins a turn. False if it was refused.
+    fn open(&mut self) -> bool {
+        let request = self.request();
+        let outcome = self.owner.open(&request, 1);
+        let OpenOutcome::Opened {
+            allowed, records, ..
+        } = outcome
+        else {
+            return false;
         };
-        match self.owner.open(&request, 1) {
-            OpenOutcome::Opened {
-                durable, records, ..
-            } => {
-                self.push(records);
-                match durable {
-                    true => self.begun(id),
-                    false => self.waiting.push((self.queued, id)),
-                }
-                true
-            }
-            _ => false,
+        self.push(records);
+        self.begun(request.turn, allowed, self.queued);
+        true
+    }
+
+    /// What a former owner grants goes out at once or never: it can append nothing.
+    fn open_at_former(&mut self, which: u8) {
+        let request = self.request();
+        let Some(index) = usize::from(which).checked_rem(self.formers.len()) else {
+            return;
+        };
+        let outcome = self.formers[index].open(&request, 1);
+        if let OpenOutcome::Opened { allowed, .. } = outcome
+            && allowed > 0
+        {
+            self.begun(request.turn, allowed, usize::MAX);
         }
     }
 
-    fn begun(&mut self, id: String) {
+    fn begun(&mut self, id: String, allowed: u64, durable_at: usize) {
         self.turns.push(Turn {
             id,
-            ended: None,
+            allowed,
+            tokens: 0,
+            ended: false,
+            durable_at,
             recorded_at: usize::MAX,
             gateway_lives: true,
         });
     }
 
-    fn close(&mut self, which: u8, part: u8) {
-        let running = |turn: &&mut Turn| turn.ended.is_none() && turn.gateway_lives;
+    fn running(&mut self, which: u8) -> Option<&mut Turn> {
+        let running = |turn: &&mut Turn| !turn.ended && turn.gateway_lives;
         let mut running: Vec<&mut Turn> = self.turns.iter_mut().filter(running).collect();
-        let Some(index) = usize::from(which).checked_rem(running.len()) else {
+        let index = usize::from(which).checked_rem(running.len())?;
+        Some(running.swap_remove(index))
+    }
+
+    fn hand_out(&mut self, which: u8, part: u8) {
+        if let Some(turn) = self.running(which) {
+            let left = turn.allowed - turn.tokens;
+            turn.tokens += left * u64::from(part) / 255;
+        }
+    }
+
+    fn close(&mut self, which: u8, part: u8) {
+        self.hand_out(which, part);
+        let Some(turn) = self.running(which) else {
             return;
         };
-        let turn = &mut running[index];
-        let tokens = MOST * u64::from(part) / 255;
-        turn.ended = Some(tokens);
-        let id = turn.id.clone();
+        turn.ended = true;
+        let (id, tokens) = (turn.id.clone(), turn.tokens);
         self.tell_end(&id, tokens);
     }
 
+    /// Ends the turn under way with so many tokens, which it has to be allowed.
+    fn end_with(&mut self, tokens: u64) {
+        let turn = self.running(0).expect("a turn under way");
+        assert!(turn.allowed >= tokens, "{turn:?}");
+        turn.tokens = tokens;
+        self.close(0, 0);
+    }
+
     fn tell_end(&mut self, id: &str, tokens: u64) {
         let request = CloseTurn {
             tenant: None,
@@ -200,11 +256,9 @@
         self.log.insert(record.key(), record.value());
         self.owner.appended(&record);
         let appended = self.appended;
-        let waiting = std::mem::take(&mut self.waiting);
-        for (position, id) in waiting {
-            match position <= appended {
-                true => self.begun(id),
-                false => self.waiting.push((position, id)),
+        for turn in &mut self.turns {
+            if turn.durable_at <= appended {
+                turn.allowed = MOST;
             }
         }
     }
@@ -221,6 +275,8 @@
             self.owner.load(record);
         }
         self.owner.loaded();
+        let records = self.owner.claim_part(1);
+        self.push(records);
     }
 
     /// What one more owner may have reserved ahead is gone.
@@ -239,32 +295,39 @@
         self.push(records);
         self.append_all();
         let doubt_ms = self.owner.doubt_ms(1);
-        self.owner = Partition::taken_over(1, doubt_ms);
-        self.read_back();
+        let former = std::mem::replace(&mut self.owner, Partition::taken_over(1, doubt_ms));
+        self.formers.push(former);
         self.count_loss();
+        self.read_back();
     }
 
     fn lose_owner(&mut self, gateways_live: bool) {
-        self.owner = Partition::taken_over(1, DOUBT_MS);
+        let former = std::mem::replace(&mut self.owner, Partition::taken_over(1, DOUBT_MS));
+        if gateways_live {
+            self.formers.push(former);
+        }
         self.queue.clear();
         self.queued = self.appended;
-        self.waiting.clear();
-        self.read_back();
         self.count_loss();
         let appended = self.appended;
+        // What was allowed nothing has handed out nothing; it asks again as another turn.
+        self.turns
+            .retain(|turn| turn.allowed > 0 || turn.recorded_at <= appended);
         let mut told_again = Vec::new();
         for turn in &mut self.turns {
             turn.gateway_lives &= gateways_live;
-            if let Some(tokens) = turn.ended
-                && turn.recorded_at > appended
-            {
+            if turn.durable_at > appended {
+                turn.durable_at = usize::MAX;
+            }
+            if turn.ended && turn.recorded_at > appended {
                 match turn.gateway_lives {
-                    true => told_again.push((turn.id.clone(), tokens)),
+                    true => told_again.push((turn.id.clone(), turn.tokens)),
                     // No client has seen its end: it waited for the record.
-                    false => turn.ended = None,
+                    false => turn.ended = false,
                 }
             }
         }
+        self.read_back();
         for (id, tokens) in told_again {
             self.tell_end(&id, tokens);
         }
@@ -277,6 +340,8 @@
                 let may_refuse = self.may_refuse();
                 return self.open() || may_refuse;
             }
+            Step::OpenAtFormer(which) => self.open_at_former(which),
+            Step::HandOut(which, part) => self.hand_out(which, part),
             Step::Close(which, part) => self.close(which, part),
             Step::Append => self.append(),
             Step::AppendAll => self.append_all(),
@@ -298,6 +363,9 @@
                 world.losses
             ));
         }
+        if world.handed_out() > BUDGET + MOST {
+            return TestResult::error(format!("{} handed out", world.handed_out()));
+        }
     }
     TestResult::passed()
 }
@@ -344,6 +412,18 @@
     assert!(world.open(), "the budget holds one more turn");
 }
 
+/// All owners are lost, and a moment later the log: a program that begins then is in doubt.
+#[test]
+fn a_program_that_begins_in_doubt_runs_to_its_end_without_the_log() {
+    let mut world = World::new(false);
+    world.step(Step::LoseAll);
+    world.append_all();
+    for turn in 0..3 {
+        assert!(world.open(), "turn {turn}");
+        world.end_with(145);
+    }
+}
+
 /// Between two turns nothing is under way: losses there cost nothing that a turn needs, as
 /// long as there are no more of them than the bound tells.
 #[test]
