--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -52,6 +52,7 @@
     /// It is the first turn of its program.
     pub begins: bool,
     durable: bool,
+    allowed: u64,
     replies: mpsc::UnboundedReceiver<LedgerReply>,
 }
 
@@ -60,6 +61,11 @@
     pub fn is_durable(&self) -> bool {
         self.durable
     }
+
+    /// Whether so many tokens may reach the client at once.
+    pub fn allows(&self, tokens: u64) -> bool {
+        self.durable || tokens <= self.allowed
+    }
 }
 
 /// Asks owners.
@@ -190,6 +196,7 @@
                 LedgerReply::Opened {
                     chain,
                     durable,
+                    allowed,
                     engine,
                     begins,
                 } => Ok(OpenedTurn {
@@ -197,6 +204,7 @@
                     engine,
                     begins,
                     durable,
+                    allowed,
                     replies,
                 }),
                 LedgerReply::BudgetSpent => Err(OpenFailure::BudgetSpent),
@@ -207,15 +215,16 @@
         }
     }
 
-    /// Waits until an opened turn's reservation is durable; opens it again where
-    /// the owner was lost meanwhile.
-    pub async fn wait_durable(
+    /// Waits until so many tokens of an opened turn may reach the client; opens it again
+    /// where the owner was lost meanwhile.
+    pub async fn wait_allowed(
         &self,
         opened: &mut OpenedTurn,
+        tokens: u64,
         request: &OpenTurn,
         deadline: Instant,
     ) -> bool {
-        while !opened.durable {
+        while !opened.allows(tokens) {
             match timeout_at(deadline, opened.replies.recv()).await {
                 Err(_) => return false,
                 Ok(Some(LedgerReply::Durable)) => opened.durable = true,
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -1,26 +1,32 @@
 //! Token budget of one program.
 //!
 //! Every token handed to a client must be counted after any crash. A turn's most is
-//! therefore reserved before its first token, and an owner grants only what its successor
-//! will count without a word from it. That is a mark: what the newest durable record
+//! therefore reserved before its first token, and no more is handed out than a successor
+//! will count without a word from this owner. That is a mark: what the newest durable record
 //! tells, and a part of what that leaves, reserved ahead. A program without a record has a
-//! mark as well: the same part of its whole budget. So programs go on, and new ones begin,
-//! while the log is away; a record raises the mark again once it is back.
+//! mark as well ([`crate::doubt`]): a part of its whole budget. So programs go on, and new ones
+//! begin, while the log is away; a record raises the mark again once it is back. Turns mostly
+//! take much less than their most, so a turn that the mark does not hold whole begins with
+//! what is left of it, and needs the record only if it comes to that.
 //!
-//! Beyond the mark, a program may hand out the most of one turn: the excess over the
-//! budget that is allowed. Only the first owner of a program may use it: what an owner
-//! grants beyond the mark is lost with it, so each owner that did would add another turn's
-//! most. An owner that can't know whether it is the first counts the mark of a program
-//! without a record as spent, and grants nothing before its own record
-//! (docs/PROOF.md, BUDGET).
+//! A successor can't tell what was reserved ahead and used from what was not: it counts all
+//! of it. So no more is reserved than can be of use ([`Ahead`]): a turn whose content is kept
+//! ends only with its record, so a program of such turns gets no further than one turn
+//! without the log.
+//!
+//! A budget may be exceeded by the most of one turn. That covers what was counted in vain:
+//! a turn begins if what is known to be used leaves room for it, and what may have been used
+//! is within the budget. Tokens handed out are never more than what is counted, and the last
+//! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
 
+use crate::doubt::Unrecorded;
 use crate::record::{OpenReservation, ProgramRecord};
 use std::collections::VecDeque;
 
-/// Part of what is left of a budget that is reserved ahead: one in this. With the excess,
-/// a turn fits at every point of a program that uses no more than a half of its budget,
-/// and two parts in three are left to a program whose owner was lost without a record.
-const AHEAD_DIVISOR: u64 = 3;
+/// Part of what is left of a budget that is reserved ahead where turns end without the log:
+/// one in this. Programs use less than a half of their budget, so that part carries nearly all
+/// of them through an outage, and what is left holds them after a loss as well.
+const AHEAD_DIVISOR: u64 = 2;
 /// Ended turns that are remembered.
 const ENDED_REMEMBERED: usize = 24;
 
@@ -29,17 +35,39 @@
 pub enum Reservation {
     /// Granted, and within the durable mark.
     Durable,
-    /// Granted, but output has to wait for the append.
-    Pending,
+    /// Granted, but output has to wait for the append once it comes to more than that.
+    Pending {
+        /// Tokens that may be handed out before.
+        allowed: u64,
+    },
     /// The budget does not hold it.
     Spent,
 }
 
+/// How far reservations go ahead of the turns that were asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ahead {
+    /// One turn: its end needs the log, so none after it could begin.
+    #[default]
+    Turn,
+    /// A part of what is left: turns end without the log.
+    Part,
+}
+
+/// A turn under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Open {
+    turn: String,
+    most: u64,
+    /// Tokens of it that are within the mark.
+    allowed: u64,
+}
+
 /// State of a program's budget in the memory of its owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Budget {
     settled: u64,
-    open: Vec<OpenReservation>,
+    open: Vec<Open>,
     ended: Vec<String>,
     /// Tokens that every later owner counts as spent.
     durable_mark: u64,
@@ -47,22 +75,20 @@
     pending_marks: VecDeque<u64>,
     /// Reserved ahead by an earlier owner; turns that it granted may use it.
     inherited: u64,
-    /// One turn's most may go out before its reservation is durable.
-    may_exceed: bool,
+    ahead: Ahead,
+    /// The most of a turn, as far as seen.
+    turn_most: u64,
     /// The budget, as long as no record of it was made.
     unrecorded_budget: Option<u64>,
     changed_ms: u64,
 }
 
 impl Budget {
-    /// The budget of a program that no record tells of. `is_first` says that no earlier
-    /// owner can have granted it anything.
-    pub fn fresh(budget: u64, is_first: bool) -> Self {
-        let unrecorded = budget / AHEAD_DIVISOR;
+    /// The budget of a program that no record tells of.
+    pub fn fresh(budget: u64, unrecorded: Unrecorded) -> Self {
         Self {
-            durable_mark: if is_first { unrecorded } else { 0 },
-            inherited: if is_first { 0 } else { unrecorded },
-            may_exceed: is_first,
+            durable_mark: unrecorded.mark(budget),
+            inherited: unrecorded.spent(budget),
             unrecorded_budget: Some(budget),
             ..Self::default()
         }
@@ -72,12 +98,13 @@
     pub fn recover(record: &ProgramRecord) -> Self {
         Self {
             settled: record.settled,
-            open: record.open.clone(),
+            open: record.open.iter().map(Open::recorded).collect(),
             ended: record.ended.clone(),
             durable_mark: mark_of(record),
             pending_marks: VecDeque::new(),
             inherited: record.ahead,
-            may_exceed: false,
+            ahead: Ahead::default(),
+            turn_most: 0,
             unrecorded_budget: None,
             changed_ms: record.changed_ms,
         }
@@ -85,10 +112,27 @@
 
     /// Tokens that were handed out or may be.
     pub fn committed(&self) -> u64 {
-        let open: u64 = self.open.iter().map(|open| open.tokens).sum();
+        self.known() + self.inherited
+    }
+
+    /// Tokens of turns that are known: the ended ones, and the most of those under way.
+    fn known(&self) -> u64 {
+        let open: u64 = self.open.iter().map(|open| open.most).sum();
+        self.settled + open
+    }
+
+    /// Tokens that were handed out, or may be without a further record.
+    fn covered(&self) -> u64 {
+        let open: u64 = self.open.iter().map(|open| open.allowed).sum();
         self.settled + open + self.inherited
     }
 
+    /// Takes in what is seen of the program's turns.
+    pub fn observe(&mut self, most: u64, ahead: Option<Ahead>) {
+        self.turn_most = self.turn_most.max(most);
+        self.ahead = ahead.unwrap_or(self.ahead);
+    }
+
     /// Unix time of the last change, in milliseconds.
     pub fn changed_ms(&self) -> u64 {
         self.changed_ms
@@ -108,19 +152,33 @@
     /// Reserves the most of a turn. Asking again for the same turn changes nothing.
     pub fn reserve(&mut self, turn: &str, most: u64, budget: u64, now_ms: u64) -> Reservation {
         if !self.has_open(turn) {
-            if self.committed() + most > budget {
+            if self.known() + most > budget || self.committed() > budget {
                 return Reservation::Spent;
             }
-            self.open.push(OpenReservation {
+            self.open.push(Open {
                 turn: turn.to_owned(),
-                tokens: most,
+                most,
+                allowed: 0,
             });
             self.changed_ms = now_ms;
         }
-        if self.is_durable(most) {
+        self.allow(turn)
+    }
+
+    /// Lets a turn have what the mark holds of its most.
+    fn allow(&mut self, turn: &str) -> Reservation {
+        let room = self.durable_mark.saturating_sub(self.covered());
+        let open = self.open.iter_mut().find(|open| open.turn == turn);
+        let Some(open) = open else {
+            return Reservation::Durable;
+        };
+        open.allowed += room.min(open.most - open.allowed);
+        if open.allowed == open.most {
             Reservation::Durable
         } else {
-            Reservation::Pending
+            Reservation::Pending {
+                allowed: open.allowed,
+            }
         }
     }
 
@@ -158,11 +216,10 @@
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
-        let left = budget.saturating_sub(self.committed());
-        let ahead = left / AHEAD_DIVISOR;
+        let ahead = self.ahead_of(budget.saturating_sub(self.committed()));
         let record = ProgramRecord {
             settled: self.settled,
-            open: self.open.clone(),
+            open: self.open.iter().map(Open::reservation).collect(),
             ahead: self.inherited + ahead,
             ended: self.ended.clone(),
             changed_ms: self.changed_ms,
@@ -173,6 +230,14 @@
         record
     }
 
+    fn ahead_of(&self, left: u64) -> u64 {
+        let turn = self.turn_most.min(left);
+        match self.ahead {
+            Ahead::Turn => turn,
+            Ahead::Part => turn.max(left / AHEAD_DIVISOR),
+        }
+    }
+
     /// The oldest record under way was appended: what it reserves is durable,
     /// as far as no later record lowers it.
     pub fn appended(&mut self, record: &ProgramRecord) {
@@ -180,17 +245,29 @@
         let lowest_pending = self.pending_marks.iter().copied().min();
         let mark = mark_of(record);
         self.durable_mark = lowest_pending.map_or(mark, |pending| pending.min(mark));
+        for open in &mut self.open {
+            if record.open.iter().any(|known| known.turn == open.turn) {
+                open.allowed = open.most;
+            }
+        }
     }
+}
 
-    /// Whether the reservations are within the durable mark and the allowed excess.
-    pub fn is_durable(&self, most: u64) -> bool {
-        let excess = if self.may_exceed { most } else { 0 };
-        self.committed() <= self.durable_mark + excess
+impl Open {
+    /// A turn that a record tells of.
+    fn recorded(reservation: &OpenReservation) -> Self {
+        Self {
+            turn: reservation.turn.clone(),
+            most: reservation.tokens,
+            allowed: reservation.tokens,
+        }
     }
 
-    /// Whether a record that extends the durable mark is worth an append now.
-    pub fn needs_record(&self, most: u64) -> bool {
-        self.committed() + most > self.durable_mark
+    fn reservation(&self) -> OpenReservation {
+        OpenReservation {
+            turn: self.turn.clone(),
+            tokens: self.most,
+        }
     }
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod budget;
 pub mod layout;
+pub mod doubt;
 pub mod message;
 pub mod partition;
 pub mod record;
