--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -60,6 +60,8 @@
     pub directory: Rc<RefCell<Directory>>,
     /// How long answers take.
     pub answer_times: AnswerTimes,
+    /// How long streams say nothing between two pieces.
+    pub pauses: AnswerTimes,
     /// Connections to servers.
     pub pools: Rc<Pools>,
     /// Repeats of attempts that are left.
@@ -129,6 +131,7 @@
             places,
             directory,
             answer_times: AnswerTimes::default(),
+            pauses: AnswerTimes::default(),
             pools,
             retry_budget: RefCell::default(),
             owner,
@@ -200,7 +203,7 @@
         let patience = self.owner.patience();
         ntex::rt::spawn(self.owner.claims.clone().run_unowned(patience));
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
-        ntex::rt::spawn(crate::ledger::reach::run(self.ledger.clone()));
+        ntex::rt::spawn(crate::ledger::reach::run(self.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
         Ok(())
     }
@@ -219,6 +222,8 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let directory = daemon.directory.borrow();
-        daemon.pools.sweep(&|id| directory.takes_work(id));
+        daemon
+            .pools
+            .sweep(&|id| directory.takes_work(id), daemon.now_ms());
     }
 }
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -65,6 +65,8 @@
     pub reach: Cell<Reach>,
     pub(super) peers: Peers,
     pub(super) claiming: RefCell<HashSet<u32>>,
+    /// An owner was silent since [`super::reach`] looked last.
+    pub(super) silent_owner: Cell<bool>,
     /// Doubts that were said, by partition: each is said once.
     pub(super) doubts: RefCell<HashMap<u32, Doubt>>,
 }
@@ -78,6 +80,7 @@
             reach: Cell::default(),
             peers: Peers::default(),
             claiming: RefCell::default(),
+            silent_owner: Cell::default(),
             doubts: RefCell::default(),
         }
     }
@@ -221,6 +224,7 @@
             match exchange {
                 Err(_) => return None,
                 Ok(Exchange::Answered(reply, replies)) => return Some((reply, replies)),
+                Ok(Exchange::Moved) => {}
                 Ok(Exchange::Again | Exchange::Loading(_)) => {
                     let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
                 }
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -16,6 +16,9 @@
 
 /// Daemons that are asked who owns a partition.
 const PEERS_ASKED: usize = 3;
+/// Owners that are tried where a zone may be cut off: so many that those of one zone are
+/// seldom nearly all of them.
+const OWNERS_LOOKED_AT: usize = 8;
 /// Time that they have to answer.
 const PEER_ANSWER_LIMIT: Duration = Duration::from_millis(120);
 /// Time that they have to claim a partition.
@@ -80,13 +83,23 @@
         except: Option<SocketAddr>,
         question: &LedgerRequest,
         limit: Duration,
+    ) -> Vec<Option<LedgerReply>> {
+        self.ask_so_many(PEERS_ASKED, except, question, limit).await
+    }
+
+    async fn ask_so_many(
+        &self,
+        most: usize,
+        except: Option<SocketAddr>,
+        question: &LedgerRequest,
+        limit: Duration,
     ) -> Vec<Option<LedgerReply>> {
         let mut others = self.owner.claims.addresses();
         others.retain(|other| *other != self.owner.claims.address && Some(*other) != except);
         fastrand::shuffle(&mut others);
         let asked = others
             .into_iter()
-            .take(PEERS_ASKED)
+            .take(most)
             .map(|other| self.ask_peer(other, question, limit));
         join_all(asked).await
     }
@@ -117,6 +130,15 @@
         }
     }
 
+    /// Asks more daemons whether they answer at all: how many were asked, and how many did.
+    pub async fn ask_who_answers(&self) -> (usize, usize) {
+        let question = LedgerRequest::HasLog;
+        let answers = self
+            .ask_so_many(OWNERS_LOOKED_AT, None, &question, PEER_ANSWER_LIMIT)
+            .await;
+        (answers.len(), answers.iter().flatten().count())
+    }
+
     /// Asks some daemons for a configuration newer than this version.
     pub async fn ask_for_config(&self, version: u64) -> Vec<ConfigNews> {
         let question = LedgerRequest::Config(version);
@@ -162,7 +184,7 @@
 
     /// Whether the log answers this daemon for a partition: some may be down while others
     /// are not, and a new owner of one that is down could do no more than the present one.
-    async fn reaches(&self, partition: u32) -> bool {
+    pub(super) async fn reaches(&self, partition: u32) -> bool {
         matches!(
             self.owner.probe(partition, PROBE_LIMIT).await,
             Ok(()) | Err(StoreError::Fenced)
@@ -183,6 +205,11 @@
     /// the log service nobody can; the owner's own appends wait as well then. One
     /// request claims for all that wait for the partition.
     pub(super) async fn replace(&self, partition: u32, epoch: Option<u64>) {
+        if self.reach.get() == Reach::Minority {
+            // The other zones go on: taken from here, a partition would be taken back.
+            let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
+            return;
+        }
         if self.contact.failing() && self.learn_from_peers(partition, epoch).await {
             return;
         }
