--- a/crates/gateway/src/ledger/quota.rs
+++ b/crates/gateway/src/ledger/quota.rs
@@ -93,8 +93,11 @@
         match ledger.ask(&request, deadline).await {
             Some((LedgerReply::Quota(QuotaAnswer::Granted { used }), _)) => {
                 self.silent_until.borrow_mut().remove(&partition);
+                let window_s = self.window_ms as f64 / 1_000.0;
+                let held = question.rate_per_s * window_s + question.burst;
                 self.with(tenant, |share, now_ms| {
-                    share.granted(used, self.window_ms, now_ms)
+                    share.learn_limit(held);
+                    share.granted(used, self.window_ms, now_ms);
                 });
                 Outcome::Granted
             }
--- a/crates/gateway/src/ledger/reach.rs
+++ b/crates/gateway/src/ledger/reach.rs
@@ -9,9 +9,12 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const PERIOD: Duration = Duration::from_millis(200);
+/// So long after it was last ready a daemon has missed two of the platform's questions, which
+/// come every second, and gets no new connections.
+const AWAY_AFTER: Duration = Duration::from_millis(2_100);
 /// Partition of the log that is tried: a cut lies between machines.
 const ANY_PARTITION: u32 = 0;
 /// Servers of each other zone that are tried: one may be down by itself.
@@ -21,8 +24,13 @@
 pub async fn run(daemon: Rc<Daemon>) {
     let ledger = daemon.ledger.clone();
     let mut judge = Judge::default();
+    let mut changed = Instant::now();
     loop {
         sleep(PERIOD).await;
+        let away = ledger.reach.get() == Reach::Minority && changed.elapsed() >= AWAY_AFTER;
+        daemon
+            .away
+            .send_if_modified(|now| std::mem::replace(now, away) != away);
         let round = match ledger.contact.lost() {
             true => ledger.ask_who_reaches_log().await,
             false => Round::Heard,
@@ -36,6 +44,7 @@
             continue;
         };
         ledger.reach.set(reach);
+        changed = Instant::now();
         tracing::info!(
             event = "reach_changed",
             ?reach,
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -22,9 +22,10 @@
 /// The same where the configuration or an owner is missing.
 pub const RETRY_LATER_MS: u64 = 150;
 
-/// The same where this daemon is cut off with the minority of the zones: by then a client
-/// is told of daemons elsewhere.
-const RETRY_ELSEWHERE_MS: u64 = 600;
+/// The same where this daemon is cut off with the minority of the zones: the platform takes up
+/// to two seconds to send clients elsewhere, and they come back after a third of their time
+/// at the latest.
+const RETRY_ELSEWHERE_MS: u64 = 1_000;
 
 /// What becomes of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -248,7 +248,7 @@
     let mut headers = head.headers.clone();
     headers.remove_connection_fields();
     headers.remove("content-length");
-    let close = context.daemon.is_stopping();
+    let close = context.daemon.sends_away();
     response_head(
         head.status,
         &head.reason,
--- a/crates/gateway/tests/gateway/zones.rs
+++ b/crates/gateway/tests/gateway/zones.rs
@@ -223,6 +223,7 @@
             let reply = self.gateway.ask("POST", path, fields, "A;").await;
             assert_eq!(reply.head.status, 503);
             assert!(reply.head.headers.has("come-back-ms"));
+            assert!(!reply.head.keep_alive, "its client would stay here");
         }
         assert!(begun.elapsed() < Duration::from_millis(200));
         let fields = "Request: c1\r\n";
@@ -249,8 +250,11 @@
 fn a_zone_cut_off_without_the_log_sends_its_clients_elsewhere() {
     run(async {
         let mut cut = Cut::new(LogFault::Silent).await;
+        let mut idle = cut.gateway.client().await;
         cut.find_out().await;
         cut.serves_what_it_can().await;
+        // Once the platform sends new connections elsewhere.
+        assert!(idle.is_closed().await);
         cut.heals().await;
     });
 }
