--- a/crates/gateway/src/ledger/exchange.rs
+++ b/crates/gateway/src/ledger/exchange.rs
@@ -1,6 +1,7 @@
 //! One question to the owner of a partition, and what its silence may mean.
 
 use super::client::LedgerClient;
+use crate::upstream::probe;
 use fieldhook_ledger::message::{LedgerReply, LedgerRequest};
 use fieldhook_log::reach::Reach;
 use std::time::Duration;
@@ -21,7 +22,8 @@
     Loading(u64),
     /// Ask again after news.
     Again,
-    /// Another claimed the partition meanwhile: ask that one.
+    /// Another claimed the partition meanwhile, or the connection has to be made anew: ask
+    /// again at once.
     Moved,
 }
 
@@ -85,6 +87,7 @@
             // Nothing can be appended from here, but others can.
             return Exchange::Suspect(Some(claim.epoch));
         }
+        let was_connected = !mine && self.peers.is_connected(address);
         let mut replies = if mine {
             let (sender, replies) = mpsc::unbounded_channel();
             self.owner.handle(request.clone(), sender);
@@ -94,10 +97,12 @@
         } else {
             match self.peers.connection(address).await {
                 Ok(connection) => connection.call(request.clone()),
-                Err(_) => {
+                // Nothing came back: the owner's machine is gone, or either side is cut off.
+                Err(error) if probe::is_unanswered(error.kind()) => {
                     self.silent_owner.set(true);
-                    return Exchange::Suspect(Some(claim.epoch));
+                    return Exchange::Silent(claim.epoch);
                 }
+                Err(_) => return Exchange::Suspect(Some(claim.epoch)),
             }
         };
         let asked = Instant::now();
@@ -105,6 +110,12 @@
         let reply = match timeout(answer_limit, heard).await {
             Ok(Heard::Reply(Some(reply))) => reply,
             Ok(Heard::NewClaim) => return Exchange::Moved,
+            // A connection that was kept may have ended in a cut that is over: a new one tells
+            // whether the owner is gone.
+            Ok(Heard::Reply(None)) if was_connected => {
+                self.peers.forget(address);
+                return Exchange::Moved;
+            }
             Ok(Heard::Reply(None)) => {
                 self.peers.forget(address);
                 return Exchange::Suspect(Some(claim.epoch));
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -16,9 +16,9 @@
 
 /// Daemons that are asked who owns a partition.
 const PEERS_ASKED: usize = 3;
-/// Owners that are tried where a zone may be cut off: so many that those of one zone are
-/// seldom nearly all of them.
-const OWNERS_LOOKED_AT: usize = 8;
+/// Owners that are tried where this daemon may be cut off with few others: so many that those
+/// few are seldom half of them.
+const OWNERS_LOOKED_AT: usize = 16;
 /// Time that they have to answer.
 const PEER_ANSWER_LIMIT: Duration = Duration::from_millis(120);
 /// Time that they have to claim a partition.
@@ -28,6 +28,13 @@
 /// Time without a failed call of the log after which a silent owner is suspected.
 const STEADY: Duration = Duration::from_millis(800);
 
+/// Time without a failed call of the log after which this daemon was not cut off lately: a
+/// call that is cut off fails after 1.5 s at most. Until then the silence of an owner may be
+/// from the time of a cut that is over, and the owner is asked once more.
+const SETTLED: Duration = Duration::from_millis(3_000);
+/// Time that an owner has to answer on a new connection.
+const CONNECTED_ANSWER_LIMIT: Duration = Duration::from_millis(250);
+
 struct ClaimGuard<'a> {
     claiming: &'a RefCell<HashSet<u32>>,
     partition: u32,
@@ -191,10 +198,24 @@
         )
     }
 
+    /// Whether the owner of a partition answers now.
+    async fn owner_answers(&self, partition: u32) -> bool {
+        let claim = self.owner.claims.claim(partition);
+        let Some(address) = claim.and_then(|claim| claim.address) else {
+            return false;
+        };
+        self.peers.forget(address);
+        let answer = self.ask_peer(address, &LedgerRequest::HasLog, CONNECTED_ANSWER_LIMIT);
+        answer.await.is_some()
+    }
+
     /// Takes a partition from an owner that does not answer, unless the log itself was
     /// in trouble a moment ago: the owner may be about to append what waits.
     pub(super) async fn replace_silent(&self, partition: u32, epoch: u64) {
-        if self.contact.steady_for(STEADY) && self.reaches(partition).await {
+        let may_claim = self.contact.steady_for(STEADY)
+            && self.reaches(partition).await
+            && (self.contact.steady_for(SETTLED) || !self.owner_answers(partition).await);
+        if may_claim {
             self.replace(partition, Some(epoch)).await;
         } else if !self.learn_from_peers(partition, Some(epoch)).await {
             let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -236,7 +236,12 @@
             retention_ms: self.retention_ms,
         };
         let close = self.close_request(Some(content));
-        let recorded = self.ledger.close(&close, deadline).await;
+        let recorded = tokio::select! {
+            biased;
+            recorded = self.ledger.close(&close, deadline) => recorded,
+            // The client sends the turn anew, elsewhere, while it has time.
+            () = self.ledger.wait_cut_off() => false,
+        };
         self.closed = recorded;
         tracing::info!(
             event = "turn_recorded",
--- a/crates/gateway/tests/gateway/zones.rs
+++ b/crates/gateway/tests/gateway/zones.rs
@@ -2,10 +2,14 @@
 
 use crate::support::{Act, Gateway, Reply, Server, World, run};
 use fieldhook_emulator::log::memory::LogFault;
+use fieldhook_ledger::message::{Envelope, LedgerReply, LedgerRequest};
 use fieldhook_log::reach::Reach;
+use nanoserde::{DeBin, SerBin};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
 /// Owners are asked for this long before they are suspected.
@@ -306,3 +310,58 @@
         assert!(!gateway.daemon.is_ready());
     });
 }
+
+/// An owner whose first connection ends as one does that was cut off for long; on others it
+/// says that it reads its partition.
+async fn healed_owner() -> SocketAddr {
+    let listener = mute().await;
+    let address = listener.local_addr().expect("an address");
+    ntex::rt::spawn(async move {
+        let (first, _) = listener.accept().await.expect("a connection");
+        sleep(Duration::from_millis(100)).await;
+        drop(first);
+        while let Ok((stream, _)) = listener.accept().await {
+            ntex::rt::spawn(say_unavailable(stream));
+        }
+    });
+    address
+}
+
+async fn say_unavailable(mut stream: TcpStream) {
+    while let Ok(len) = stream.read_u32().await {
+        let mut frame = vec![0; len as usize];
+        stream.read_exact(&mut frame).await.expect("a frame");
+        let asked = Envelope::<LedgerRequest>::deserialize_bin(&frame).expect("a request");
+        let answer = Envelope {
+            call: asked.call,
+            body: LedgerReply::Unavailable,
+        };
+        let answer = answer.serialize_bin();
+        let _ = stream.write_u32(answer.len() as u32).await;
+        let _ = stream.write_all(&answer).await;
+    }
+}
+
+/// Once a cut is over, those who were cut off would else take partitions from owners that
+/// are well.
+#[test]
+fn an_owner_whose_connection_ended_is_asked_on_a_new_one_before_it_is_replaced() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let gateway = Rc::new(world.ready(&[&server]).await);
+        sleep(Duration::from_millis(900)).await;
+        let owner = healed_owner().await;
+        let partition = fieldhook_ledger::partition_of("p", 2);
+        world.claim_for(partition, owner).await;
+        sleep(Duration::from_millis(50)).await;
+        drop(ask(
+            &gateway,
+            "/chat/1",
+            "Request: t1\r\nProgram: p\r\nDeadline: 800\r\n",
+        ));
+        sleep(Duration::from_millis(700)).await;
+        let claim = gateway.daemon.owner.claims.claim(partition);
+        assert_eq!(claim.and_then(|claim| claim.address), Some(owner));
+    });
+}
--- a/crates/log/src/reach.rs
+++ b/crates/log/src/reach.rs
@@ -76,6 +76,13 @@
         !nearly_all_answer && (self.has_few_zones() || self.has_few_owners())
     }
 
+    /// Whether a daemon that held itself part of a minority still should: of a sample of the
+    /// owners now more and now fewer answer.
+    fn may_still_be_minority(&self) -> bool {
+        let nearly_all_answer = self.answered * 4 >= self.asked * 3;
+        self.is_minority() || (!self.log && !nearly_all_answer)
+    }
+
     /// Of two halves, that with the first zone goes on: if both gave way, nobody would serve,
     /// and if neither did, each would take the other's partitions in turns.
     fn has_few_zones(&self) -> bool {
@@ -123,6 +130,11 @@
         let next = match round {
             Round::Asked { reach_log, .. } if reach_log > 0 => Reach::CutOff,
             _ if look.is_some_and(|look| look.is_minority()) => Reach::Minority,
+            _ if self.reach == Reach::Minority
+                && look.is_some_and(|look| look.may_still_be_minority()) =>
+            {
+                Reach::Minority
+            }
             Round::Heard => Reach::Log,
             Round::Asked { .. } if self.rounds_alone >= ISOLATED_AFTER => Reach::Isolated,
             // One round without an answer changes nothing yet.
--- a/crates/log/tests/reach.rs
+++ b/crates/log/tests/reach.rs
@@ -159,3 +159,16 @@
         }
     }
 }
+
+#[test]
+fn a_sample_of_owners_that_answers_a_little_better_ends_no_minority() {
+    let mut judge = Judge::default();
+    judge.step_with(Round::Heard, Some(look(3, 3, false)));
+    assert_eq!(judge.reach(), Reach::Minority);
+    assert_eq!(judge.step_with(asked(1, 0), Some(look(3, 4, false))), None);
+    let outage = judge.step_with(asked(3, 0), Some(look(3, 6, false)));
+    assert_eq!(outage, Some(Reach::Outage));
+    judge.step_with(asked(1, 0), Some(look(3, 3, false)));
+    let regained = judge.step_with(Round::Heard, Some(look(3, 4, true)));
+    assert_eq!(regained, Some(Reach::Log));
+}
