--- a/crates/gateway/tests/gateway/zones.rs
+++ b/crates/gateway/tests/gateway/zones.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Owners are asked for this long before they are suspected.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
@@ -311,15 +311,14 @@
     });
 }
 
-/// An owner whose first connection ends as one does that was cut off for long; on others it
-/// says that it reads its partition.
+/// An owner that says that it reads its partition. Its first connection ends as one does that
+/// was cut off for long.
 async fn healed_owner() -> SocketAddr {
     let listener = mute().await;
     let address = listener.local_addr().expect("an address");
     ntex::rt::spawn(async move {
         let (first, _) = listener.accept().await.expect("a connection");
-        sleep(Duration::from_millis(100)).await;
-        drop(first);
+        let _ = timeout(Duration::from_millis(200), say_unavailable(first)).await;
         while let Ok((stream, _)) = listener.accept().await {
             ntex::rt::spawn(say_unavailable(stream));
         }
