--- a/crates/gateway/src/ledger/cold.rs
+++ b/crates/gateway/src/ledger/cold.rs
@@ -193,7 +193,7 @@
         loop {
             match self.exchange(partition, request, PERMIT).await {
                 Exchange::Answered(LedgerReply::Quota(answer), _) => return Some(answer),
-                Exchange::Again => sleep(AGAIN).await,
+                Exchange::Again | Exchange::Moved => sleep(AGAIN).await,
                 _ => return None,
             }
         }
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -4,11 +4,12 @@
 use super::homes;
 use super::open;
 use super::request::RequestContext;
+use super::watch;
 use crate::dialect::Forwarding;
 use crate::http::write;
 use crate::upstream::connection::{Answer, ExchangeError, Outgoing, ServerConnection};
 use crate::upstream::pool::InFlight;
-use fieldhook_topology::place::Rule;
+use crate::upstream::probe::{self, Probed};
 use fieldhook_topology::region::Set;
 use fieldhook_traffic::attempt::AttemptFailure;
 use fieldhook_traffic::balance::{self, Candidate, Request};
@@ -133,6 +134,9 @@
             Ok(connection)
         }
         Err(error) => {
+            if probe::is_unanswered(error.kind()) {
+                probe::note(daemon, server, Probed::Unanswered);
+            }
             observe(context, server, Observation::Failed, "not_sent");
             daemon.cold.unreachable(server);
             tracing::info!(event = "attempt_failed", request = context.meta.id,
@@ -161,10 +165,8 @@
     };
     let sent = Instant::now();
     let reused = connection.used;
-    match connection
-        .exchange(&outgoing, daemon.dialect.as_ref())
-        .await
-    {
+    let exchange = connection.exchange(&outgoing, daemon.dialect.as_ref());
+    match watch::watched(context, &server, exchange).await {
         Ok(answer) => judge(
             context,
             server,
@@ -364,7 +366,7 @@
             if is_cold && daemon.cold.denied_ms(&server.id).is_some() {
                 return None;
             }
-            let view = daemon.pools.view(&server.id, now_ms);
+            let view = daemon.pools.view(&server.id, &server.zone, now_ms);
             Some(Candidate {
                 server,
                 distance,
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -21,7 +21,12 @@
             return false;
         }
         let started = Instant::now();
-        let recorded = self.record(context.deadline).await;
+        let recorded = tokio::select! {
+            biased;
+            recorded = self.record(context.deadline) => recorded,
+            // The client sends the turn anew, elsewhere, while it has time.
+            () = self.ledger.wait_cut_off() => false,
+        };
         // The partition that orders it hears of its end by itself.
         self.closed = recorded && self.request.keeper.is_none();
         tracing::info!(
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,3 +12,4 @@
 mod support;
 mod tenants;
 mod turns;
+mod zones;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,8 +12,8 @@
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
-pub mod layout;
 pub mod doubt;
+pub mod layout;
 pub mod message;
 pub mod partition;
 pub mod record;
--- a/crates/ledger/tests/budget_room.rs
+++ b/crates/ledger/tests/budget_room.rs
@@ -148,6 +148,7 @@
             budget: Some(BUDGET),
             most_tokens: MOST,
             placement: None,
+            keeper: None,
         }
     }
 
@@ -239,6 +240,7 @@
                 retention_ms: 60_000,
             }),
             engine: None,
+            keeper: None,
         };
         let records = self.owner.close(&request, 2);
         self.push(records);
