--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,5 +1,6 @@
 //! One attempt: choosing a server, connecting, sending, reading the head.
 
+use super::choice::choose;
 use super::cold;
 use super::request::RequestContext;
 use crate::dialect::Forwarding;
@@ -7,7 +8,6 @@
 use crate::upstream::connection::{Answer, ExchangeError, Outgoing, ServerConnection};
 use crate::upstream::pool::InFlight;
 use fieldhook_traffic::attempt::AttemptFailure;
-use fieldhook_traffic::balance::{self, Candidate, Request};
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::Observation;
 use std::time::Duration;
@@ -347,42 +347,3 @@
     context.daemon.dialect.forward(&mut headers, &forwarding);
     write::request(&context.method, &context.target, &headers, &context.body)
 }
-
-fn choose(context: &RequestContext, tried: &Tried) -> Option<ServerEntry> {
-    let daemon = &context.daemon;
-    let service = context.service()?;
-    let directory = daemon.directory.borrow();
-    let now_ms = daemon.now_ms();
-    let zone = &daemon.settings.zone;
-    let mut candidates: Vec<Candidate<'_>> =
-        daemon.places.with_rule(&context.homes, zone, |rule| {
-            let allowed = directory.serving(service).filter_map(|server| {
-                let distance = rule.serve(&server.zone).ok()?;
-                let is_cold = daemon.cold.cold(server).is_some();
-                if is_cold && daemon.cold.denied_ms(&server.id).is_some() {
-                    return None;
-                }
-                let view = daemon.pools.view(&server.id, now_ms);
-                Some(Candidate {
-                    server,
-                    distance,
-                    in_flight: view.in_flight,
-                    avoided: view.avoided,
-                    unsound: view.unsound,
-                    is_cold,
-                    has_idle_connection: view.has_idle_connection,
-                })
-            });
-            allowed.collect()
-        });
-    candidates.sort_by(|left, right| left.server.id.cmp(&right.server.id));
-    let is_stream = context.entry.route.kind.is_stream();
-    let affinity = context.meta.program.as_deref().filter(|_| is_stream);
-    let request = Request {
-        affinity,
-        preferred: context.engine.as_deref(),
-        tried: &tried.servers,
-    };
-    let index = balance::choose(&candidates, &request, fastrand::u64(..))?;
-    Some(candidates[index].server.clone())
-}
