--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,15 +4,16 @@
 //! requests one after another, [`request`] decides what a request may do: whose it is
 //! ([`admission`]), where it may be served and kept ([`homes`]) and whether its tenant may
 //! send it ([`quota`]);
-//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`]),
-//! sent to servers in places that are [`open`],
-//! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a
-//! program and `record` at its end.
+//! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`];
+//! [`choice`] of a server, `cold` where it bears only a few, [`open`] where its place is),
+//! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a program
+//! and `record` at its end.
 
 pub mod admission;
 pub mod answer;
 pub mod answer_times;
 pub mod buffered;
+pub mod choice;
 pub mod client;
 mod cold;
 pub mod connection;
