--- a/crates/gateway/tests/gateway/homes.rs
+++ b/crates/gateway/tests/gateway/homes.rs
@@ -426,20 +426,22 @@
         let fleet = Fleet::start(config(1), &["a1", "b1"]).await;
         let b = fleet.at("b1");
         let spend = async |name: &str| {
-            let fields = format!("Request: {name}\r\nProgram: p\r\nBudget: 50\r\nMost: 20\r\n");
+            let fields = format!("Request: {name}\r\nProgram: p\r\nBudget: 60\r\nMost: 20\r\n");
             let reply = b.ask("POST", "/chat/1", &fields, "x").await;
+            // The end of a turn is told beside its answer.
+            sleep(Duration::from_millis(100)).await;
             reply.head.status
         };
-        // Ten tokens each: a fifth turn of twenty does not fit beside forty.
-        for name in ["t1", "t2"] {
+        // Each reserves twenty tokens and uses ten: the sixth finds fifty used.
+        for name in ["t1", "t2", "t3"] {
             assert_eq!(spend(name).await, 200);
         }
         fleet.publish(chat_in(2, &["a"])).await;
         sleep(SETTLED).await;
-        for name in ["t3", "t4"] {
+        for name in ["t4", "t5"] {
             assert_eq!(spend(name).await, 200);
         }
-        assert_eq!(spend("t5").await, 402);
+        assert_eq!(spend("t6").await, 402);
     });
 }
 
