Reads of followed topics wait as long as contact-ms allows

Cause: each daemon read the configuration with waits of 1.5 s and the servers with 1.2 s and a pause, whatever the sheet bounds, and pays for each call. Only a connection that falls silent for good makes a wait late, and a daemon owes nothing until contact-ms after it.

A time-out gives the idle connections up, as an error did, since a second silent one would cost the wait again; a read that is begun anew after an outage does not wait. The memory log can let connections fall silent.

Excluded: a wait beyond contact-ms (what came in a silence would be overdue).

--- a/crates/emulator/src/log/memory.rs
+++ b/crates/emulator/src/log/memory.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// What goes wrong with calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -49,6 +49,8 @@
     fault: Cell<LogFault>,
     /// Where the fault holds; everywhere if there is none.
     faulty: RefCell<Option<Partition>>,
+    /// Rises when connections fall silent: calls of an earlier one are never answered.
+    connections: Cell<u64>,
     /// Calls made so far.
     pub calls: Cell<u64>,
 }
@@ -60,6 +62,7 @@
             log,
             fault: Cell::default(),
             faulty: RefCell::default(),
+            connections: Cell::new(0),
             calls: Cell::new(0),
         }
     }
@@ -76,6 +79,12 @@
         self.fault.set(fault);
     }
 
+    /// All connections fall silent: the calls that wait are never answered, new ones work.
+    pub fn silence_connections(&self) {
+        self.connections.set(self.connections.get() + 1);
+        self.log.changed.notify_waiters();
+    }
+
     fn fault_of(&self, partition: &Partition) -> LogFault {
         match &*self.faulty.borrow() {
             Some(faulty) if faulty != partition => LogFault::None,
@@ -145,9 +154,15 @@
         wait: Duration,
         limit: Duration,
     ) -> Result<ReadBatch, StoreError> {
+        let connection = self.connections.get();
         self.begin(&partition, limit).await?;
         let until = Instant::now() + wait;
+        let given_up = Instant::now() + limit;
         loop {
+            if self.connections.get() != connection {
+                sleep_until(given_up).await;
+                return Err(StoreError::Unknown);
+            }
             let changed = self.log.changed.notified();
             // A read that was waiting when the fault came is not answered either.
             self.begin_again(&partition, limit).await?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,7 +3,9 @@
 //! - [`config`]: the configuration in force.
 //! - [`known`]: the configuration as it was read, for other daemons.
 //! - [`servers`]: the servers that exist.
+//! - [`wait`]: how long reads wait.
 
 pub mod config;
 pub mod known;
 pub mod servers;
+pub mod wait;
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -11,9 +11,6 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// How long a read waits for a change. Short, so that a connection that fell
-/// silent is left before a change on it is overdue.
-const WAIT: Duration = Duration::from_millis(1_500);
 /// Pause between questions to other daemons: well within the time in which a configuration
 /// has to be in force (2 s on the smallest deployment).
 const PEER_PERIOD: Duration = Duration::from_millis(400);
@@ -29,7 +26,7 @@
         daemon.store.clone(),
         daemon.contact.clone(),
         partition,
-        WAIT,
+        super::wait::of_config(&daemon.settings),
     )
     .on_answer(Box::new(move || known.confirm(0)));
     loop {
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// How long a read waits for a change.
-const WAIT: Duration = Duration::from_millis(1_200);
 /// Pause between reads: changes of several servers come in one answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -24,7 +22,7 @@
         daemon.store.clone(),
         daemon.contact.clone(),
         partition,
-        WAIT,
+        super::wait::of_servers(&daemon.settings, PAUSE),
     );
     loop {
         match follower.next_update().await {
--- a/crates/gateway/src/store_exchange.rs
+++ b/crates/gateway/src/store_exchange.rs
@@ -91,6 +91,9 @@
             }
             Err(_) => {
                 self.contact.failed();
+                // Where one connection fell silent, others may have: the next call is not
+                // to wait for that as well.
+                self.idle.borrow_mut().clear();
                 Err(StoreError::Unknown)
             }
         }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod limits;
 mod outage;
 mod ownership;
+mod readers;
+mod store;
 mod support;
 mod tenants;
 mod turns;
--- /dev/null
+++ b/crates/gateway/tests/gateway/readers.rs
@@ -0,0 +1,94 @@
+//! Reads of the followed topics: few, and none later than the bounds allow.
+
+use crate::support::{Act, CONFIG, SERVERS, Server, World, config, run};
+use fieldhook_gateway::follow::wait;
+use fieldhook_gateway::settings::Bounds;
+use fieldhook_log::follow::{READ_SLACK, RESUME};
+use futures_util::future::join_all;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn a_read_on_a_silent_connection_is_made_up_for_before_the_daemon_owes_anything() {
+    for contact_ms in 1_700..8_000 {
+        for pause_ms in [0, 150] {
+            let (contact, pause) = (ms(contact_ms), ms(pause_ms));
+            let wait = wait::of_reads(contact, pause);
+            let made_up = pause + wait + READ_SLACK + RESUME;
+            // On any sheet on which a wait worth the call leaves room for it.
+            let has_room = contact >= pause + ms(500) + READ_SLACK + RESUME;
+            assert!(!has_room || made_up <= contact, "{contact_ms} {pause_ms}");
+        }
+    }
+    assert_eq!(wait::of_reads(ms(4_000), ms(0)), ms(2_900));
+    assert_eq!(wait::of_reads(ms(3_000), ms(0)), ms(1_900));
+    assert_eq!(wait::of_reads(ms(60_000), ms(0)), ms(30_000));
+}
+
+/// Connections fall silent at some moment of the reads; configuration, evacuation and a
+/// leaving server are told right behind that.
+async fn silenced_at(phase: Duration) {
+    let server = Server::start("s1", Act::Answer(200, "yes".to_owned())).await;
+    let world = World::new().await;
+    world.bounds.set(Bounds {
+        contact_ms: 3_000,
+        ..Bounds::default()
+    });
+    world.configs.borrow_mut().push(config(2));
+    let gateway = world.ready(&[&server]).await;
+    sleep(phase).await;
+    gateway.store.silence_connections();
+    let silent = Instant::now();
+    world.publish(1).await;
+    world.put(CONFIG, "closed/z9", "by the operator").await;
+    let leaving = format!("service {} draining", server.address);
+    world.put(SERVERS, "s1", &leaving).await;
+    let daemon = &gateway.daemon;
+    let in_force = || {
+        let version = daemon
+            .routes
+            .borrow()
+            .as_ref()
+            .map(|table| table.config.version);
+        let has_left = !daemon.directory.borrow().takes_work("s1");
+        version == Some(2) && daemon.places.is_evacuated("z9") && has_left
+    };
+    while !in_force() {
+        sleep(ms(5)).await;
+        let late = silent.elapsed() > ms(3_000);
+        assert!(!late, "silenced {phase:?} after a read began");
+    }
+}
+
+#[test]
+fn what_came_while_connections_were_silent_is_in_force_in_time() {
+    run(async {
+        let phases = [0, 150, 600, 1_200, 1_850, 2_100];
+        join_all(phases.map(|phase| silenced_at(ms(phase)))).await;
+    });
+}
+
+/// Three reads wait at any time, of at most the lengths above.
+#[test]
+fn quiet_topics_cost_few_calls() {
+    run(async {
+        let server = Server::start("s1", Act::Answer(200, "yes".to_owned())).await;
+        let world = World::new().await;
+        world.bounds.set(Bounds {
+            contact_ms: 4_000,
+            ..Bounds::default()
+        });
+        let gateway = world.ready(&[&server]).await;
+        sleep(ms(1_500)).await;
+        let before = gateway.store.calls.get();
+        sleep(ms(6_100)).await;
+        let calls = gateway.store.calls.get() - before;
+        // Two reads of 2.9 s, two of 2.75 s and a pause, one of 6 s, and one more of each
+        // that the time may cut.
+        assert!(calls <= 8, "{calls} calls");
+    });
+}
--- a/crates/log/src/follow.rs
+++ b/crates/log/src/follow.rs
@@ -10,8 +10,11 @@
 /// read that does not wait.
 const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much longer than the wait it asked for a read may take.
-const READ_SLACK: Duration = Duration::from_millis(700);
+pub const READ_SLACK: Duration = Duration::from_millis(700);
 const FIRST_PAUSE: Duration = Duration::from_millis(30);
+/// From a read that is given up until the next one tells what was missed, where the log is
+/// well: the first pause at its longest, a new connection of at most 300 ms, and an answer.
+pub const RESUME: Duration = Duration::from_millis(400);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// What a follower learned.
@@ -85,7 +88,10 @@
             let contact = self.contact.clone();
             let result = tokio::select! {
                 result = self.attempt() => result,
-                () = contact.regained.notified() => continue,
+                () = contact.regained.notified() => {
+                    self.is_behind = true;
+                    continue;
+                }
             };
             match result {
                 Ok(Update::Records(records)) if records.is_empty() => {
