Budgets: what a recorded turn left is not given to another turn under the same record

Cause: an owner whose record told of a turn under way gave what that turn left of its most to the next ones before the next record was durable. A successor with the older record frees the same once it hears of the turn's end, and then counts less than was handed out.

Excluded: the bound on what is handed out, which neither the strict oracle nor the new one saw broken.

Change: for each record that a successor may begin with, durable or on its way, turns that it does not tell of hand out no more than it reserves ahead.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -61,6 +61,18 @@
     most: u64,
     /// Tokens of it that are within the mark.
     allowed: u64,
+    /// The first record that tells of it: once that is durable, all of its most is allowed.
+    recorded_by: Option<u64>,
+}
+
+/// What a successor begins with that has this record, or none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Basis {
+    number: u64,
+    /// Tokens that it reserves for turns that it does not tell of.
+    ahead: u64,
+    /// Those that such turns handed out which have ended.
+    used: u64,
 }
 
 /// State of a program's budget in the memory of its owner.
@@ -69,10 +81,10 @@
     settled: u64,
     open: Vec<Open>,
     ended: Vec<String>,
-    /// Tokens that every later owner counts as spent.
-    durable_mark: u64,
-    /// Marks of records that are being appended, oldest first.
-    pending_marks: VecDeque<u64>,
+    /// The newest durable record, and behind it those that are being appended.
+    bases: VecDeque<Basis>,
+    /// Records made so far.
+    records: u64,
     /// Reserved ahead by an earlier owner; turns that it granted may use it.
     inherited: u64,
     ahead: Ahead,
@@ -86,9 +98,14 @@
 impl Budget {
     /// The budget of a program that no record tells of.
     pub fn fresh(budget: u64, unrecorded: Unrecorded) -> Self {
+        let inherited = unrecorded.spent(budget);
+        let basis = Basis {
+            ahead: unrecorded.mark(budget) - inherited,
+            ..Basis::default()
+        };
         Self {
-            durable_mark: unrecorded.mark(budget),
-            inherited: unrecorded.spent(budget),
+            bases: VecDeque::from([basis]),
+            inherited,
             unrecorded_budget: Some(budget),
             ..Self::default()
         }
@@ -100,8 +117,8 @@
             settled: record.settled,
             open: record.open.iter().map(Open::recorded).collect(),
             ended: record.ended.clone(),
-            durable_mark: mark_of(record),
-            pending_marks: VecDeque::new(),
+            bases: VecDeque::from([Basis::default()]),
+            records: 0,
             inherited: record.ahead,
             ahead: Ahead::default(),
             turn_most: 0,
@@ -121,10 +138,17 @@
         self.settled + open
     }
 
-    /// Tokens that were handed out, or may be without a further record.
-    fn covered(&self) -> u64 {
-        let open: u64 = self.open.iter().map(|open| open.allowed).sum();
-        self.settled + open + self.inherited
+    /// What may still be allowed to turns. Beyond each record that a successor may begin with,
+    /// the turns that it does not tell of hand out no more than it reserves ahead. What a turn
+    /// that it tells of left of its most is nobody's: the successor frees it once it hears of
+    /// that turn's end.
+    fn room(&self) -> u64 {
+        let rooms = self.bases.iter().map(|basis| {
+            let untold = self.open.iter().filter(|open| !open.is_in(basis.number));
+            let allowed: u64 = untold.map(|open| open.allowed).sum();
+            basis.ahead.saturating_sub(basis.used + allowed)
+        });
+        rooms.min().unwrap_or(0)
     }
 
     /// Takes in what is seen of the program's turns.
@@ -159,6 +183,7 @@
                 turn: turn.to_owned(),
                 most,
                 allowed: 0,
+                recorded_by: None,
             });
             self.changed_ms = now_ms;
         }
@@ -167,7 +192,7 @@
 
     /// Lets a turn have what the mark holds of its most.
     fn allow(&mut self, turn: &str) -> Reservation {
-        let room = self.durable_mark.saturating_sub(self.covered());
+        let room = self.room();
         let open = self.open.iter_mut().find(|open| open.turn == turn);
         let Some(open) = open else {
             return Reservation::Durable;
@@ -188,7 +213,12 @@
             return false;
         }
         if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
-            self.open.swap_remove(index);
+            let ended = self.open.swap_remove(index);
+            for basis in &mut self.bases {
+                if !ended.is_in(basis.number) {
+                    basis.used += tokens;
+                }
+            }
         } else {
             // Granted by an earlier owner from what it had reserved ahead. That owner may
             // have reserved the rest of this turn's most again for turns whose ends are
@@ -210,9 +240,7 @@
         Some(self.record(budget))
     }
 
-    /// The record to append now.
-    ///
-    /// A mark that is lowered counts from here on, not from the append on: a turn
+    /// The record to append now. Its mark binds from here on, not from the append on: a turn
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
@@ -224,9 +252,16 @@
             ended: self.ended.clone(),
             changed_ms: self.changed_ms,
         };
-        let mark = mark_of(&record);
-        self.durable_mark = self.durable_mark.min(mark);
-        self.pending_marks.push_back(mark);
+        self.records += 1;
+        let number = self.records;
+        for open in &mut self.open {
+            open.recorded_by.get_or_insert(number);
+        }
+        self.bases.push_back(Basis {
+            number,
+            ahead,
+            used: 0,
+        });
         record
     }
 
@@ -238,15 +273,15 @@
         }
     }
 
-    /// The oldest record under way was appended: what it reserves is durable,
-    /// as far as no later record lowers it.
-    pub fn appended(&mut self, record: &ProgramRecord) {
-        self.pending_marks.pop_front();
-        let lowest_pending = self.pending_marks.iter().copied().min();
-        let mark = mark_of(record);
-        self.durable_mark = lowest_pending.map_or(mark, |pending| pending.min(mark));
+    /// The oldest record under way was appended: what it reserves is durable.
+    pub fn appended(&mut self) {
+        if self.bases.len() < 2 {
+            return;
+        }
+        self.bases.pop_front();
+        let durable = self.bases.front().map_or(0, |basis| basis.number);
         for open in &mut self.open {
-            if record.open.iter().any(|known| known.turn == open.turn) {
+            if open.is_in(durable) {
                 open.allowed = open.most;
             }
         }
@@ -260,9 +295,15 @@
             turn: reservation.turn.clone(),
             most: reservation.tokens,
             allowed: reservation.tokens,
+            recorded_by: Some(0),
         }
     }
 
+    /// Whether the record of this number tells of it.
+    fn is_in(&self, number: u64) -> bool {
+        self.recorded_by.is_some_and(|first| first <= number)
+    }
+
     fn reservation(&self) -> OpenReservation {
         OpenReservation {
             turn: self.turn.clone(),
@@ -270,8 +311,3 @@
         }
     }
 }
-
-fn mark_of(record: &ProgramRecord) -> u64 {
-    let open: u64 = record.open.iter().map(|open| open.tokens).sum();
-    record.settled + open + record.ahead
-}
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -220,9 +220,9 @@
     /// A record was appended.
     pub fn appended(&mut self, record: &Record) {
         match record {
-            Record::Program(name, Some(record)) => {
+            Record::Program(name, Some(_)) => {
                 if let Some(program) = self.programs.get_mut(name) {
-                    program.appended(record);
+                    program.appended();
                 }
             }
             Record::Doubt(successors) => self.doubt.appended(*successors),
--- a/crates/ledger/tests/budget_room.rs
+++ b/crates/ledger/tests/budget_room.rs
@@ -11,6 +11,7 @@
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
+use fieldhook_ledger::scope::Name;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -129,6 +130,15 @@
         used + MOST > BUDGET || used > self.room
     }
 
+    fn counted(&self) -> u64 {
+        self.owner.committed(&Name::new(None, PROGRAM))
+    }
+
+    /// An owner that knows the program counts all that was handed out of it, by whomever.
+    fn counts_all(&self) -> bool {
+        self.owner.programs() == 0 || self.counted() >= self.handed_out()
+    }
+
     fn push(&mut self, records: Vec<Record>) {
         self.queued += records.len();
         self.queue.extend(records);
@@ -295,8 +305,7 @@
         self.push(records);
         self.append_all();
         let doubt_ms = self.owner.doubt_ms(1);
-        let former = std::mem::replace(&mut self.owner, Partition::taken_over(1, doubt_ms));
-        self.formers.push(former);
+        self.owner = Partition::taken_over(1, doubt_ms);
         self.count_loss();
         self.read_back();
     }
@@ -363,6 +372,13 @@
                 world.losses
             ));
         }
+        if !world.counts_all() {
+            return TestResult::error(format!(
+                "an owner counts {} of {} handed out",
+                world.counted(),
+                world.handed_out()
+            ));
+        }
         if world.handed_out() > BUDGET + MOST {
             return TestResult::error(format!("{} handed out", world.handed_out()));
         }
@@ -424,6 +440,24 @@
     }
 }
 
+/// What a recorded turn left of its most is freed by the successor that hears of its end, so
+/// its owner may not have given it to another turn.
+#[test]
+fn what_a_recorded_turn_left_is_not_handed_out_under_that_record() {
+    let mut world = World::new(true);
+    assert!(world.open() && world.open());
+    world.append_all();
+    assert!(world.open());
+    world.step(Step::Close(1, 221));
+    assert!(world.open());
+    for which in 0..3 {
+        world.step(Step::HandOut(which, 255));
+    }
+    world.step(Step::LoseOwner);
+    let (counted, handed_out) = (world.counted(), world.handed_out());
+    assert!(world.counts_all(), "{counted} of {handed_out}");
+}
+
 /// Between two turns nothing is under way: losses there cost nothing that a turn needs, as
 /// long as there are no more of them than the bound tells.
 #[test]
