--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -55,6 +55,11 @@
         self.durable
     }
 
+    /// Tokens that may reach the client before the reservation is durable.
+    pub fn allowed(&self) -> u64 {
+        self.allowed
+    }
+
     /// Whether so many tokens may reach the client at once.
     pub fn allows(&self, tokens: u64) -> bool {
         self.durable || tokens <= self.allowed
--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -89,6 +89,7 @@
         epoch,
         turns = state.borrow().turns(),
         programs = state.borrow().programs(),
+        doubt_ms = state.borrow().doubt_ms(unix_ms()),
         took_ms = started.elapsed().as_millis() as u64,
     );
     let owned = Owned {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -105,6 +105,7 @@
                 most = meta.most_tokens,
                 partition = ledger.partition_of(&request.program),
                 durable = opened.is_durable(),
+                allowed = opened.allowed(),
                 engine = opened.engine,
                 took_ms = took.as_millis() as u64
             );
