--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -143,6 +143,7 @@
                 partition = ledger.partition_of(&request.program),
                 keeper,
                 durable = opened.is_durable(),
+                allowed = opened.allowed(),
                 engine = opened.engine,
                 took_ms = took.as_millis() as u64
             );
