--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -28,6 +28,8 @@
     in_flight: u32,
     health: Health,
     rest: Rest,
+    /// When its machine answered a try last.
+    answered_try: Option<Instant>,
 }
 
 /// All servers' pools.
@@ -118,6 +120,19 @@
         self.silence.borrow().is_zone_in_doubt(zone, now_ms)
     }
 
+    /// The machine of a server answered a try.
+    pub fn answered_try(&self, id: &str) {
+        let mut servers = self.servers.borrow_mut();
+        servers.entry(id.to_owned()).or_default().answered_try = Some(Instant::now());
+    }
+
+    /// Whether it did within this time: all that wait for the server know by one try.
+    pub fn answered_try_within(&self, id: &str, time: Duration) -> bool {
+        let servers = self.servers.borrow();
+        let at = servers.get(id).and_then(|state| state.answered_try);
+        at.is_some_and(|at| at.elapsed() < time)
+    }
+
     /// Whoever tries a server holds this; `None` while another does.
     pub fn begin_probe(&self, id: &str) -> Option<Probing<'_>> {
         let is_first = self.probing.borrow_mut().insert(id.to_owned());
--- a/crates/gateway/src/upstream/probe.rs
+++ b/crates/gateway/src/upstream/probe.rs
@@ -105,6 +105,10 @@
         if daemon.pools.is_silent(&server.id, daemon.now_ms()) {
             return;
         }
+        if daemon.pools.answered_try_within(&server.id, patience) {
+            sleep(patience).await;
+            continue;
+        }
         let Some(probing) = daemon.pools.begin_probe(&server.id) else {
             sleep(SHARED_PAUSE).await;
             continue;
@@ -112,6 +116,7 @@
         let probed = probe(daemon, server).await;
         drop(probing);
         if probed == Probed::Answered {
+            daemon.pools.answered_try(&server.id);
             sleep(patience * 2).await;
         }
     }
