At a limit calls wait while their answer can still come in their time

Change: the place is known, and how late answers of the route were; a call waits if both fit in what it has left (traffic::wait). A program's first turn waits no longer than its route's aim.

The gateway test fails with the quarter (429 in place of 200).

--- a/crates/gateway/src/serve/quota.rs
+++ b/crates/gateway/src/serve/quota.rs
@@ -5,12 +5,10 @@
 use crate::ledger::quota::Outcome;
 use fieldhook_ledger::message::QuotaQuestion;
 use fieldhook_traffic::tenants::Limit;
+use fieldhook_traffic::wait;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-/// Part of a request's time that it may wait at its tenant's limit: one in this. A program
-/// that is under way is broken by a refusal, and a wait is shorter than another try.
-const WAIT_DIVISOR: u64 = 4;
 /// A request that got through later than this after it came is told of, in milliseconds.
 const LATE_MS: u64 = 100;
 
@@ -48,17 +46,16 @@
     }
 }
 
-/// Asks until there is a place, or the next one is too far off to wait for.
+/// Asks until there is a place, or the next one comes too late for the answer.
 async fn ask(context: &RequestContext, question: &QuotaQuestion) -> Outcome {
     let daemon = &context.daemon;
-    let until = Instant::now() + Duration::from_millis(context.left_ms() / WAIT_DIVISOR);
     loop {
         let outcome = daemon.quota.take(&daemon.ledger, question).await;
         let Outcome::Refused { retry_after_ms } = outcome else {
             return outcome;
         };
         let pause = Duration::from_millis(retry_after_ms);
-        if Instant::now() + pause >= until {
+        if !is_worth(context, question, pause) {
             return outcome;
         }
         daemon.metrics.quota.with_label_values(&["waits"]).inc();
@@ -66,6 +63,19 @@
     }
 }
 
+/// Whether a place that is so far off is worth waiting for. A program that begins is late as
+/// a whole by what it waits: beyond its route's aim it had better come back. What is under
+/// way needs its answer while there is time for it.
+fn is_worth(context: &RequestContext, question: &QuotaQuestion, pause: Duration) -> bool {
+    let route = &context.entry.route;
+    if question.begins {
+        let left_ms = route.target_ms.saturating_sub(context.age_ms());
+        return wait::is_worth(pause, Duration::ZERO, Duration::from_millis(left_ms));
+    }
+    let answer = context.daemon.answer_times.overdue_after(&route.name);
+    wait::is_worth(pause, answer, Duration::from_millis(context.left_ms()))
+}
+
 /// Name and limit of the tenant, with the version of the configuration that says so.
 fn limit_of(context: &RequestContext) -> Option<(String, Limit, u64)> {
     let name = context.tenant_name()?;
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -14,7 +14,7 @@
 use crate::http::write::{AnswerBody, LAST_CHUNK, chunk, response_head};
 use crate::upstream::connection::ExchangeError;
 use fieldhook_traffic::attempt::AttemptFailure;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 const ANSWER_LIMIT: usize = 1 << 20;
 
@@ -95,6 +95,7 @@
 ) -> Result<Served, OwnAnswer> {
     let mut retries = Retries::default();
     loop {
+        let begun = Instant::now();
         let failure = match dispatch(context, &mut retries.tried, delivery.last_event).await {
             Ok(attempt) if !is_stream(&attempt) => {
                 return pass_other(context, delivery, attempt, writer).await;
@@ -103,6 +104,8 @@
                 let end = pass_events(context, &mut attempt, turn, delivery, writer).await;
                 match end {
                     StreamEnd::Complete => {
+                        let times = &context.daemon.answer_times;
+                        times.observe(&context.entry.route.name, begun.elapsed());
                         attempt.finish(context);
                         return finish(context, turn, delivery, writer).await;
                     }
--- a/crates/gateway/tests/gateway/limits.rs
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -159,3 +159,34 @@
         assert_eq!(server.count(), 8);
     });
 }
+
+/// A call of a program under way that is told a place in time waits for it: refused, it
+/// would end the program.
+#[test]
+fn a_call_waits_for_a_place_that_comes_in_its_time() {
+    run(async {
+        let server = Server::start("s1", Act::Answer(200, "yes".to_owned())).await;
+        // Three places at once, then one each 700 ms, of 2,000 ms that a call has.
+        let rate_per_s = 1.0 / 0.525;
+        let slow = Tenant {
+            limit: Some(Limit {
+                rate_per_s,
+                burst: 3.0 - rate_per_s * 1.25,
+            }),
+            ..tenant("red", "k1")
+        };
+        let world = world_of(vec![slow]).await;
+        let gateway = world.ready(&[&server]).await;
+        sleep(Duration::from_millis(900)).await;
+        for number in 0..4 {
+            assert_eq!(
+                ask(&gateway, number).await.head.status,
+                200,
+                "call {number}"
+            );
+        }
+        assert_eq!(server.count(), 4);
+        let waits = gateway.daemon.metrics.quota.with_label_values(&["waits"]);
+        assert!(waits.get() > 0);
+    });
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`groups`]: which engines the owner of a partition assigns.
 //! - [`assignment`]: the engine at which a program's turns run.
 //! - [`balance`]: choosing a server for one attempt.
+//! - [`wait`]: waiting for a place that comes free at a known time.
 //! - [`overdue`]: how long an attempt is waited for.
 //! - [`attempt`]: what may follow a failed attempt.
 //! - [`retry_budget`]: how many attempts a daemon may repeat over all its requests.
@@ -38,4 +39,5 @@
 pub mod split;
 pub mod table;
 pub mod tenants;
+pub mod wait;
 pub mod window;
