--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`message`]: what gateways ask an owner, and its answers.
 //! - [`record`]: what is appended, and its keys.
 //! - [`budget`]: how much of its budget a program may still hand out.
+//! - [`doubt`]: programs that no record tells of after a take-over.
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
