explain shows what daemons believed of places: evacuations, cold and silent servers, homes

A request's story named none of the new beliefs. The test lists two of them for the request's daemon and server, and leaves out another server's.

--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -8,11 +8,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Lines that tell what a daemon believes, not what it did with a request.
-const BELIEFS: [&str; 15] = [
+const BELIEFS: [&str; 20] = [
     "append_repeated",
     "claimed_for_another",
     "config_in_force",
     "config_unreadable",
+    "homes_unservable",
     "load_delayed",
     "owner_doubted",
     "partition_claimed",
@@ -20,10 +21,14 @@
     "partition_lost",
     "partition_owned",
     "partition_released",
+    "process_was_stopped",
     "reach_changed",
+    "server_cold",
     "server_gone",
+    "server_silence",
     "store_lost",
     "store_regained",
+    "zone_evacuation",
 ];
 /// Fields that stand at the start of a printed line, or tell nothing.
 const NOT_REPEATED: [&str; 4] = ["timestamp", "level", "event", "request"];
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -8,6 +8,9 @@
 frontend-a {"timestamp":"2026-01-01T00:00:01.000000Z","event":"store_lost","age_ms":900}
 frontend-b {"timestamp":"2026-01-01T00:00:01.100000Z","event":"store_lost","age_ms":900}
 frontend-a {"timestamp":"2026-01-01T00:00:02.000000Z","event":"store_regained"}
+frontend-a {"timestamp":"2026-01-01T00:00:02.300000Z","event":"zone_evacuation","zone":"b","state":"Evacuated","revision":7}
+frontend-a {"timestamp":"2026-01-01T00:00:02.400000Z","event":"server_cold","server":"i-1","cause":"new","left_ms":3000}
+frontend-a {"timestamp":"2026-01-01T00:00:02.400000Z","event":"server_cold","server":"i-2","cause":"new","left_ms":3000}
 frontend-c {"timestamp":"2026-01-01T00:00:02.500000Z","event":"partition_owned","partition":3,"turns":7}
 frontend-c {"timestamp":"2026-01-01T00:00:02.600000Z","event":"partition_owned","partition":4,"turns":8}
 frontend-a {"timestamp":"2026-01-01T00:00:03.200000Z","event":"answered_here","request":"r1","program":"p1","status":503,"cause":"no server"}
@@ -53,6 +56,8 @@
         events(&output),
         [
             "frontend-a store_regained",
+            "frontend-a zone_evacuation",
+            "frontend-a server_cold",
             "frontend-c partition_owned",
             "frontend-a turn_opened",
             "frontend-a attempt_failed",
