Budgets: a planned stop of an owner leaves nothing reserved ahead behind

Cause: an owner that gave its partition up in order left one turn's most (or half of the rest) reserved ahead in each program's record, and the successor counted it as after a loss, with each planned stop anew; a living program's kept chain could be refused with 402. Excluded: one loss alone (within the excess).

Change: before it is given up each program gets a last record that reserves nothing ahead.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -234,17 +234,35 @@
         true
     }
 
-    /// The record to append before the partition is given up, if there was none yet.
+    /// The record to append of a program that none tells of yet.
     pub fn first_record(&mut self) -> Option<ProgramRecord> {
         let budget = self.unrecorded_budget?;
         Some(self.record(budget))
     }
 
+    /// The record to append before the partition is given up, where the newest one reserves
+    /// something ahead or there is none: a successor would count that in vain, with each planned
+    /// stop anew. Without it one stop leaves 725 tokens counted of 145 used
+    /// (`planned_stops_take_nothing_of_a_budget`).
+    pub fn last_record(&mut self) -> Option<ProgramRecord> {
+        let reserves = self.bases.back().is_some_and(|basis| basis.ahead > 0);
+        let is_told = self.unrecorded_budget.is_none();
+        if is_told && !reserves {
+            return None;
+        }
+        Some(self.record_ahead(0))
+    }
+
     /// The record to append now. Its mark binds from here on, not from the append on: a turn
     /// granted in between by the former mark would be lost with this owner.
     pub fn record(&mut self, budget: u64) -> ProgramRecord {
-        self.unrecorded_budget = None;
         let ahead = self.ahead_of(budget.saturating_sub(self.committed()));
+        self.record_ahead(ahead)
+    }
+
+    /// A record that reserves so much ahead.
+    fn record_ahead(&mut self, ahead: u64) -> ProgramRecord {
+        self.unrecorded_budget = None;
         let record = ProgramRecord {
             settled: self.settled,
             open: self.open.iter().map(Open::reservation).collect(),
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -4,7 +4,7 @@
 use crate::doubt::Doubt;
 pub use crate::doubt::doubt_after_loss;
 use crate::message::{CloseTurn, OpenTurn};
-use crate::record::{Record, TurnRecord};
+use crate::record::{ProgramRecord, Record, TurnRecord};
 use crate::scope::Name;
 use std::collections::HashMap;
 
@@ -90,14 +90,21 @@
         claimed.map(Record::Doubt).into_iter().collect()
     }
 
-    /// Records of the programs that none tells of yet, to be appended before the partition
-    /// is given up.
+    /// Records to be appended before the partition is given up: nothing is reserved ahead
+    /// after them, and every program has one.
     pub fn hand_over(&mut self) -> Vec<Record> {
-        let unrecorded = self.programs.iter_mut().filter_map(|(name, program)| {
-            let record = program.first_record()?;
-            Some(Record::Program(name.clone(), Some(record)))
-        });
-        unrecorded.collect()
+        self.record_programs(Budget::last_record)
+    }
+
+    fn record_programs(
+        &mut self,
+        record: impl Fn(&mut Budget) -> Option<ProgramRecord>,
+    ) -> Vec<Record> {
+        let programs = self.programs.iter_mut();
+        let records = programs
+            .filter_map(|(name, program)| Some((name, record(program)?)))
+            .map(|(name, record)| Record::Program(name.clone(), Some(record)));
+        records.collect()
     }
 
     fn program(&mut self, name: Name, budget: u64, now_ms: u64) -> &mut Budget {
@@ -255,7 +262,7 @@
         if !self.doubt.needs_end(now_ms) {
             return Vec::new();
         }
-        let mut records = self.hand_over();
+        let mut records = self.record_programs(Budget::first_record);
         records.push(Record::Doubt(0));
         records
     }
--- a/crates/ledger/tests/budget_room.rs
+++ b/crates/ledger/tests/budget_room.rs
@@ -302,13 +302,18 @@
         self.room = self.room.saturating_sub(hidden);
     }
 
+    /// Takes nothing of a program that the owner knows. One that it does not know may have used
+    /// what unknown programs are given in doubt.
     fn hand_over(&mut self) {
+        let is_known = self.owner.programs() > 0;
         let records = self.owner.hand_over();
         self.push(records);
         self.append_all();
         let doubt_ms = self.owner.doubt_ms(1);
         self.owner = Partition::taken_over(1, doubt_ms);
-        self.count_loss();
+        if !is_known {
+            self.count_loss();
+        }
         self.read_back();
     }
 
@@ -460,6 +465,21 @@
     assert!(world.counts_all(), "{counted} of {handed_out}");
 }
 
+/// An owner that gives its partition up in order leaves nothing reserved ahead behind, however
+/// often that happens.
+#[test]
+fn planned_stops_take_nothing_of_a_budget() {
+    let mut world = World::new(true);
+    for stop in 0..9 {
+        assert!(world.open(), "stop {stop}");
+        world.append_all();
+        world.end_with(145);
+        world.append_all();
+        world.step(Step::HandOver);
+        assert_eq!(world.counted(), world.used(), "stop {stop}");
+    }
+}
+
 /// Between two turns nothing is under way: losses there cost nothing that a turn needs, as
 /// long as there are no more of them than the bound tells.
 #[test]
