Sight: a refusal for the budget says what is counted; a turn whose asker left is said

The lines could not tell a budget that is used up from one that is reserved for nobody. The owner's refusal carries settled tokens, turns under way with the oldest and its age, and what earlier owners reserved ahead; the gateway's turn_refused line shows them. A gateway that gives up a question to which an owner may have said yes says turn_in_doubt and counts it. The opening of a turn has a module of its own. What is decided is the same.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -3,7 +3,9 @@
 use super::exchange::{Doubt, Exchange};
 use super::owner::Owner;
 use super::peer::Peers;
-use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{
+    CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn, Shortage,
+};
 use fieldhook_log::contact::Contact;
 use fieldhook_log::reach::Reach;
 use fieldhook_topology::region::Set;
@@ -35,10 +37,10 @@
 pub(super) const PAUSE: Duration = Duration::from_millis(10);
 
 /// Why a turn does not begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OpenFailure {
     /// The budget does not hold it.
-    BudgetSpent,
+    BudgetSpent(Shortage),
     /// No such turn is kept.
     UnknownTurn,
     /// No owner answered in time.
@@ -47,6 +49,26 @@
     HomeUnavailable,
 }
 
+impl OpenFailure {
+    /// The name of the cause in log lines.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::BudgetSpent(_) => "BudgetSpent",
+            Self::UnknownTurn => "UnknownTurn",
+            Self::Unavailable => "Unavailable",
+            Self::HomeUnavailable => "HomeUnavailable",
+        }
+    }
+
+    /// What the budget counts that does not hold the turn.
+    pub fn shortage(&self) -> Option<&Shortage> {
+        match self {
+            Self::BudgetSpent(shortage) => Some(shortage),
+            _ => None,
+        }
+    }
+}
+
 /// A turn that may begin.
 pub struct OpenedTurn {
     /// Contents of its chain.
@@ -112,28 +134,33 @@
 
     /// Opens a turn. A previous turn that the program's own partition does not know
     /// may belong to another program: the other partitions are asked then, and
-    /// `request` says from there on that its chain is brought along.
+    /// `request` says from there on that its chain is brought along. `in_doubt` says, also if
+    /// this is given up midway, whether an owner may have opened it without having answered.
     ///
     /// # Errors
     /// The turn may not begin, or nobody could tell by the deadline.
     pub async fn open(
         &self,
         request: &mut OpenTurn,
+        in_doubt: &Cell<bool>,
         deadline: Instant,
     ) -> Result<OpenedTurn, OpenFailure> {
         if request.keeper.is_none() {
-            return self.open_whole(request, deadline).await;
+            return self.open_whole(request, in_doubt, deadline).await;
         }
         // Asked also where a program begins: without an owner that keeps what it says, it
         // must not run.
         let mut contents = request.contents();
         let until = deadline.min(Instant::now() + KEEPER_LIMIT);
-        let kept = match self.open_whole(&mut contents, until).await {
+        // The partition that keeps what is said reserves nothing.
+        let nothing = Cell::default();
+        let kept = match self.open_whole(&mut contents, &nothing, until).await {
             Err(OpenFailure::Unavailable) => return Err(OpenFailure::HomeUnavailable),
             kept => kept?,
         };
         request.brings_chain = contents.brings_chain;
-        let opened = self.open_at_home(&request.order(), deadline).await?;
+        let order = request.order();
+        let opened = self.open_at_home(&order, in_doubt, deadline).await?;
         Ok(OpenedTurn {
             chain: kept.chain,
             ..opened
@@ -144,15 +171,16 @@
     async fn open_whole(
         &self,
         request: &mut OpenTurn,
+        in_doubt: &Cell<bool>,
         deadline: Instant,
     ) -> Result<OpenedTurn, OpenFailure> {
-        match self.open_at_home(request, deadline).await {
+        match self.open_at_home(request, in_doubt, deadline).await {
             Err(OpenFailure::UnknownTurn) => {}
             outcome => return outcome,
         }
         let chain = self.find_elsewhere(request, deadline).await?;
         request.brings_chain = true;
-        let opened = self.open_at_home(request, deadline).await?;
+        let opened = self.open_at_home(request, in_doubt, deadline).await?;
         Ok(OpenedTurn { chain, ..opened })
     }
 
@@ -200,10 +228,11 @@
     async fn open_at_home(
         &self,
         request: &OpenTurn,
+        in_doubt: &Cell<bool>,
         deadline: Instant,
     ) -> Result<OpenedTurn, OpenFailure> {
         let request = LedgerRequest::Open(request.clone());
-        match self.ask(&request, deadline).await {
+        match self.ask_for(&request, in_doubt, deadline).await {
             Some((opened, replies)) => match opened {
                 LedgerReply::Opened {
                     chain,
@@ -219,7 +248,7 @@
                     allowed,
                     replies,
                 }),
-                LedgerReply::BudgetSpent => Err(OpenFailure::BudgetSpent),
+                LedgerReply::BudgetSpent(shortage) => Err(OpenFailure::BudgetSpent(shortage)),
                 LedgerReply::UnknownTurn => Err(OpenFailure::UnknownTurn),
                 _ => Err(OpenFailure::Unavailable),
             },
@@ -240,10 +269,15 @@
             match timeout_at(deadline, opened.replies.recv()).await {
                 Err(_) => return false,
                 Ok(Some(LedgerReply::Durable)) => opened.durable = true,
-                Ok(_) => match self.open_at_home(&request.order(), deadline).await {
-                    Ok(again) => *opened = again,
-                    Err(_) => return false,
-                },
+                Ok(_) => {
+                    // Its end is told in any case.
+                    let in_doubt = Cell::default();
+                    let order = request.order();
+                    match self.open_at_home(&order, &in_doubt, deadline).await {
+                        Ok(again) => *opened = again,
+                        Err(_) => return false,
+                    }
+                }
             }
         }
         true
@@ -290,14 +324,26 @@
         false
     }
 
+    /// Asks whoever owns the partition until it answers.
     pub(super) async fn ask(
         &self,
         request: &LedgerRequest,
         deadline: Instant,
+    ) -> Option<(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>)> {
+        self.ask_for(request, &Cell::default(), deadline).await
+    }
+
+    /// The same; `in_doubt` says, also if this is given up midway, whether an owner was asked
+    /// that may have done something and did not answer.
+    async fn ask_for(
+        &self,
+        request: &LedgerRequest,
+        in_doubt: &Cell<bool>,
+        deadline: Instant,
     ) -> Option<(LedgerReply, mpsc::UnboundedReceiver<LedgerReply>)> {
         let partition = request.partition(self.owner.places.layout.free());
         loop {
-            let exchange = self.exchange(partition, request, ANSWER_LIMIT);
+            let exchange = self.exchange_for(partition, request, in_doubt, ANSWER_LIMIT);
             let exchange = timeout_at(deadline, exchange).await;
             self.note(partition, exchange.as_ref().ok());
             match exchange {
--- a/crates/gateway/src/ledger/exchange.rs
+++ b/crates/gateway/src/ledger/exchange.rs
@@ -4,6 +4,7 @@
 use crate::upstream::probe;
 use fieldhook_ledger::message::{LedgerReply, LedgerRequest};
 use fieldhook_log::reach::Reach;
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -74,6 +75,20 @@
         partition: u32,
         request: &LedgerRequest,
         answer_limit: Duration,
+    ) -> Exchange {
+        let in_doubt = Cell::default();
+        self.exchange_for(partition, request, &in_doubt, answer_limit)
+            .await
+    }
+
+    /// The same; `in_doubt` is set once the owner is asked, and stays so where nothing is heard
+    /// of what it did.
+    pub(super) async fn exchange_for(
+        &self,
+        partition: u32,
+        request: &LedgerRequest,
+        in_doubt: &Cell<bool>,
+        answer_limit: Duration,
     ) -> Exchange {
         let claim = self.owner.claims.claim(partition);
         let Some(claim) = claim else {
@@ -88,15 +103,20 @@
             return Exchange::Suspect(Some(claim.epoch));
         }
         let was_connected = !mine && self.peers.is_connected(address);
+        let was_in_doubt;
         let mut replies = if mine {
             let (sender, replies) = mpsc::unbounded_channel();
+            was_in_doubt = in_doubt.replace(true);
             self.owner.handle(request.clone(), sender);
             replies
         } else if address == self.owner.claims.address {
             return Exchange::Suspect(Some(claim.epoch));
         } else {
             match self.peers.connection(address).await {
-                Ok(connection) => connection.call(request.clone()),
+                Ok(connection) => {
+                    was_in_doubt = in_doubt.replace(true);
+                    connection.call(request.clone())
+                }
                 // Nothing came back: the owner's machine is gone, or either side is cut off.
                 Err(error) if probe::is_unanswered(error.kind()) => {
                     self.silent_owner.set(true);
@@ -127,6 +147,7 @@
                 return Exchange::Silent(claim.epoch);
             }
         };
+        in_doubt.set(was_in_doubt);
         match reply {
             LedgerReply::Unavailable => Exchange::Loading(claim.epoch),
             LedgerReply::NotOwner(Some(known)) if self.learn(partition, &known) => Exchange::Again,
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -76,7 +76,9 @@
                 }
             }
             // A refusal has to be true: it goes out once the fence is seen to hold.
-            OpenOutcome::BudgetSpent => self.answer_fenced(sender, LedgerReply::BudgetSpent),
+            OpenOutcome::BudgetSpent(shortage) => {
+                self.answer_fenced(sender, LedgerReply::BudgetSpent(shortage));
+            }
             OpenOutcome::UnknownTurn => self.answer_fenced(sender, LedgerReply::UnknownTurn),
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub tenants: IntGauge,
     /// Part of its limit that a tenant uses: those nearest to it.
     pub tenant_limit_used: GaugeVec,
+    /// Turns that an owner may have opened for an asker that left.
+    pub turns_in_doubt: IntCounter,
     /// Connections opened to servers.
     pub connections: IntCounter,
     /// Calls to the log service by kind.
@@ -131,6 +133,10 @@
                 "Part of its limit that a tenant uses",
                 "tenant",
             ),
+            turns_in_doubt: b.counter(
+                "fieldhook_turns_in_doubt_total",
+                "Turns whose askers left before the owner's answer",
+            ),
             connections: b.counter("fieldhook_server_connections_total", "Connections opened"),
             store_calls: b.counters("fieldhook_store_calls_total", "Log service calls", "kind"),
             partitions_owned: b.gauge("fieldhook_partitions_owned", "Partitions owned"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 //! send it ([`quota`]);
 //! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`];
 //! [`choice`] of a server, `cold` where it bears only a few, [`open`] where its place is),
-//! which [`answer_times`] says how long to wait for, with [`turn`] around a turn of a program
+//! which [`answer_times`] says how long to wait for, with [`opening`] before and [`turn`] around a turn of a program
 //! and `record` at its end.
 
 pub mod admission;
@@ -21,6 +21,7 @@
 pub mod homes;
 pub mod listener;
 pub mod open;
+pub mod opening;
 pub mod quota;
 mod record;
 pub mod request;
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -2,7 +2,8 @@
 
 use super::answer::OwnAnswer;
 use super::client::{ClientRequest, ClientWriter};
-use super::turn::{self, Turn, TurnRefusal};
+use super::opening::{self, TurnRefusal};
+use super::turn::Turn;
 use super::{admission, buffered, homes, quota, stream};
 use crate::daemon::Daemon;
 use crate::dialect::RequestMeta;
@@ -174,7 +175,7 @@
             Err(refusal) => context.answer(refusal, writer).await,
         };
     }
-    match turn::open(&context).await {
+    match opening::open(&context).await {
         Ok(turn) => match quota::take(&context, turn.as_ref().is_some_and(Turn::begins)).await {
             Ok(()) => serve_turn(context, turn, writer).await,
             Err(refusal) => context.answer(refusal, writer).await,
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -1,15 +1,11 @@
-//! A turn of a program: asked for at the ledger before it runs, and its end told
-//! there, whatever becomes of the client's connection.
+//! A turn of a program that an owner has opened ([`super::opening`]): its end is told there,
+//! whatever becomes of the client's connection.
 
-use super::homes;
-use super::request::RequestContext;
 use crate::http::events::Event;
-use crate::ledger::client::{LedgerClient, OpenFailure, OpenedTurn};
+use crate::ledger::client::{LedgerClient, OpenedTurn};
 use crate::metrics::Metrics;
 use bytes::{Bytes, BytesMut};
-use fieldhook_ledger::message::{CloseTurn, OpenTurn, Placement, TurnContent};
-use fieldhook_log::reach::Reach;
-use fieldhook_topology::region::Set;
+use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,27 +13,9 @@
 
 /// Largest input or output that one record of the log holds, in bytes.
 pub(super) const LARGEST_KEPT: usize = 200 << 10;
-/// How long an owner within a minority of the zones is asked: several times what one of the
-/// same zone takes. Owners in other zones do not answer, and nobody takes their place.
-const MINORITY_PATIENCE: Duration = Duration::from_millis(60);
 /// How long the end of a turn that broke off is told.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(20);
 
-/// Why a turn does not begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TurnRefusal {
-    /// The budget does not hold it.
-    BudgetSpent,
-    /// Its previous turn is not kept.
-    UnknownTurn,
-    /// It could not be kept.
-    TooLarge,
-    /// No owner in its homes answered.
-    NoHome,
-    /// No owner answered.
-    Unavailable,
-}
-
 /// A turn under way. Dropping it tells the ledger that it broke off.
 pub struct Turn {
     pub(super) ledger: Rc<LedgerClient>,
@@ -55,158 +33,6 @@
     pub(super) closed: bool,
 }
 
-/// Opens a turn where the route keeps context or the program has a budget.
-///
-/// # Errors
-/// It may not begin.
-pub async fn open(context: &RequestContext) -> Result<Option<Turn>, TurnRefusal> {
-    let route = &context.entry.route;
-    let meta = &context.meta;
-    if !route.keeps_context && meta.budget.is_none() {
-        return Ok(None);
-    }
-    if route.keeps_context && context.body.len() > LARGEST_KEPT {
-        return Err(TurnRefusal::TooLarge);
-    }
-    let homes = homes::now(context);
-    let ledger = context.daemon.ledger.clone();
-    let program = meta.program.clone().unwrap_or_default();
-    let keeper = ledger
-        .keeper(&program, &homes)
-        .filter(|_| route.keeps_context);
-    if route.keeps_context && keeper.is_none() && !homes.is_all() {
-        homes::note_no_owner(context, None);
-        return Err(TurnRefusal::NoHome);
-    }
-    let mut request = OpenTurn {
-        tenant: context.tenant_name().map(str::to_owned),
-        turn: meta.id.clone(),
-        program,
-        previous: meta.previous.clone(),
-        wants_chain: route.keeps_context,
-        keeps_context: route.keeps_context,
-        brings_chain: false,
-        budget: meta.budget,
-        most_tokens: meta.most_tokens,
-        placement: placement(context, &homes),
-        keeper,
-    };
-    if !request.name(&request.turn).fits() || !request.name(&request.program).fits() {
-        return Err(TurnRefusal::TooLarge);
-    }
-    let started = Instant::now();
-    if ledger.reach.get() == Reach::Isolated {
-        // No owner can be asked from here, and none could become one.
-        tracing::info!(
-            event = "turn_refused",
-            request = meta.id,
-            program = meta.program,
-            cause = "isolated",
-            log_age_ms = ledger.contact.age_ms()
-        );
-        return Err(TurnRefusal::Unavailable);
-    }
-    let mut deadline = context.deadline;
-    if ledger.reach.get() == Reach::Minority {
-        if route.keeps_context {
-            // Its end could not be recorded from here.
-            tracing::info!(
-                event = "turn_refused",
-                request = meta.id,
-                program = meta.program,
-                cause = "minority",
-                log_age_ms = ledger.contact.age_ms()
-            );
-            return Err(TurnRefusal::Unavailable);
-        }
-        deadline = deadline.min(started + MINORITY_PATIENCE);
-    }
-    let result = ledger.open(&mut request, deadline).await;
-    let took = started.elapsed();
-    context
-        .daemon
-        .metrics
-        .open_seconds
-        .observe(took.as_secs_f64());
-    match result {
-        Ok(opened) => {
-            if request.brings_chain && keeper.is_some() {
-                homes::note_chain_brought(context, keeper);
-            }
-            tracing::info!(
-                event = "turn_opened",
-                request = meta.id,
-                program = meta.program,
-                previous = meta.previous,
-                budget = meta.budget,
-                most = meta.most_tokens,
-                partition = ledger.partition_of(&request.program),
-                keeper,
-                durable = opened.is_durable(),
-                allowed = opened.allowed(),
-                engine = opened.engine,
-                took_ms = took.as_millis() as u64
-            );
-            Ok(Some(Turn {
-                ledger,
-                metrics: context.daemon.metrics.clone(),
-                request,
-                opened,
-                input: context.body.clone(),
-                prompt: context.body.clone(),
-                output: BytesMut::new(),
-                tokens: 0,
-                tokens_per_event: tokens_per_event(context),
-                retention_ms: route.retention_ms,
-                ran_at: context.sent_to.clone(),
-                closed: false,
-            }))
-        }
-        Err(failure) => {
-            let partition = ledger.partition_of(&request.program);
-            tracing::info!(event = "turn_refused", request = meta.id, program = meta.program,
-                partition, previous = meta.previous, budget = meta.budget, most = meta.most_tokens,
-                cause = ?failure, took_ms = took.as_millis() as u64);
-            Err(match failure {
-                OpenFailure::BudgetSpent => TurnRefusal::BudgetSpent,
-                OpenFailure::UnknownTurn => TurnRefusal::UnknownTurn,
-                OpenFailure::Unavailable => TurnRefusal::Unavailable,
-                OpenFailure::HomeUnavailable => {
-                    homes::note_no_owner(context, keeper);
-                    TurnRefusal::NoHome
-                }
-            })
-        }
-    }
-}
-
-/// What the owner needs to assign an engine.
-fn placement(context: &RequestContext, homes: &Set) -> Option<Placement> {
-    let meta = &context.meta;
-    let beginning = meta.prefix.as_ref().or(meta.program.as_ref())?;
-    Some(Placement {
-        service: context.service()?.to_owned(),
-        prefix: fieldhook_traffic::assignment::prefix_hash(beginning),
-        zone: context.daemon.settings.zone.clone(),
-        regions: region_names(homes),
-    })
-}
-
-/// Names of the regions that it may run in, where they are bounded.
-fn region_names(homes: &Set) -> Option<Vec<String>> {
-    let names = homes.names()?;
-    Some(names.map(|region| region.to_string()).collect())
-}
-
-fn tokens_per_event(context: &RequestContext) -> u64 {
-    let routes = context.daemon.routes.borrow();
-    let service = routes.as_ref().and_then(|table| {
-        let part = context.entry.route.parts.first()?;
-        table.config.service(&part.service).cloned()
-    });
-    service.map_or(1, |service| service.tokens_per_event.max(1))
-}
-
 impl Turn {
     /// The body for the engine: the chain, then the new input. Where the chain
     /// belongs to another program, the whole of it is kept as this turn's input:
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -20,6 +20,7 @@
 //! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
 
 use crate::doubt::Unrecorded;
+use crate::message::Shortage;
 use crate::record::{OpenReservation, ProgramRecord};
 use std::collections::VecDeque;
 
@@ -63,6 +64,8 @@
     allowed: u64,
     /// The first record that tells of it: once that is durable, all of its most is allowed.
     recorded_by: Option<u64>,
+    /// Unix time of its begin, or of the record that told of it, in milliseconds.
+    since_ms: u64,
 }
 
 /// What a successor begins with that has this record, or none.
@@ -115,7 +118,11 @@
     pub fn recover(record: &ProgramRecord) -> Self {
         Self {
             settled: record.settled,
-            open: record.open.iter().map(Open::recorded).collect(),
+            open: record
+                .open
+                .iter()
+                .map(|open| Open::recorded(open, record.changed_ms))
+                .collect(),
             ended: record.ended.clone(),
             bases: VecDeque::from([Basis::default()]),
             records: 0,
@@ -184,12 +191,26 @@
                 most,
                 allowed: 0,
                 recorded_by: None,
+                since_ms: now_ms,
             });
             self.changed_ms = now_ms;
         }
         self.allow(turn)
     }
 
+    /// What is counted, for one whose turn it does not hold.
+    pub fn shortage(&self, now_ms: u64) -> Shortage {
+        let oldest = self.open.iter().min_by_key(|open| open.since_ms);
+        Shortage {
+            settled: self.settled,
+            open_turns: self.open.len() as u32,
+            open: self.known() - self.settled,
+            oldest: oldest.map(|open| open.turn.clone()),
+            oldest_ms: oldest.map(|open| now_ms.saturating_sub(open.since_ms)),
+            inherited: self.inherited,
+        }
+    }
+
     /// Lets a turn have what the mark holds of its most.
     fn allow(&mut self, turn: &str) -> Reservation {
         let room = self.room();
@@ -308,12 +329,13 @@
 
 impl Open {
     /// A turn that a record tells of.
-    fn recorded(reservation: &OpenReservation) -> Self {
+    fn recorded(reservation: &OpenReservation, since_ms: u64) -> Self {
         Self {
             turn: reservation.turn.clone(),
             most: reservation.tokens,
             allowed: reservation.tokens,
             recorded_by: Some(0),
+            since_ms,
         }
     }
 
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -85,6 +85,24 @@
     pub retention_ms: u64,
 }
 
+/// What a budget counts that does not hold a turn: without it nobody could tell a budget that
+/// is used up from one that is reserved.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct Shortage {
+    /// Tokens of ended turns.
+    pub settled: u64,
+    /// Turns under way.
+    pub open_turns: u32,
+    /// Tokens that they may hand out at their most.
+    pub open: u64,
+    /// The one that has been under way for longest.
+    pub oldest: Option<String>,
+    /// How long it has, in milliseconds.
+    pub oldest_ms: Option<u64>,
+    /// Reserved ahead by earlier owners.
+    pub inherited: u64,
+}
+
 /// A turn has ended, whole or not.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct CloseTurn {
@@ -287,7 +305,7 @@
     /// Inputs and outputs of a chain that was asked for.
     Chain(Vec<u8>),
     /// The budget does not hold this turn.
-    BudgetSpent,
+    BudgetSpent(Shortage),
     /// No such turn is kept.
     UnknownTurn,
     /// The end of the turn is known here, but not durable yet. [`LedgerReply::Closed`]
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -3,7 +3,7 @@
 use crate::budget::{Ahead, Budget, Reservation};
 use crate::doubt::Doubt;
 pub use crate::doubt::doubt_after_loss;
-use crate::message::{CloseTurn, OpenTurn};
+use crate::message::{CloseTurn, OpenTurn, Shortage};
 use crate::record::{ProgramRecord, Record, TurnRecord};
 use crate::scope::Name;
 use std::collections::HashMap;
@@ -39,7 +39,7 @@
         records: Vec<Record>,
     },
     /// The budget does not hold it.
-    BudgetSpent,
+    BudgetSpent(Shortage),
     /// A turn of its chain is not kept.
     UnknownTurn,
 }
@@ -171,7 +171,7 @@
         program.observe(request.most_tokens, Some(ahead_for(request)));
         let reservation = program.reserve(&request.turn, request.most_tokens, budget, now_ms);
         if reservation == Reservation::Spent {
-            return OpenOutcome::BudgetSpent;
+            return OpenOutcome::BudgetSpent(program.shortage(now_ms));
         }
         let begins = request.previous.is_none() && program.begins_with(&request.turn);
         let mut records = Vec::new();
