--- /dev/null
+++ b/crates/gateway/tests/gateway/abandoned.rs
@@ -0,0 +1,79 @@
+//! Turns whose clients leave while the owner of their program is asked.
+//!
+//! What users saw: after a loss of all power a program that went on from a kept turn was told at
+//! each try, for as long as it asked, that its budget was spent, though nothing of it had run.
+//! Order of events: its first try waits for an owner that reads its partition; the owner opens
+//! the turn and reserves its most; in the same moment the client leaves, and the gateway drops
+//! the question with the request. Cause: the end of a turn was told by whoever had the owner's
+//! answer, and nobody had. Evidence: in a play of such a day just those programs were refused
+//! whose clients left before their gateway had said `turn_opened`, and those who left a moment
+//! after it were served.
+
+use crate::support::{Act, Gateway, Server, World, run};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Holds one turn and no second one beside it.
+const BUDGET: &str = "Budget: 60\r\nMost: 40\r\n";
+/// Programs of one test: which of two gateways owns their partition differs.
+const PROGRAMS: usize = 8;
+/// How long the end of a turn may take to be known.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+
+/// Two gateways, which both have asked the owner of each partition before.
+async fn two_gateways(world: &World, server: &Server) -> [Gateway; 2] {
+    let a = world.ready(&[server]).await;
+    let b = world.gateway("g2").await;
+    b.wait_ready(1).await;
+    sleep(Duration::from_millis(900)).await;
+    for gateway in [&a, &b] {
+        for number in 0..PROGRAMS {
+            let fields = format!(
+                "Request: w{number}-{}\r\nProgram: p{number}\r\n",
+                gateway.address
+            );
+            let reply = gateway.ask("POST", "/chat/1", &fields, "x").await;
+            assert_eq!(reply.head.status, 200);
+        }
+    }
+    [a, b]
+}
+
+/// Asks for a turn and leaves at once.
+async fn ask_and_leave(gateway: &Gateway, fields: &str) {
+    let mut client = gateway.client().await;
+    client.send("POST", "/chat/1", fields, "x").await;
+}
+
+#[test]
+fn a_turn_whose_client_left_before_the_owners_answer_takes_nothing_of_the_budget() {
+    run(async {
+        let act = Act::Events(vec!["one".to_owned()], None);
+        let server = Server::start("s1", act).await;
+        let world = World::new().await;
+        for gateway in two_gateways(&world, &server).await {
+            for number in 0..PROGRAMS {
+                let program = format!("Program: q{number}-{}\r\n{BUDGET}", gateway.address);
+                let first = format!("Request: left{number}\r\n{program}");
+                ask_and_leave(&gateway, &first).await;
+                sleep(Duration::from_millis(50)).await;
+                let until = Instant::now() + KNOWN_WITHIN;
+                let mut tries = 0;
+                loop {
+                    tries += 1;
+                    let next = format!("Request: next{number}-{tries}\r\n{program}");
+                    let reply = gateway.ask("POST", "/chat/1", &next, "x").await;
+                    if reply.head.status == 200 {
+                        break;
+                    }
+                    assert_eq!(reply.head.status, 402);
+                    assert!(
+                        Instant::now() < until,
+                        "program {number} is refused for good"
+                    );
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway with a log in memory, an adapter of its own spelling, and stand-ins of
 //! servers on loopback.
 
+mod abandoned;
 mod cold;
 mod evacuation;
 mod forwarding;
