Budgets: the end of a turn is told that was asked for and not begun

Cause: the owner of a program reserves a turn's most when it is asked; the gateway told the end of a turn once it held the owner's answer. A client that left in between (or a time that passed) dropped the question with the request, and nobody told the end: the most of that turn stayed reserved for as long as the program was known. A program whose budget does not hold two turns' most was told 402 at each further try.

Change: the question is a value of its own (serve::opening) that knows whether an owner may have said yes; dropped then, it tells the end with no tokens. An owner that hears of an end before the question remembers it and does not open that turn. What is reserved goes by a number drawn for each try, no longer by the client's identity of it: a second try under the same one was neither counted nor ended. A planned stop waits until such ends are told.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -32,7 +32,8 @@
             let _ = daemon.stopping.send(Stopping::Refusing);
         }
         let idle = daemon.in_flight.get() == 0 && daemon.client_connections.get() == 0;
-        if idle && daemon.owner.held_count() == 0 {
+        let is_told = daemon.ledger.endings.get() == 0;
+        if idle && is_told && daemon.owner.held_count() == 0 {
             break;
         }
         sleep(CHECK_PERIOD).await;
@@ -41,6 +42,7 @@
         event = "stopped",
         in_flight = daemon.in_flight.get(),
         connections = daemon.client_connections.get(),
+        ends_untold = daemon.ledger.endings.get(),
         took_ms = started.elapsed().as_millis() as u64
     );
 }
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -17,6 +17,7 @@
 pub mod assigner;
 pub mod client;
 mod cold;
+mod ending;
 mod exchange;
 mod hold;
 pub mod homes;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -113,6 +113,8 @@
     pub(super) searching: RefCell<HashSet<u32>>,
     /// An owner was silent since [`super::reach`] looked last.
     pub(super) silent_owner: Cell<bool>,
+    /// Ends of turns that are being told. A planned stop waits for them: nobody else can.
+    pub endings: Cell<usize>,
     /// Doubts that were said, by partition: each is said once.
     pub(super) doubts: RefCell<HashMap<u32, Doubt>>,
 }
@@ -128,6 +130,7 @@
             claiming: RefCell::default(),
             searching: RefCell::default(),
             silent_owner: Cell::default(),
+            endings: Cell::default(),
             doubts: RefCell::default(),
         }
     }
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -79,6 +79,17 @@
             OpenOutcome::BudgetSpent(shortage) => {
                 self.answer_fenced(sender, LedgerReply::BudgetSpent(shortage));
             }
+            // Whoever asked has left: the answer is for nobody.
+            OpenOutcome::Ended => {
+                tracing::info!(
+                    event = "turn_asked_late",
+                    request = open.turn,
+                    program = open.program,
+                    reservation = open.reservation(),
+                    epoch = self.epoch
+                );
+                let _ = sender.send(LedgerReply::Unavailable);
+            }
             OpenOutcome::UnknownTurn => self.answer_fenced(sender, LedgerReply::UnknownTurn),
         }
     }
--- a/crates/gateway/src/serve/opening.rs
+++ b/crates/gateway/src/serve/opening.rs
@@ -33,8 +33,10 @@
     Unavailable,
 }
 
-/// A turn that owners are asked about. Its client may leave, or its time pass, while an owner
-/// that has opened it already answers.
+/// A turn that owners are asked about. Its client may leave, or its time pass, while the answer
+/// of an owner that has opened it is under way. Dropped then, it tells its end: nobody else would,
+/// and one turn's most that is reserved for nobody refuses each further turn of a program whose
+/// budget does not hold two (29 tries in a row after a loss of all power).
 struct Opening {
     ledger: Rc<LedgerClient>,
     metrics: Rc<Metrics>,
@@ -97,6 +99,7 @@
     Ok(OpenTurn {
         tenant: context.tenant_name().map(str::to_owned),
         turn: meta.id.clone(),
+        attempt: fastrand::u64(..),
         program,
         previous: meta.previous.clone(),
         wants_chain: route.keeps_context,
@@ -170,6 +173,7 @@
         durable = opened.is_durable(),
         allowed = opened.allowed(),
         engine = opened.engine,
+        reservation = request.reservation(),
         took_ms
     );
     Turn {
@@ -264,8 +268,10 @@
             request = self.request.turn,
             program = self.request.program,
             partition = self.ledger.partition_of(&self.request.program),
+            reservation = self.request.reservation(),
             took_ms = self.took_ms(),
-            "an owner may have opened it, and its answer is not waited for"
+            "an owner may have opened it; its end is told"
         );
+        self.ledger.tell_end(self.request.withdrawn());
     }
 }
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -8,13 +8,10 @@
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Largest input or output that one record of the log holds, in bytes.
 pub(super) const LARGEST_KEPT: usize = 200 << 10;
-/// How long the end of a turn that broke off is told.
-const CLOSE_PATIENCE: Duration = Duration::from_secs(20);
 
 /// A turn under way. Dropping it tells the ledger that it broke off.
 pub struct Turn {
@@ -93,6 +90,7 @@
         CloseTurn {
             tenant: self.request.tenant.clone(),
             turn: self.request.turn.clone(),
+            attempt: self.request.attempt,
             program: self.request.program.clone(),
             budget: self.request.budget.filter(|_| !is_apart),
             most_tokens: self.request.most_tokens,
@@ -110,18 +108,6 @@
         if self.closed || (self.request.budget.is_none() && !is_apart) {
             return;
         }
-        let close = self.close_request(None);
-        let ledger = self.ledger.clone();
-        ntex::rt::spawn(async move {
-            let deadline = Instant::now() + CLOSE_PATIENCE;
-            if !ledger.close(&close, deadline).await {
-                tracing::warn!(
-                    event = "turn_end_untold",
-                    request = close.turn,
-                    program = close.program,
-                    "its most stays reserved"
-                );
-            }
-        });
+        self.ledger.tell_end(self.close_request(None));
     }
 }
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -30,6 +30,8 @@
 const AHEAD_DIVISOR: u64 = 2;
 /// Ended turns that are remembered.
 const ENDED_REMEMBERED: usize = 24;
+/// Withdrawn turns that are remembered: several times what one program asks for side by side.
+const WITHDRAWN_REMEMBERED: usize = 24;
 
 /// Outcome of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +45,8 @@
     },
     /// The budget does not hold it.
     Spent,
+    /// Its end was told already: nobody waits for it.
+    Ended,
 }
 
 /// How far reservations go ahead of the turns that were asked for.
@@ -84,6 +88,10 @@
     settled: u64,
     open: Vec<Open>,
     ended: Vec<String>,
+    /// Turns whose end was told before they were asked for: a question may be under way for as
+    /// long as a cut lasts, and whoever asked has left. Reserved then, the most of such a turn
+    /// would stay reserved for nobody. Needed by this owner alone, so no record tells of it.
+    withdrawn: VecDeque<String>,
     /// The newest durable record, and behind it those that are being appended.
     bases: VecDeque<Basis>,
     /// Records made so far.
@@ -124,6 +132,7 @@
                 .map(|open| Open::recorded(open, record.changed_ms))
                 .collect(),
             ended: record.ended.clone(),
+            withdrawn: VecDeque::new(),
             bases: VecDeque::from([Basis::default()]),
             records: 0,
             inherited: record.ahead,
@@ -182,6 +191,9 @@
 
     /// Reserves the most of a turn. Asking again for the same turn changes nothing.
     pub fn reserve(&mut self, turn: &str, most: u64, budget: u64, now_ms: u64) -> Reservation {
+        if self.has_ended(turn) {
+            return Reservation::Ended;
+        }
         if !self.has_open(turn) {
             if self.known() + most > budget || self.committed() > budget {
                 return Reservation::Spent;
@@ -198,6 +210,12 @@
         self.allow(turn)
     }
 
+    /// Whether the end of a turn was told.
+    fn has_ended(&self, turn: &str) -> bool {
+        let mut told = self.ended.iter().chain(&self.withdrawn);
+        told.any(|ended| ended == turn)
+    }
+
     /// What is counted, for one whose turn it does not hold.
     pub fn shortage(&self, now_ms: u64) -> Shortage {
         let oldest = self.open.iter().min_by_key(|open| open.since_ms);
@@ -228,9 +246,14 @@
         }
     }
 
-    /// Ends a turn with the tokens that reached the client. False if that was known.
+    /// Ends a turn with the tokens that reached the client. False if that changes nothing that
+    /// is counted.
     pub fn settle(&mut self, turn: &str, tokens: u64, now_ms: u64) -> bool {
-        if self.ended.iter().any(|ended| ended == turn) {
+        if self.has_ended(turn) {
+            return false;
+        }
+        if tokens == 0 && !self.has_open(turn) {
+            self.withdraw(turn);
             return false;
         }
         if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
@@ -255,6 +278,14 @@
         true
     }
 
+    /// Remembers a turn that ended before it was asked for.
+    fn withdraw(&mut self, turn: &str) {
+        self.withdrawn.push_back(turn.to_owned());
+        if self.withdrawn.len() > WITHDRAWN_REMEMBERED {
+            self.withdrawn.pop_front();
+        }
+    }
+
     /// The record to append of a program that none tells of yet.
     pub fn first_record(&mut self) -> Option<ProgramRecord> {
         let budget = self.unrecorded_budget?;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -24,6 +24,9 @@
     pub tenant: Option<String>,
     /// Identity of the turn: of the client's attempt.
     pub turn: String,
+    /// Drawn by the gateway for this try. What is reserved and ended goes by it: a client may
+    /// try again under the same identity.
+    pub attempt: u64,
     /// Program that it belongs to.
     pub program: String,
     /// Turn that it goes on from.
@@ -70,6 +73,27 @@
     pub fn name(&self, text: &str) -> Name {
         Name::new(self.tenant.as_deref(), text)
     }
+
+    /// The name of what it reserves.
+    pub fn reservation(&self) -> String {
+        reservation(self.attempt)
+    }
+
+    /// Its end where it was asked for and does not begin.
+    pub fn withdrawn(&self) -> CloseTurn {
+        CloseTurn {
+            tenant: self.tenant.clone(),
+            turn: self.turn.clone(),
+            attempt: self.attempt,
+            program: self.program.clone(),
+            budget: self.budget,
+            most_tokens: self.most_tokens,
+            tokens: 0,
+            content: None,
+            engine: None,
+            keeper: None,
+        }
+    }
 }
 
 /// What a finished turn read and made, kept for the turns after it.
@@ -95,7 +119,7 @@
     pub open_turns: u32,
     /// Tokens that they may hand out at their most.
     pub open: u64,
-    /// The one that has been under way for longest.
+    /// The reservation of the one that has been under way for longest.
     pub oldest: Option<String>,
     /// How long it has, in milliseconds.
     pub oldest_ms: Option<u64>,
@@ -110,6 +134,8 @@
     pub tenant: Option<String>,
     /// Identity of the turn.
     pub turn: String,
+    /// The number that it was opened with.
+    pub attempt: u64,
     /// Program that it belongs to.
     pub program: String,
     /// Budget of the program, where bounded.
@@ -131,6 +157,16 @@
     pub fn name(&self, text: &str) -> Name {
         Name::new(self.tenant.as_deref(), text)
     }
+
+    /// The name of what it had reserved.
+    pub fn reservation(&self) -> String {
+        reservation(self.attempt)
+    }
+}
+
+/// The name of what a try reserves, as records and log lines have it.
+fn reservation(attempt: u64) -> String {
+    format!("{attempt:x}")
 }
 
 /// Asks one partition for the chain that ends with a turn, whatever its program.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -42,6 +42,8 @@
     BudgetSpent(Shortage),
     /// A turn of its chain is not kept.
     UnknownTurn,
+    /// Its end was told already: the question was under way when its asker left.
+    Ended,
 }
 
 struct Turn {
@@ -169,23 +171,23 @@
         let name = request.name(&request.program);
         let program = self.program(name.clone(), budget, now_ms);
         program.observe(request.most_tokens, Some(ahead_for(request)));
-        let reservation = program.reserve(&request.turn, request.most_tokens, budget, now_ms);
-        if reservation == Reservation::Spent {
-            return OpenOutcome::BudgetSpent(program.shortage(now_ms));
-        }
-        let begins = request.previous.is_none() && program.begins_with(&request.turn);
-        let mut records = Vec::new();
-        let allowed = match reservation {
+        let turn = request.reservation();
+        let allowed = match program.reserve(&turn, request.most_tokens, budget, now_ms) {
+            Reservation::Durable => request.most_tokens,
             Reservation::Pending { allowed } => allowed,
-            _ => request.most_tokens,
+            Reservation::Spent => return OpenOutcome::BudgetSpent(program.shortage(now_ms)),
+            Reservation::Ended => return OpenOutcome::Ended,
         };
-        if reservation != Reservation::Durable {
+        let begins = request.previous.is_none() && program.begins_with(&turn);
+        let durable = allowed == request.most_tokens;
+        let mut records = Vec::new();
+        if !durable {
             let record = program.record(budget);
             records.push(Record::Program(name, Some(record)));
         }
         OpenOutcome::Opened {
             chain,
-            durable: reservation == Reservation::Durable,
+            durable,
             allowed,
             begins,
             records,
@@ -200,7 +202,7 @@
             let name = request.name(&request.program);
             let program = self.program(name.clone(), budget, now_ms);
             program.observe(request.most_tokens, None);
-            if program.settle(&request.turn, request.tokens, now_ms) {
+            if program.settle(&request.reservation(), request.tokens, now_ms) {
                 let record = program.record(budget);
                 records.push(Record::Program(name, Some(record)));
             }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -13,7 +13,7 @@
 /// A turn whose end is not known yet.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct OpenReservation {
-    /// Identity of the turn.
+    /// Its name: the number of the try that it is for, in hexadecimal.
     pub turn: String,
     /// Tokens reserved for it.
     pub tokens: u64,
@@ -28,7 +28,7 @@
     pub open: Vec<OpenReservation>,
     /// Tokens reserved ahead of turns that were not yet asked for.
     pub ahead: u64,
-    /// The latest ended turns, so that a repeated end counts once.
+    /// Reservations of the latest ended turns, so that a repeated end counts once.
     pub ended: Vec<String>,
     /// Unix time of the last change, in milliseconds.
     pub changed_ms: u64,
--- a/crates/ledger/tests/budget_fuzz.rs
+++ b/crates/ledger/tests/budget_fuzz.rs
@@ -113,6 +113,7 @@
 #[derive(Clone)]
 struct Running {
     turn: String,
+    attempt: u64,
     tokens: u64,
     may_hand_out: bool,
 }
@@ -144,6 +145,7 @@
         OpenTurn {
             tenant: None,
             turn,
+            attempt: self.next_turn,
             program: PROGRAM.to_owned(),
             previous: None,
             wants_chain: false,
@@ -166,6 +168,7 @@
         if let OpenOutcome::Opened { durable: true, .. } = outcome {
             self.running.push(Running {
                 turn: request.turn,
+                attempt: request.attempt,
                 tokens: 0,
                 may_hand_out: true,
             });
@@ -174,6 +177,7 @@
 
     fn open(&mut self) {
         let request = self.next_request();
+        let attempt = request.attempt;
         let turn = request.turn.clone();
         if let OpenOutcome::Opened {
             durable, records, ..
@@ -185,6 +189,7 @@
             }
             self.running.push(Running {
                 turn,
+                attempt,
                 tokens: 0,
                 may_hand_out: durable,
             });
@@ -208,6 +213,7 @@
         let request = CloseTurn {
             tenant: None,
             turn: running.turn.clone(),
+            attempt: running.attempt,
             program: PROGRAM.to_owned(),
             budget: Some(BUDGET),
             most_tokens: MOST,
--- a/crates/ledger/tests/budget_room.rs
+++ b/crates/ledger/tests/budget_room.rs
@@ -65,6 +65,7 @@
 #[derive(Clone, Debug)]
 struct Turn {
     id: String,
+    attempt: u64,
     /// What it may hand out.
     allowed: u64,
     /// What it handed out.
@@ -150,6 +151,7 @@
         OpenTurn {
             tenant: None,
             turn,
+            attempt: self.next_turn,
             program: PROGRAM.to_owned(),
             previous: None,
             wants_chain: self.keeps_context,
@@ -173,7 +175,7 @@
             return false;
         };
         self.push(records);
-        self.begun(request.turn, allowed, self.queued);
+        self.begun(request, allowed, self.queued);
         true
     }
 
@@ -187,13 +189,14 @@
         if let OpenOutcome::Opened { allowed, .. } = outcome
             && allowed > 0
         {
-            self.begun(request.turn, allowed, usize::MAX);
+            self.begun(request, allowed, usize::MAX);
         }
     }
 
-    fn begun(&mut self, id: String, allowed: u64, durable_at: usize) {
+    fn begun(&mut self, request: OpenTurn, allowed: u64, durable_at: usize) {
         self.turns.push(Turn {
-            id,
+            id: request.turn,
+            attempt: request.attempt,
             allowed,
             tokens: 0,
             ended: false,
@@ -223,8 +226,8 @@
             return;
         };
         turn.ended = true;
-        let (id, tokens) = (turn.id.clone(), turn.tokens);
-        self.tell_end(&id, tokens);
+        let (id, attempt, tokens) = (turn.id.clone(), turn.attempt, turn.tokens);
+        self.tell_end(&id, attempt, tokens);
     }
 
     /// Ends the turn under way with so many tokens, which it has to be allowed.
@@ -235,10 +238,11 @@
         self.close(0, 0);
     }
 
-    fn tell_end(&mut self, id: &str, tokens: u64) {
+    fn tell_end(&mut self, id: &str, attempt: u64, tokens: u64) {
         let request = CloseTurn {
             tenant: None,
             turn: id.to_owned(),
+            attempt,
             program: PROGRAM.to_owned(),
             budget: Some(BUDGET),
             most_tokens: MOST,
@@ -337,15 +341,15 @@
             }
             if turn.ended && turn.recorded_at > appended {
                 match turn.gateway_lives {
-                    true => told_again.push((turn.id.clone(), turn.tokens)),
+                    true => told_again.push((turn.id.clone(), turn.attempt, turn.tokens)),
                     // No client has seen its end: it waited for the record.
                     false => turn.ended = false,
                 }
             }
         }
         self.read_back();
-        for (id, tokens) in told_again {
-            self.tell_end(&id, tokens);
+        for (id, attempt, tokens) in told_again {
+            self.tell_end(&id, attempt, tokens);
         }
     }
 
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -80,6 +80,7 @@
         let request = OpenTurn {
             tenant: TENANTS[tenant].map(str::to_owned),
             turn: turn.to_owned(),
+            attempt: 0,
             program: "p".to_owned(),
             previous,
             wants_chain: true,
@@ -130,6 +131,7 @@
         let close = CloseTurn {
             tenant: TENANTS[tenant].map(str::to_owned),
             turn: turn.to_owned(),
+            attempt: 0,
             program: "p".to_owned(),
             budget: None,
             most_tokens: 10,
--- a/crates/ledger/tests/doubt.rs
+++ b/crates/ledger/tests/doubt.rs
@@ -12,6 +12,7 @@
     OpenTurn {
         tenant: None,
         turn: format!("{program}-{number}"),
+        attempt: u64::from(number),
         program: program.to_owned(),
         previous: None,
         wants_chain: false,
