--- a/crates/gateway/tests/gateway/abandoned.rs
+++ b/crates/gateway/tests/gateway/abandoned.rs
@@ -77,3 +77,32 @@
         }
     });
 }
+
+/// A process that ends with such an end untold leaves a reservation that nobody ends.
+#[test]
+fn a_planned_stop_waits_for_the_ends_of_turns_whose_clients_left() {
+    run(async {
+        let act = Act::Events(vec!["one".to_owned()], None);
+        let server = Server::start("s1", act).await;
+        let world = World::new().await;
+        world.partitions.set(1);
+        let [a, b] = two_gateways(&world, &server).await;
+        let owns = a.daemon.owner.held_count() > 0;
+        let (owner, other) = if owns { (a, b) } else { (b, a) };
+        let mut left = 0;
+        for number in 0..PROGRAMS {
+            let fields = format!("Request: left{number}\r\nProgram: q{number}\r\n{BUDGET}");
+            ask_and_leave(&other, &fields).await;
+            sleep(Duration::from_millis(2)).await;
+            left = left.max(other.daemon.ledger.endings.get());
+        }
+        assert!(left > 0, "no end was under way");
+        fieldhook_gateway::drain::run(other.daemon.clone()).await;
+        assert_eq!(other.daemon.ledger.endings.get(), 0);
+        for number in 0..PROGRAMS {
+            let fields = format!("Request: next{number}\r\nProgram: q{number}\r\n{BUDGET}");
+            let reply = owner.ask("POST", "/chat/1", &fields, "x").await;
+            assert_eq!(reply.head.status, 200, "program {number}");
+        }
+    });
+}
