Servers: an incarnation of its own for each start; foreign entries name no server

Cause: a server may start again under its name, and tells the time of its start. What was believed of it went by its name alone, so connections, health, rest after failures, silence, cold state, counts and assignments of the process before were believed of the next one, and one that had begun to leave never took work again. An entry that could not be read, or whose state is no known one, left the entry before it in use.

Change: identity is the name and the time of the start; everything that is believed already goes by identity, so nothing passes on. The entry written last is in force, also where a clock stepped back; a listing that is older than what is known changes nothing. A foreign entry ends the use of the name until a good one comes, and is counted. On the wire a server goes by its name.

--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -57,28 +57,48 @@
 }
 
 fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord) {
-    let Ok(id) = std::str::from_utf8(&record.key) else {
+    let Ok(name) = std::str::from_utf8(&record.key) else {
         return;
     };
     if record.value.is_empty() {
-        daemon.cold.forget(id);
-        if daemon.directory.borrow_mut().remove(id) {
-            tracing::info!(event = "server_gone", server = id, offset);
-        }
+        remove(daemon, name, offset, "removed");
         return;
     }
-    let entry = match daemon.dialect.server_entry(id, &record.value) {
+    let entry = match daemon.dialect.server_entry(name, &record.value) {
         Ok(entry) => entry,
         Err(problem) => {
-            tracing::error!(event = "server_unreadable", server = id, offset, problem);
+            daemon.metrics.entries_unreadable.inc();
+            tracing::error!(
+                event = "server_unreadable",
+                server = name,
+                offset,
+                problem,
+                "it names no server to use until it is written anew"
+            );
+            remove(daemon, name, offset, "unreadable");
             return;
         }
     };
+    let former = daemon
+        .directory
+        .borrow()
+        .identity_of(name)
+        .map(str::to_owned);
+    let id = entry.id.clone();
     let (service, address) = (entry.service.clone(), entry.address);
     let (zone, cold_ms) = (entry.zone.clone(), entry.cold_ms);
     let draining = entry.draining;
-    daemon.cold.told(&entry);
-    let change = daemon.directory.borrow_mut().insert(entry);
+    let told = entry.clone();
+    let change = daemon.directory.borrow_mut().insert(entry, offset);
+    let is_in_force = daemon.directory.borrow().identity_of(name) == Some(&id);
+    if !is_in_force {
+        return;
+    }
+    daemon.cold.told(&told);
+    if let Some(former) = former.filter(|_| change == DirectoryChange::Restarted) {
+        daemon.cold.forget(&former);
+        tracing::info!(event = "server_restarted", server = id, former, offset);
+    }
     if change != DirectoryChange::Unchanged {
         tracing::info!(
             event = "server_known",
@@ -92,3 +112,12 @@
         );
     }
 }
+
+/// A name has no server any more.
+fn remove(daemon: &Daemon, name: &str, offset: u64, cause: &'static str) {
+    let Some(id) = daemon.directory.borrow_mut().remove(name) else {
+        return;
+    };
+    daemon.cold.forget(&id);
+    tracing::info!(event = "server_gone", server = id, cause, offset);
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub tenant_limit_used: GaugeVec,
     /// Turns that an owner may have opened for an asker that left.
     pub turns_in_doubt: IntCounter,
+    /// Entries of service discovery that could not be read.
+    pub entries_unreadable: IntCounter,
     /// Connections opened to servers.
     pub connections: IntCounter,
     /// Calls to the log service by kind.
@@ -137,6 +139,10 @@
                 "fieldhook_turns_in_doubt_total",
                 "Turns whose askers left before the owner's answer",
             ),
+            entries_unreadable: b.counter(
+                "fieldhook_entries_unreadable_total",
+                "Entries of service discovery that could not be read",
+            ),
             connections: b.counter("fieldhook_server_connections_total", "Connections opened"),
             store_calls: b.counters("fieldhook_store_calls_total", "Log service calls", "kind"),
             partitions_owned: b.gauge("fieldhook_partitions_owned", "Partitions owned"),
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -342,7 +342,7 @@
     let mut headers = context.headers.clone();
     let forwarding = Forwarding {
         deadline_ms: context.left_ms(),
-        server: &server.id,
+        server: &server.name,
         last_event,
         priority: context.priority(),
         engine: context.entry.route.kind.is_stream(),
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod forwarding;
 mod homes;
+mod incarnations;
 mod input;
 mod limits;
 mod outage;
--- a/crates/gateway/tests/gateway/support/dialect.rs
+++ b/crates/gateway/tests/gateway/support/dialect.rs
@@ -3,7 +3,7 @@
 use fieldhook_gateway::dialect::{AnswerMeta, BadField, Dialect, Forwarding, RequestMeta};
 use fieldhook_gateway::http::headers::Headers;
 use fieldhook_traffic::config::TrafficConfig;
-use fieldhook_traffic::directory::ServerEntry;
+use fieldhook_traffic::directory::{ServerEntry, identity};
 use fieldhook_traffic::tenants::Key;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -100,8 +100,10 @@
         let address = words.next().unwrap_or_default();
         let more: Vec<&str> = words.collect();
         let zone = more.iter().find_map(|word| word.strip_prefix("zone="));
+        let born = more.iter().find_map(|word| word.strip_prefix("born="));
         Ok(ServerEntry {
-            id: id.to_owned(),
+            id: identity(id, born.and_then(|born| born.parse().ok())),
+            name: id.to_owned(),
             service,
             address: address.parse().map_err(|_| "no address".to_owned())?,
             zone: zone.unwrap_or("z1").to_owned(),
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -6,8 +6,12 @@
 /// One incarnation of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerEntry {
-    /// Identity; a restart has a new one.
+    /// Identity of this incarnation, see [`identity`]: all that is believed of a server goes by
+    /// it, so that nothing of a former incarnation is believed of the next one.
     pub id: String,
+    /// Its name in service discovery, which it may keep when it starts again, and by which it
+    /// knows itself.
+    pub name: String,
     /// Service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -22,31 +26,62 @@
     pub cold_ms: u64,
 }
 
+/// Identity of an incarnation: the server's name, and the Unix time of its start, in
+/// milliseconds, where it tells that.
+pub fn identity(name: &str, born_ms: Option<u64>) -> String {
+    match born_ms {
+        Some(born_ms) => format!("{name}~{born_ms}"),
+        None => name.to_owned(),
+    }
+}
+
 /// What became of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
     /// A server that was not known.
     Added,
+    /// A known server has started again: nothing holds that was known of it.
+    Restarted,
     /// A known server has begun to leave.
     Draining,
     /// Nothing that matters here.
     Unchanged,
 }
 
+/// The newest entry of a name.
+struct Known {
+    id: String,
+    /// Place of the entry in its topic.
+    revision: u64,
+}
+
 /// Known servers by identity. Leaving is final for an identity: an older entry
-/// that is read again never makes a leaving server take work.
+/// that is read again never makes a leaving server take work. Of two incarnations of one name
+/// the one whose entry was written later is in force; clocks of servers may step back.
 #[derive(Default)]
 pub struct Directory {
     servers: HashMap<String, ServerEntry>,
+    names: HashMap<String, Known>,
     version: u64,
 }
 
 impl Directory {
-    /// Takes an entry.
-    pub fn insert(&mut self, mut entry: ServerEntry) -> DirectoryChange {
+    /// Takes an entry of this place in its topic. A listing may be older than what is known.
+    pub fn insert(&mut self, mut entry: ServerEntry, revision: u64) -> DirectoryChange {
+        let known = self.names.get(&entry.name);
+        if known.is_some_and(|known| revision < known.revision) {
+            return DirectoryChange::Unchanged;
+        }
+        let former = known
+            .map(|known| known.id.clone())
+            .filter(|id| *id != entry.id);
+        if let Some(id) = &former {
+            self.servers.remove(id);
+        }
         let known = self.servers.get(&entry.id);
         let was_draining = known.is_some_and(|server| server.draining);
         let change = match (known, entry.draining) {
+            (None, _) if former.is_some() => DirectoryChange::Restarted,
             (None, _) => DirectoryChange::Added,
             (Some(_), true) if !was_draining => DirectoryChange::Draining,
             _ => DirectoryChange::Unchanged,
@@ -55,15 +90,25 @@
         if change != DirectoryChange::Unchanged {
             self.version += 1;
         }
+        let id = entry.id.clone();
+        self.names
+            .insert(entry.name.clone(), Known { id, revision });
         self.servers.insert(entry.id.clone(), entry);
         change
     }
 
-    /// Drops an entry that is gone from discovery.
-    pub fn remove(&mut self, id: &str) -> bool {
-        let known = self.servers.remove(id).is_some();
-        self.version += u64::from(known);
-        known
+    /// Drops the entry of a name that is gone from discovery, or names no server any more:
+    /// the identity that it had.
+    pub fn remove(&mut self, name: &str) -> Option<String> {
+        let known = self.names.remove(name)?;
+        self.servers.remove(&known.id);
+        self.version += 1;
+        Some(known.id)
+    }
+
+    /// Identity of a name's incarnation in force.
+    pub fn identity_of(&self, name: &str) -> Option<&str> {
+        self.names.get(name).map(|known| known.id.as_str())
     }
 
     /// Counts the changes of which servers take work: what was worked out from them holds
@@ -72,18 +117,11 @@
         self.version
     }
 
-    /// Keeps only the identities that a complete listing named.
+    /// Keeps only the names that a complete listing holds: the identities that are gone.
     pub fn retain(&mut self, listed: &dyn Fn(&str) -> bool) -> Vec<String> {
-        let gone: Vec<String> = self
-            .servers
-            .keys()
-            .filter(|id| !listed(id))
-            .cloned()
-            .collect();
-        for id in &gone {
-            self.remove(id);
-        }
-        gone
+        let names = self.names.keys().filter(|name| !listed(name));
+        let gone: Vec<String> = names.cloned().collect();
+        gone.iter().filter_map(|name| self.remove(name)).collect()
     }
 
     /// Servers of a service that take new work.
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -2,13 +2,14 @@
 
 use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::balance::{Candidate, Request, choose};
-use fieldhook_traffic::directory::{Directory, DirectoryChange, ServerEntry};
+use fieldhook_traffic::directory::{Directory, DirectoryChange, ServerEntry, identity};
 use fieldhook_traffic::health::{Health, Observation};
 use fieldhook_traffic::rest::Rest;
 
 fn server(id: &str, zone: &str) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
+        name: id.to_owned(),
         service: "chat".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: zone.to_owned(),
@@ -96,24 +97,65 @@
 #[test]
 fn leaving_is_final_for_an_identity() {
     let mut directory = Directory::default();
-    assert_eq!(directory.insert(server("a", "z1")), DirectoryChange::Added);
+    assert_eq!(
+        directory.insert(server("a", "z1"), 1),
+        DirectoryChange::Added
+    );
     let leaving = ServerEntry {
         draining: true,
         ..server("a", "z1")
     };
-    assert_eq!(directory.insert(leaving), DirectoryChange::Draining);
+    assert_eq!(directory.insert(leaving, 2), DirectoryChange::Draining);
     assert!(!directory.takes_work("a"));
     // An older entry, read again.
-    directory.insert(server("a", "z1"));
+    directory.insert(server("a", "z1"), 1);
+    directory.insert(server("a", "z1"), 3);
     assert!(!directory.takes_work("a"));
     assert_eq!(directory.serving("chat").count(), 0);
 }
 
+/// An incarnation of server `a`.
+fn born(born_ms: u64, draining: bool) -> ServerEntry {
+    ServerEntry {
+        id: identity("a", Some(born_ms)),
+        draining,
+        ..server("a", "z1")
+    }
+}
+
+#[test]
+fn a_server_that_starts_again_is_another_incarnation() {
+    let mut directory = Directory::default();
+    directory.insert(born(100, false), 1);
+    directory.insert(born(100, true), 2);
+    assert_eq!(
+        directory.insert(born(200, false), 3),
+        DirectoryChange::Restarted
+    );
+    assert!(directory.takes_work("a~200"));
+    assert!(!directory.takes_work("a~100"));
+    assert_eq!(directory.len(), 1);
+    // A listing from before it started again changes nothing.
+    assert_eq!(
+        directory.insert(born(100, false), 1),
+        DirectoryChange::Unchanged
+    );
+    assert!(directory.takes_work("a~200"));
+    // Its clock was set back before the next start.
+    assert_eq!(
+        directory.insert(born(50, false), 4),
+        DirectoryChange::Restarted
+    );
+    assert_eq!(directory.identity_of("a"), Some("a~50"));
+    assert_eq!(directory.remove("a"), Some("a~50".to_owned()));
+    assert!(directory.is_empty());
+}
+
 #[test]
 fn what_a_complete_listing_leaves_out_is_gone() {
     let mut directory = Directory::default();
-    directory.insert(server("a", "z1"));
-    directory.insert(server("b", "z1"));
+    directory.insert(server("a", "z1"), 1);
+    directory.insert(server("b", "z1"), 2);
     let gone = directory.retain(&|id| id == "b");
     assert_eq!(gone, vec!["a".to_owned()]);
     assert!(!directory.takes_work("a"));
