--- a/crates/log/src/api.rs
+++ b/crates/log/src/api.rs
@@ -84,6 +84,8 @@
 pub enum StoreError {
     /// Nothing was done; the service is busy or cannot be reached.
     NotDone,
+    /// Nothing was done; the service has no room for more records.
+    Full,
     /// No answer; it may have been done, or may be done later.
     Unknown,
     /// A higher epoch is in force.
@@ -104,6 +106,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotDone => write!(formatter, "not done; repeat the call"),
+            Self::Full => write!(formatter, "no room; repeat it once records were deleted"),
             Self::Unknown => write!(formatter, "no answer; repeat it with the same sequence"),
             Self::Fenced => write!(formatter, "fenced; give up the partition"),
             Self::Sequence(wanted) => write!(formatter, "sequence {wanted} is wanted"),
