--- /dev/null
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -0,0 +1,144 @@
+//! What losses of owners take from a program's budget: a turn is refused only where what the
+//! program can have used at its most leaves no room for it, beyond a stated bound.
+//!
+//! The oracle counts a turn whose end was recorded by its tokens, any other turn that may
+//! have handed something out at its most. Each loss of an owner may hide at most what was
+//! reserved ahead; of that the most of one turn costs nothing, as a budget may be exceeded by
+//! it. The other side is checked beside it, as in `budget_fuzz.rs`: the tokens handed out are
+//! never more than the budget and one turn's most, also where turns hand out what they are
+//! allowed before their record and successors in doubt have parts of their own.
+
+mod world;
+
+use quickcheck::{Gen, QuickCheck, TestResult};
+use world::{BUDGET, MOST, Step, World};
+
+fn refusals_are_owed(keeps_context: bool, steps: &[Step]) -> TestResult {
+    let mut world = World::new(keeps_context);
+    for step in steps {
+        if !world.step(*step) {
+            return TestResult::error(format!(
+                "refused with {} of {BUDGET} used at most, after {} losses",
+                world.used(),
+                world.losses
+            ));
+        }
+        if !world.counts_all() {
+            return TestResult::error(format!(
+                "an owner counts {} of {} handed out",
+                world.counted(),
+                world.handed_out()
+            ));
+        }
+        if world.handed_out() > BUDGET + MOST {
+            return TestResult::error(format!("{} handed out", world.handed_out()));
+        }
+    }
+    TestResult::passed()
+}
+
+fn kept(steps: Vec<Step>) -> TestResult {
+    refusals_are_owed(true, &steps)
+}
+
+fn not_kept(steps: Vec<Step>) -> TestResult {
+    refusals_are_owed(false, &steps)
+}
+
+#[test]
+fn a_program_whose_turns_are_kept_loses_one_turns_most_to_each_loss_after_the_first() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 31))
+        .tests(20_000)
+        .quickcheck(kept as fn(Vec<Step>) -> TestResult);
+}
+
+#[test]
+fn a_program_whose_turns_are_not_kept_loses_half_of_what_is_left_to_each_loss() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 32))
+        .tests(20_000)
+        .quickcheck(not_kept as fn(Vec<Step>) -> TestResult);
+}
+
+/// One turn is recorded, the second is under way when all daemons are lost, the third is
+/// recorded, and all are lost once more: 1,595 of 2,700 tokens at most.
+#[test]
+fn a_turn_of_a_living_program_begins_after_two_losses_of_all_daemons() {
+    let mut world = World::new(true);
+    let whole_turn = |part| [Step::Open, Step::AppendAll, Step::Close(0, part)];
+    let story = whole_turn(191)
+        .into_iter()
+        .chain([Step::AppendAll, Step::Open, Step::AppendAll, Step::LoseAll])
+        .chain(whole_turn(255))
+        .chain([Step::AppendAll, Step::LoseAll]);
+    for step in story {
+        assert!(world.step(step), "{step:?}");
+    }
+    assert_eq!(world.used(), 434 + 2 * MOST);
+    assert!(world.open(), "the budget holds one more turn");
+}
+
+/// All owners are lost, and a moment later the log: a program that begins then is in doubt.
+#[test]
+fn a_program_that_begins_in_doubt_runs_to_its_end_without_the_log() {
+    let mut world = World::new(false);
+    world.step(Step::LoseAll);
+    world.append_all();
+    for turn in 0..3 {
+        assert!(world.open(), "turn {turn}");
+        world.end_with(145);
+    }
+}
+
+/// What a recorded turn left of its most is freed by the successor that hears of its end, so
+/// its owner may not have given it to another turn.
+#[test]
+fn what_a_recorded_turn_left_is_not_handed_out_under_that_record() {
+    let mut world = World::new(true);
+    assert!(world.open() && world.open());
+    world.append_all();
+    assert!(world.open());
+    world.step(Step::Close(1, 221));
+    assert!(world.open());
+    for which in 0..3 {
+        world.step(Step::HandOut(which, 255));
+    }
+    world.step(Step::LoseOwner);
+    let (counted, handed_out) = (world.counted(), world.handed_out());
+    assert!(world.counts_all(), "{counted} of {handed_out}");
+}
+
+/// An owner that gives its partition up in order leaves nothing reserved ahead behind, however
+/// often that happens.
+#[test]
+fn planned_stops_take_nothing_of_a_budget() {
+    let mut world = World::new(true);
+    for stop in 0..9 {
+        assert!(world.open(), "stop {stop}");
+        world.append_all();
+        world.end_with(145);
+        world.append_all();
+        world.step(Step::HandOver);
+        assert_eq!(world.counted(), world.used(), "stop {stop}");
+    }
+}
+
+/// Between two turns nothing is under way: losses there cost nothing that a turn needs, as
+/// long as there are no more of them than the bound tells.
+#[test]
+fn a_loss_between_two_turns_takes_no_turn_from_a_program() {
+    let mut world = World::new(true);
+    for step in [Step::Open, Step::AppendAll, Step::Close(0, 255)] {
+        assert!(world.step(step));
+    }
+    world.step(Step::AppendAll);
+    world.step(Step::LoseAll);
+    for turn in 1..4 {
+        assert!(world.open(), "turn {turn}");
+        world.append_all();
+        world.step(Step::Close(0, 255));
+        world.append_all();
+    }
+    assert!(!world.open(), "2,320 of 2,700 are used");
+}
