Budgets: a program known by an early end alone is kept like any other

Cause: an end that comes before its question left the program's time of change at 0, so the next expiry dropped the program with the memory of that end and appended a needless deletion. The late question was opened for nobody then; and what is counted of earlier owners of a program that asked in doubt was forgotten with it.

Found by reading; tests/abandoned.rs, two tests that failed first (a deletion in place of no record; 575 in place of 875 counted), both pass now, and the 28 of the crate.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -253,7 +253,7 @@
             return false;
         }
         if tokens == 0 && !self.has_open(turn) {
-            self.withdraw(turn);
+            self.withdraw(turn, now_ms);
             return false;
         }
         if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
@@ -278,8 +278,10 @@
         true
     }
 
-    /// Remembers a turn that ended before it was asked for.
-    fn withdraw(&mut self, turn: &str) {
+    /// Remembers a turn that ended before it was asked for: as long as the program itself, which
+    /// may be known by this alone.
+    fn withdraw(&mut self, turn: &str, now_ms: u64) {
+        self.changed_ms = now_ms;
         self.withdrawn.push_back(turn.to_owned());
         if self.withdrawn.len() > WITHDRAWN_REMEMBERED {
             self.withdrawn.pop_front();
--- a/crates/ledger/tests/abandoned.rs
+++ b/crates/ledger/tests/abandoned.rs
@@ -9,6 +9,9 @@
 /// Holds one turn and no second one beside it.
 const BUDGET: u64 = 900;
 const MOST: u64 = 575;
+/// Unix time at which the stories begin, in milliseconds: long after what a program was kept for
+/// that had last changed at 0.
+const NOW_MS: u64 = 1_700_000_000_000;
 
 fn turn(identity: &str, attempt: u64) -> OpenTurn {
     OpenTurn {
@@ -28,7 +31,7 @@
 }
 
 fn is_opened(partition: &mut Partition, turn: &OpenTurn) -> bool {
-    matches!(partition.open(turn, 1), OpenOutcome::Opened { .. })
+    matches!(partition.open(turn, NOW_MS), OpenOutcome::Opened { .. })
 }
 
 fn counted(partition: &Partition) -> u64 {
@@ -96,3 +99,29 @@
     successor.close(&left.withdrawn(), 3);
     assert!(is_opened(&mut successor, &turn("t2", 2)));
 }
+
+/// The memory of such an end has to outlast the question, which may be under way for as long as a
+/// cut lasts.
+#[test]
+fn an_end_that_came_before_its_question_is_remembered_while_time_goes_on() {
+    let mut partition = Partition::default();
+    let late = turn("t1", 1);
+    partition.close(&late.withdrawn(), NOW_MS);
+    assert_eq!(partition.expire(NOW_MS + 10_000), []);
+    assert_eq!(partition.open(&late, NOW_MS + 11_000), OpenOutcome::Ended);
+    assert_eq!(counted(&partition), 0);
+}
+
+/// A program that asked while it was in doubt may be one that an earlier owner began, also where
+/// its question came to nothing.
+#[test]
+fn a_program_that_asked_in_doubt_is_counted_as_such_after_it() {
+    let mut successor = Partition::taken_over(NOW_MS, 5_000);
+    successor.close(&turn("t1", 1).withdrawn(), NOW_MS);
+    let in_doubt = counted(&successor);
+    assert_eq!(in_doubt, BUDGET / 3);
+    successor.expire(NOW_MS + 1_000);
+    successor.expire(NOW_MS + 6_000);
+    successor.open(&turn("t2", 2), NOW_MS + 7_000);
+    assert_eq!(counted(&successor), in_doubt + MOST);
+}
