Budgets: later owners know of an end that came before its question

Cause: an owner remembered such an end in its memory alone. Told and acknowledged there, it was unknown to the next owner, after a planned stop as well as after a loss; the question, delivered there late, reserved the most of a turn for nobody.

Excluded: that the end was not acknowledged, or that the question was opened before it.

Change: early ends go into the one list of ended turns, which records tell of. Their record reserves no more ahead than the newest one leaves, so a loss after it costs no more than without it. The close waited for the log before as well.

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -28,10 +28,8 @@
 /// one in this. Programs use less than a half of their budget, so that part carries nearly all
 /// of them through an outage, and what is left holds them after a loss as well.
 const AHEAD_DIVISOR: u64 = 2;
-/// Ended turns that are remembered.
+/// Ended turns that are remembered: several times what one program asks for side by side.
 const ENDED_REMEMBERED: usize = 24;
-/// Withdrawn turns that are remembered: several times what one program asks for side by side.
-const WITHDRAWN_REMEMBERED: usize = 24;
 
 /// Outcome of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +47,17 @@
     Ended,
 }
 
+/// What the end of a turn changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Nothing: it was told already.
+    Known,
+    /// Nothing that is counted, but the turn may not begin any more.
+    Unasked,
+    /// What is counted.
+    Counted,
+}
+
 /// How far reservations go ahead of the turns that were asked for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Ahead {
@@ -87,11 +96,11 @@
 pub struct Budget {
     settled: u64,
     open: Vec<Open>,
+    /// The latest turns whose ends were told, also those that were not asked for before: a
+    /// question may be under way for as long as a cut lasts, and whoever asked has left. Reserved
+    /// then, the most of such a turn would stay reserved for nobody. The question may also reach
+    /// a later owner, after no more than a planned stop, so records tell of them all.
     ended: Vec<String>,
-    /// Turns whose end was told before they were asked for: a question may be under way for as
-    /// long as a cut lasts, and whoever asked has left. Reserved then, the most of such a turn
-    /// would stay reserved for nobody. Needed by this owner alone, so no record tells of it.
-    withdrawn: VecDeque<String>,
     /// The newest durable record, and behind it those that are being appended.
     bases: VecDeque<Basis>,
     /// Records made so far.
@@ -132,7 +141,6 @@
                 .map(|open| Open::recorded(open, record.changed_ms))
                 .collect(),
             ended: record.ended.clone(),
-            withdrawn: VecDeque::new(),
             bases: VecDeque::from([Basis::default()]),
             records: 0,
             inherited: record.ahead,
@@ -159,14 +167,17 @@
     /// that it tells of left of its most is nobody's: the successor frees it once it hears of
     /// that turn's end.
     fn room(&self) -> u64 {
-        let rooms = self.bases.iter().map(|basis| {
-            let untold = self.open.iter().filter(|open| !open.is_in(basis.number));
-            let allowed: u64 = untold.map(|open| open.allowed).sum();
-            basis.ahead.saturating_sub(basis.used + allowed)
-        });
+        let rooms = self.bases.iter().map(|basis| self.room_of(basis));
         rooms.min().unwrap_or(0)
     }
 
+    /// The same for one record.
+    fn room_of(&self, basis: &Basis) -> u64 {
+        let untold = self.open.iter().filter(|open| !open.is_in(basis.number));
+        let allowed: u64 = untold.map(|open| open.allowed).sum();
+        basis.ahead.saturating_sub(basis.used + allowed)
+    }
+
     /// Takes in what is seen of the program's turns.
     pub fn observe(&mut self, most: u64, ahead: Option<Ahead>) {
         self.turn_most = self.turn_most.max(most);
@@ -212,8 +223,7 @@
 
     /// Whether the end of a turn was told.
     fn has_ended(&self, turn: &str) -> bool {
-        let mut told = self.ended.iter().chain(&self.withdrawn);
-        told.any(|ended| ended == turn)
+        self.ended.iter().any(|ended| ended == turn)
     }
 
     /// What is counted, for one whose turn it does not hold.
@@ -246,16 +256,14 @@
         }
     }
 
-    /// Ends a turn with the tokens that reached the client. False if that changes nothing that
-    /// is counted.
-    pub fn settle(&mut self, turn: &str, tokens: u64, now_ms: u64) -> bool {
+    /// Ends a turn with the tokens that reached the client.
+    pub fn settle(&mut self, turn: &str, tokens: u64, now_ms: u64) -> End {
         if self.has_ended(turn) {
-            return false;
-        }
-        if tokens == 0 && !self.has_open(turn) {
-            self.withdraw(turn, now_ms);
-            return false;
+            return End::Known;
         }
+        // Also where nothing is counted: the program may be known by this alone.
+        self.changed_ms = now_ms;
+        self.remember_end(turn);
         if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
             let ended = self.open.swap_remove(index);
             for basis in &mut self.bases {
@@ -263,6 +271,8 @@
                     basis.used += tokens;
                 }
             }
+        } else if tokens == 0 {
+            return End::Unasked;
         } else {
             // Granted by an earlier owner from what it had reserved ahead. That owner may
             // have reserved the rest of this turn's most again for turns whose ends are
@@ -270,22 +280,14 @@
             self.inherited = self.inherited.saturating_sub(tokens);
         }
         self.settled += tokens;
+        End::Counted
+    }
+
+    fn remember_end(&mut self, turn: &str) {
         self.ended.push(turn.to_owned());
         if self.ended.len() > ENDED_REMEMBERED {
             self.ended.remove(0);
         }
-        self.changed_ms = now_ms;
-        true
-    }
-
-    /// Remembers a turn that ended before it was asked for: as long as the program itself, which
-    /// may be known by this alone.
-    fn withdraw(&mut self, turn: &str, now_ms: u64) {
-        self.changed_ms = now_ms;
-        self.withdrawn.push_back(turn.to_owned());
-        if self.withdrawn.len() > WITHDRAWN_REMEMBERED {
-            self.withdrawn.pop_front();
-        }
     }
 
     /// The record to append of a program that none tells of yet.
@@ -314,6 +316,14 @@
         self.record_ahead(ahead)
     }
 
+    /// The record to append where nothing that is counted changed: it reserves no more ahead
+    /// than a successor would count without it, so a loss after it costs no more.
+    pub fn record_as_reserved(&mut self) -> ProgramRecord {
+        let newest = self.bases.back();
+        let ahead = newest.map_or(0, |basis| self.room_of(basis));
+        self.record_ahead(ahead)
+    }
+
     /// A record that reserves so much ahead.
     fn record_ahead(&mut self, ahead: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,6 +1,6 @@
 //! The state machine of one partition, as its owner runs it.
 
-use crate::budget::{Ahead, Budget, Reservation};
+use crate::budget::{Ahead, Budget, End, Reservation};
 use crate::doubt::Doubt;
 pub use crate::doubt::doubt_after_loss;
 use crate::message::{CloseTurn, OpenTurn, Shortage};
@@ -202,10 +202,12 @@
             let name = request.name(&request.program);
             let program = self.program(name.clone(), budget, now_ms);
             program.observe(request.most_tokens, None);
-            if program.settle(&request.reservation(), request.tokens, now_ms) {
-                let record = program.record(budget);
-                records.push(Record::Program(name, Some(record)));
-            }
+            let record = match program.settle(&request.reservation(), request.tokens, now_ms) {
+                End::Known => None,
+                End::Unasked => Some(program.record_as_reserved()),
+                End::Counted => Some(program.record(budget)),
+            };
+            records.extend(record.map(|record| Record::Program(name, Some(record))));
         }
         let turn = request.name(&request.turn);
         if let Some(content) = &request.content
