--- /dev/null
+++ b/crates/ledger/tests/budget_fuzz/main.rs
@@ -0,0 +1,106 @@
+//! A program's budget over any losses of its owners and of any gateways, against a simple
+//! oracle: tokens handed to clients never exceed the budget by more than the most of
+//! one turn.
+
+mod story;
+mod world;
+
+use quickcheck::{Gen, QuickCheck, TestResult};
+use story::Story;
+use world::{BUDGET, MOST, Step, World};
+
+/// The bound of the rule: the budget and one turn's most.
+fn budget_holds(story: Story) -> TestResult {
+    let mut world = World::default();
+    for step in story.0 {
+        world.step(step);
+        if world.handed_out > BUDGET + MOST {
+            return TestResult::error(format!(
+                "{} tokens handed out of {BUDGET}",
+                world.handed_out
+            ));
+        }
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn tokens_stay_within_the_budget_over_crashes() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(160, 21))
+        .tests(8_000)
+        .quickcheck(budget_holds as fn(Story) -> TestResult);
+}
+
+/// Without any loss, nothing is handed out beyond the budget at all, and a turn is
+/// refused only if the budget does not hold it.
+fn exact_without_losses(story: Story) -> bool {
+    let mut world = World::default();
+    let lossless = story.0.into_iter().filter(|step| {
+        let loses = matches!(
+            step,
+            Step::LoseOwner | Step::HandOver | Step::LoseGateway(_)
+        );
+        !loses && !matches!(step, Step::OpenAtFormer(_))
+    });
+    for step in lossless {
+        let before = world.next_turn;
+        let held: u64 = world.ended.iter().map(|ended| ended.tokens).sum::<u64>()
+            + world.running.len() as u64 * MOST;
+        let running = world.running.len();
+        world.step(step);
+        let asked = world.next_turn > before;
+        let granted = world.running.len() > running;
+        if asked && granted != (held + MOST <= BUDGET) {
+            return false;
+        }
+        if world.handed_out > BUDGET {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn without_losses_the_budget_is_exact() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(160, 22))
+        .tests(2_000)
+        .quickcheck(exact_without_losses as fn(Story) -> bool);
+}
+
+/// An owner that was lost ran many short turns without a record; its successor hears of
+/// some of them only. The others still count.
+#[test]
+fn ends_that_are_told_do_not_hide_those_that_are_not() {
+    let mut steps = Vec::new();
+    for _ in 0..16 {
+        steps.extend([Step::Open, Step::HandOut(0, 20), Step::Close(0)]);
+    }
+    steps.push(Step::LoseOwner);
+    steps.extend([0, 1, 2, 3].map(Step::CloseAgain));
+    for _ in 0..16 {
+        steps.push(Step::Open);
+        steps.extend([Step::Append; 8]);
+        steps.extend([Step::HandOut(0, 255), Step::Close(0)]);
+        steps.extend([Step::Append; 8]);
+    }
+    assert!(!budget_holds(Story(steps)).is_failure());
+}
+
+/// Turns that the former owner granted without a record run on after it gave its partition
+/// up, and their gateways are lost before they tell their ends.
+#[test]
+fn a_hand_over_tells_of_programs_that_have_no_record() {
+    let mut steps = vec![Step::Open; 2];
+    steps.extend([0, 1].map(|which| Step::HandOut(which, 255)));
+    steps.push(Step::HandOver);
+    steps.extend([Step::LoseGateway(0); 2]);
+    for _ in 0..12 {
+        steps.push(Step::Open);
+        steps.extend([Step::Append; 4]);
+        steps.extend([Step::HandOut(0, 255), Step::Close(0)]);
+        steps.extend([Step::Append; 4]);
+    }
+    assert!(!budget_holds(Story(steps)).is_failure());
+}
--- a/crates/ledger/tests/budget_fuzz.rs
+++ b/crates/ledger/tests/budget_fuzz/world.rs
@@ -1,15 +1,12 @@
-//! A program's budget over any losses of its owners and of any gateways, against a simple
-//! oracle: tokens handed to clients never exceed the budget by more than the most of
-//! one turn.
+//! One program, the owners of its partition, and what was handed out of it.
 
 use fieldhook_ledger::message::{CloseTurn, OpenTurn};
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
-use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use std::collections::{BTreeMap, VecDeque};
 
-const BUDGET: u64 = 1_000;
-const MOST: u64 = 90;
+pub const BUDGET: u64 = 1_000;
+pub const MOST: u64 = 90;
 const PROGRAM: &str = "p";
 /// Longer than any story: its clock stands still.
 const DOUBT_MS: u64 = 60_000;
@@ -17,7 +14,7 @@
 const ENDS_TOLD_AGAIN: usize = 24;
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub enum Step {
     /// A turn asks to begin.
     Open,
     /// A turn asks a former owner that lives on and does not know that it was replaced.
@@ -38,97 +35,25 @@
     LoseGateway(u8),
 }
 
-/// How often what happens in one story: appends may be rare and losses frequent.
-struct Odds {
-    append: u8,
-    lose_owner: u8,
-    close_again: u8,
-}
-
-impl Odds {
-    fn any(g: &mut Gen) -> Self {
-        let mut one_of = |odds: [u8; 3]| odds[usize::from(u8::arbitrary(g) % 3)];
-        Self {
-            append: one_of([1, 12, 48]),
-            lose_owner: one_of([2, 6, 16]),
-            close_again: one_of([4, 16, 48]),
-        }
-    }
-
-    fn step(&self, g: &mut Gen) -> Step {
-        let which = u8::arbitrary(g);
-        let tokens = u8::arbitrary(g) >> (u8::arbitrary(g) % 4);
-        let mut left = u32::arbitrary(g) % self.total();
-        for (odds, step) in self.steps(which, tokens) {
-            if left < u32::from(odds) {
-                return step;
-            }
-            left -= u32::from(odds);
-        }
-        Step::Open
-    }
-
-    fn total(&self) -> u32 {
-        let steps = self.steps(0, 0);
-        steps.iter().map(|(odds, _)| u32::from(*odds)).sum()
-    }
-
-    fn steps(&self, which: u8, tokens: u8) -> [(u8, Step); 9] {
-        [
-            (64, Step::Open),
-            (16, Step::OpenAtFormer(which)),
-            (64, Step::HandOut(which, tokens)),
-            (48, Step::Close(which)),
-            (self.close_again, Step::CloseAgain(which)),
-            (self.append, Step::Append),
-            (self.lose_owner, Step::LoseOwner),
-            (4, Step::HandOver),
-            (8, Step::LoseGateway(which)),
-        ]
-    }
-}
-
-/// What happens to one program.
-#[derive(Clone, Debug)]
-struct Story(Vec<Step>);
-
-impl Arbitrary for Story {
-    fn arbitrary(g: &mut Gen) -> Self {
-        let odds = Odds::any(g);
-        let len = g.size();
-        Self((0..len).map(|_| odds.step(g)).collect())
-    }
-
-    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let steps = self.0.clone();
-        let without = move |index: usize| {
-            let mut fewer = steps.clone();
-            fewer.remove(index);
-            Self(fewer)
-        };
-        Box::new((0..self.0.len()).map(without))
-    }
-}
-
 #[derive(Clone)]
-struct Running {
+pub struct Running {
     turn: String,
     attempt: u64,
-    tokens: u64,
+    pub tokens: u64,
     may_hand_out: bool,
 }
 
 #[derive(Default)]
-struct World {
+pub struct World {
     owner: Partition,
     formers: Vec<Partition>,
     log: BTreeMap<Vec<u8>, Vec<u8>>,
     queue: VecDeque<Record>,
     waiting: Vec<(usize, String)>,
-    running: Vec<Running>,
-    ended: Vec<Running>,
-    handed_out: u64,
-    next_turn: u64,
+    pub running: Vec<Running>,
+    pub ended: Vec<Running>,
+    pub handed_out: u64,
+    pub next_turn: u64,
     appended: usize,
     queued: usize,
 }
@@ -294,7 +219,7 @@
         self.running.remove(usize::from(which) % self.running.len());
     }
 
-    fn step(&mut self, step: Step) {
+    pub fn step(&mut self, step: Step) {
         match step {
             Step::Open => self.open(),
             Step::OpenAtFormer(which) => self.open_at_former(which),
@@ -316,99 +241,3 @@
         }
     }
 }
-
-/// The bound of the rule: the budget and one turn's most.
-fn budget_holds(story: Story) -> TestResult {
-    let mut world = World::default();
-    for step in story.0 {
-        world.step(step);
-        if world.handed_out > BUDGET + MOST {
-            return TestResult::error(format!(
-                "{} tokens handed out of {BUDGET}",
-                world.handed_out
-            ));
-        }
-    }
-    TestResult::passed()
-}
-
-#[test]
-fn tokens_stay_within_the_budget_over_crashes() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(160, 21))
-        .tests(8_000)
-        .quickcheck(budget_holds as fn(Story) -> TestResult);
-}
-
-/// Without any loss, nothing is handed out beyond the budget at all, and a turn is
-/// refused only if the budget does not hold it.
-fn exact_without_losses(story: Story) -> bool {
-    let mut world = World::default();
-    let lossless = story.0.into_iter().filter(|step| {
-        let loses = matches!(
-            step,
-            Step::LoseOwner | Step::HandOver | Step::LoseGateway(_)
-        );
-        !loses && !matches!(step, Step::OpenAtFormer(_))
-    });
-    for step in lossless {
-        let before = world.next_turn;
-        let held: u64 = world.ended.iter().map(|ended| ended.tokens).sum::<u64>()
-            + world.running.len() as u64 * MOST;
-        let running = world.running.len();
-        world.step(step);
-        let asked = world.next_turn > before;
-        let granted = world.running.len() > running;
-        if asked && granted != (held + MOST <= BUDGET) {
-            return false;
-        }
-        if world.handed_out > BUDGET {
-            return false;
-        }
-    }
-    true
-}
-
-#[test]
-fn without_losses_the_budget_is_exact() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(160, 22))
-        .tests(2_000)
-        .quickcheck(exact_without_losses as fn(Story) -> bool);
-}
-
-/// An owner that was lost ran many short turns without a record; its successor hears of
-/// some of them only. The others still count.
-#[test]
-fn ends_that_are_told_do_not_hide_those_that_are_not() {
-    let mut steps = Vec::new();
-    for _ in 0..16 {
-        steps.extend([Step::Open, Step::HandOut(0, 20), Step::Close(0)]);
-    }
-    steps.push(Step::LoseOwner);
-    steps.extend([0, 1, 2, 3].map(Step::CloseAgain));
-    for _ in 0..16 {
-        steps.push(Step::Open);
-        steps.extend([Step::Append; 8]);
-        steps.extend([Step::HandOut(0, 255), Step::Close(0)]);
-        steps.extend([Step::Append; 8]);
-    }
-    assert!(!budget_holds(Story(steps)).is_failure());
-}
-
-/// Turns that the former owner granted without a record run on after it gave its partition
-/// up, and their gateways are lost before they tell their ends.
-#[test]
-fn a_hand_over_tells_of_programs_that_have_no_record() {
-    let mut steps = vec![Step::Open; 2];
-    steps.extend([0, 1].map(|which| Step::HandOut(which, 255)));
-    steps.push(Step::HandOver);
-    steps.extend([Step::LoseGateway(0); 2]);
-    for _ in 0..12 {
-        steps.push(Step::Open);
-        steps.extend([Step::Append; 4]);
-        steps.extend([Step::HandOut(0, 255), Step::Close(0)]);
-        steps.extend([Step::Append; 4]);
-    }
-    assert!(!budget_holds(Story(steps)).is_failure());
-}
--- a/crates/ledger/tests/budget_room/main.rs
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -4,7 +4,7 @@
 //! The oracle counts a turn whose end was recorded by its tokens, any other turn that may
 //! have handed something out at its most. Each loss of an owner may hide at most what was
 //! reserved ahead; of that the most of one turn costs nothing, as a budget may be exceeded by
-//! it. The other side is checked beside it, as in `budget_fuzz.rs`: the tokens handed out are
+//! it. The other side is checked beside it, as in `budget_fuzz/`: the tokens handed out are
 //! never more than the budget and one turn's most, also where turns hand out what they are
 //! allowed before their record and successors in doubt have parts of their own.
 
