Fuzz: the longer run plays the stories of budgets as well

scripts/fuzz filters by the name of a test, and none of the ledger's had the word in it: it played nothing of that crate. The script itself was not run whole.

--- a/crates/ledger/tests/budget_fuzz/main.rs
+++ b/crates/ledger/tests/budget_fuzz/main.rs
@@ -9,6 +9,21 @@
 use story::{QuestionStory, Story};
 use world::{BUDGET, MOST, Step, World};
 
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Plays stories of a seed, or of those that a longer run asks for.
+fn stories(seed: u64, cases: u64) -> QuickCheck {
+    let seed = setting("FIELDHOOK_FUZZ_SEED", seed);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(160, seed))
+        .tests(setting("FIELDHOOK_FUZZ_CASES", cases))
+}
+
 /// The bound of the rule: the budget and one turn's most.
 fn budget_holds(story: Story) -> TestResult {
     let mut world = World::default();
@@ -26,17 +41,7 @@
 
 #[test]
 fn tokens_stay_within_the_budget_over_crashes() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(160, 21))
-        .tests(8_000)
-        .quickcheck(budget_holds as fn(Story) -> TestResult);
-}
-
-fn setting(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
+    stories(21, 8_000).quickcheck(budget_holds as fn(Story) -> TestResult);
 }
 
 /// The same, and an owner that knows the program counts all that was handed out, by whomever.
@@ -57,13 +62,7 @@
 
 #[test]
 fn fuzz_tokens_stay_within_the_budget_whatever_becomes_of_questions() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(
-            160,
-            setting("FIELDHOOK_FUZZ_SEED", 23),
-        ))
-        .tests(setting("FIELDHOOK_FUZZ_CASES", 8_000))
-        .quickcheck(owners_count_all as fn(QuestionStory) -> TestResult);
+    stories(23, 8_000).quickcheck(owners_count_all as fn(QuestionStory) -> TestResult);
 }
 
 /// Without any loss, nothing is handed out beyond the budget at all, and a turn is
@@ -97,10 +96,7 @@
 
 #[test]
 fn without_losses_the_budget_is_exact() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(160, 22))
-        .tests(2_000)
-        .quickcheck(exact_without_losses as fn(Story) -> bool);
+    stories(22, 2_000).quickcheck(exact_without_losses as fn(Story) -> bool);
 }
 
 /// An owner that was lost ran many short turns without a record; its successor hears of
--- a/crates/ledger/tests/budget_room/main.rs
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -74,18 +74,12 @@
 
 #[test]
 fn a_program_whose_turns_are_kept_loses_one_turns_most_to_each_loss_after_the_first() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(60, 31))
-        .tests(20_000)
-        .quickcheck(kept as fn(Vec<Step>) -> TestResult);
+    stories(31).quickcheck(kept as fn(Vec<Step>) -> TestResult);
 }
 
 #[test]
 fn a_program_whose_turns_are_not_kept_loses_half_of_what_is_left_to_each_loss() {
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(60, 32))
-        .tests(20_000)
-        .quickcheck(not_kept as fn(Vec<Step>) -> TestResult);
+    stories(32).quickcheck(not_kept as fn(Vec<Step>) -> TestResult);
 }
 
 fn questions_kept(story: Story) -> TestResult {
@@ -107,30 +101,27 @@
         .unwrap_or(default)
 }
 
-/// Plays stories of questions under way.
-fn play(story: fn(Story) -> TestResult, seed: u64) {
+/// Plays stories of a seed, or of those that a longer run asks for.
+fn stories(seed: u64) -> QuickCheck {
+    let seed = setting("FIELDHOOK_FUZZ_SEED", seed);
     QuickCheck::new()
-        .rng(Gen::from_size_and_seed(
-            60,
-            setting("FIELDHOOK_FUZZ_SEED", seed),
-        ))
+        .rng(Gen::from_size_and_seed(60, seed))
         .tests(setting("FIELDHOOK_FUZZ_CASES", 20_000))
-        .quickcheck(story);
 }
 
 #[test]
 fn fuzz_questions_under_way_of_a_program_whose_turns_are_kept() {
-    play(questions_kept, 33);
+    stories(33).quickcheck(questions_kept as fn(Story) -> TestResult);
 }
 
 #[test]
 fn fuzz_questions_under_way_of_a_program_whose_turns_are_not_kept() {
-    play(questions_not_kept, 34);
+    stories(34).quickcheck(questions_not_kept as fn(Story) -> TestResult);
 }
 
 #[test]
 fn fuzz_questions_under_way_of_a_program_that_holds_one_turn() {
-    play(questions_of_one_turn, 35);
+    stories(35).quickcheck(questions_of_one_turn as fn(Story) -> TestResult);
 }
 
 /// One turn is recorded, the second is under way when all daemons are lost, the third is
