Budgets: a forgotten program that comes back waits for its record until its deletion is durable

Cause: expiry forgets a program and queues its deletion. Asked for again before that is durable, the program was fresh and handed out its mark without a record; an owner lost then leaves the old record, which the next one counts alone. And records of the life before that still waited (the log away for longer than a program is kept) were taken for the new life's: what they did not tell of was let out as durable.

--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -64,6 +64,9 @@
 pub struct Partition {
     programs: HashMap<Name, Budget>,
     turns: HashMap<Name, Turn>,
+    /// Programs that were forgotten, with the deletions that are not durable yet: a successor may
+    /// read the record of before, and would count that alone.
+    forgotten: HashMap<Name, u32>,
     /// Whether a program that no record tells of may be an earlier owner's.
     doubt: Doubt,
 }
@@ -110,7 +113,8 @@
     }
 
     fn program(&mut self, name: Name, budget: u64, now_ms: u64) -> &mut Budget {
-        let unrecorded = self.doubt.unrecorded(now_ms);
+        let mut unrecorded = self.doubt.unrecorded(now_ms);
+        unrecorded.may &= !self.forgotten.contains_key(&name);
         self.programs
             .entry(name)
             .or_insert_with(|| Budget::fresh(budget, unrecorded))
@@ -231,16 +235,29 @@
     /// A record was appended.
     pub fn appended(&mut self, record: &Record) {
         match record {
-            Record::Program(name, Some(_)) => {
+            // Before the deletion it is one of the program's life before.
+            Record::Program(name, Some(_)) if !self.forgotten.contains_key(name) => {
                 if let Some(program) = self.programs.get_mut(name) {
                     program.appended();
                 }
             }
+            Record::Program(name, None) => self.deleted(name),
             Record::Doubt(successors) => self.doubt.appended(*successors),
             _ => {}
         }
     }
 
+    /// The deletion of a forgotten program is durable.
+    fn deleted(&mut self, name: &Name) {
+        let Some(deletions) = self.forgotten.get_mut(name) else {
+            return;
+        };
+        *deletions -= 1;
+        if *deletions == 0 {
+            self.forgotten.remove(name);
+        }
+    }
+
     /// Deletes what need not be kept any longer.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Record> {
         let mut records = self.end_doubt(now_ms);
@@ -254,6 +271,7 @@
         self.programs.retain(|name, program| {
             let keep = now_ms < program.changed_ms() + PROGRAM_RETENTION_MS;
             if !keep {
+                *self.forgotten.entry(name.clone()).or_default() += 1;
                 records.push(Record::Program(name.clone(), None));
             }
             keep
