--- a/crates/ledger/tests/budget_room/main.rs
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -154,6 +154,27 @@
     }
 }
 
+/// Two owners gave a program a part each that no record tells of; the second one's doubt is over
+/// when it is lost as well.
+#[test]
+fn what_was_handed_out_in_doubt_is_counted_by_owners_after_it() {
+    let mut world = World::new(false);
+    let turn = [Step::Open, Step::HandOut(0, 255)];
+    let story = turn
+        .into_iter()
+        .chain([Step::LoseOwner, Step::AppendAll, Step::Open])
+        .chain([Step::HandOut(1, 255)])
+        .chain([questions::Step::EndDoubt].map(Step::Question))
+        .chain([Step::AppendAll, Step::LoseOwner, Step::Open])
+        .chain([Step::AppendAll, Step::HandOut(2, 255)]);
+    for step in story {
+        assert!(world.step(step), "{step:?}");
+    }
+    assert_eq!(world.handed_out(), 3 * MOST);
+    let counted = world.counted();
+    assert!(world.counts_all(), "{counted} of {}", 3 * MOST);
+}
+
 /// What a recorded turn left of its most is freed by the successor that hears of its end, so
 /// its owner may not have given it to another turn.
 #[test]
--- a/crates/ledger/tests/budget_room/world.rs
+++ b/crates/ledger/tests/budget_room/world.rs
@@ -13,10 +13,9 @@
 const BUDGET: u64 = 2_700;
 pub const MOST: u64 = 580;
 const PROGRAM: &str = "p";
-/// Longer than any story: its clock stands still.
 const DOUBT_MS: u64 = 60_000;
-/// Unix time of every story, in milliseconds: long after what a program was kept for that had last
-/// changed at 0.
+/// Unix time at which every story begins, in milliseconds: long after what a program was kept for
+/// that had last changed at 0. The clock stands still but for [`questions::Step::EndDoubt`].
 const NOW_MS: u64 = 1_700_000_000_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -81,6 +80,7 @@
 
 pub struct World {
     pub budget: u64,
+    now_ms: u64,
     owner: Partition,
     formers: Vec<Partition>,
     keeps_context: bool,
@@ -104,6 +104,7 @@
     pub fn with_budget(keeps_context: bool, budget: u64) -> Self {
         Self {
             budget,
+            now_ms: NOW_MS,
             owner: Partition::default(),
             formers: Vec::new(),
             keeps_context,
@@ -177,7 +178,7 @@
     /// Begins a turn. False if it was refused.
     pub fn open(&mut self) -> bool {
         let request = self.request();
-        let outcome = self.owner.open(&request, NOW_MS);
+        let outcome = self.owner.open(&request, self.now_ms);
         let OpenOutcome::Opened {
             allowed, records, ..
         } = outcome
@@ -195,7 +196,7 @@
         let Some(index) = usize::from(which).checked_rem(self.formers.len()) else {
             return;
         };
-        let outcome = self.formers[index].open(&request, NOW_MS);
+        let outcome = self.formers[index].open(&request, self.now_ms);
         if let OpenOutcome::Opened { allowed, .. } = outcome
             && allowed > 0
         {
@@ -266,7 +267,7 @@
             engine: None,
             keeper: None,
         };
-        let records = self.owner.close(&request, NOW_MS);
+        let records = self.owner.close(&request, self.now_ms);
         self.push(records);
         let recorded_at = self.queued;
         for turn in self.turns.iter_mut().filter(|turn| turn.attempt == attempt) {
@@ -301,7 +302,7 @@
             self.owner.load(record);
         }
         self.owner.loaded();
-        let records = self.owner.claim_part(NOW_MS);
+        let records = self.owner.claim_part(self.now_ms);
         self.push(records);
     }
 
@@ -323,8 +324,8 @@
         let records = self.owner.hand_over();
         self.push(records);
         self.append_all();
-        let doubt_ms = self.owner.doubt_ms(NOW_MS);
-        self.owner = Partition::taken_over(NOW_MS, doubt_ms);
+        let doubt_ms = self.owner.doubt_ms(self.now_ms);
+        self.owner = Partition::taken_over(self.now_ms, doubt_ms);
         if !is_known {
             self.count_loss();
         }
@@ -332,7 +333,10 @@
     }
 
     fn lose_owner(&mut self, gateways_live: bool) {
-        let former = std::mem::replace(&mut self.owner, Partition::taken_over(NOW_MS, DOUBT_MS));
+        let former = std::mem::replace(
+            &mut self.owner,
+            Partition::taken_over(self.now_ms, DOUBT_MS),
+        );
         if gateways_live {
             self.formers.push(former);
         }
--- a/crates/ledger/tests/budget_room/world/questions.rs
+++ b/crates/ledger/tests/budget_room/world/questions.rs
@@ -1,7 +1,7 @@
 //! Questions that are under way: their askers may leave, and they may reach owners late, more
 //! than once or never. What the end tells of a turn that never ran is that it took nothing.
 
-use super::{MOST, NOW_MS, PROGRAM, Turn, World};
+use super::{DOUBT_MS, MOST, NOW_MS, PROGRAM, Turn, World};
 use fieldhook_ledger::message::OpenTurn;
 use fieldhook_ledger::partition::OpenOutcome;
 use fieldhook_ledger::record::{ProgramRecord, Record};
@@ -12,6 +12,8 @@
 const LATEST: usize = 4;
 /// Losses in a row at most.
 const LOSSES_IN_A_ROW: u8 = 12;
+/// Doubts that a story may outlast: fewer than a program is kept for.
+const DOUBTS: u64 = 2;
 
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
@@ -33,6 +35,9 @@
     LoseAllTimes(u8),
     /// The owner deletes what need not be kept.
     Expire,
+    /// The owner's doubt is over. By then it has heard of a program that was begun, and former
+    /// owners know that they were replaced.
+    EndDoubt,
 }
 
 impl Arbitrary for Step {
@@ -48,6 +53,7 @@
             23..28 => Self::TellEnd(which),
             28 => Self::TellEndAtFormer(which, former),
             29 if former < 64 => Self::LoseAllTimes(1 + which % LOSSES_IN_A_ROW),
+            30 => Self::EndDoubt,
             _ => Self::Expire,
         }
     }
@@ -96,14 +102,26 @@
             Step::TellEnd(which) => self.tell_withdrawn(which),
             Step::TellEndAtFormer(which, former) => self.tell_withdrawn_at_former(which, former),
             Step::LoseAllTimes(times) => (0..times).for_each(|_| self.lose_owner(false)),
-            Step::Expire => {
-                let records = self.owner.expire(NOW_MS);
-                self.push(records);
-            }
+            Step::Expire => self.expire(),
+            Step::EndDoubt => self.end_doubt(),
         }
         true
     }
 
+    fn expire(&mut self) {
+        let records = self.owner.expire(self.now_ms);
+        self.push(records);
+    }
+
+    fn end_doubt(&mut self) {
+        let is_known = self.owner.programs() > 0 || self.turns.is_empty();
+        if is_known && self.now_ms < NOW_MS + DOUBTS * DOUBT_MS {
+            self.now_ms += DOUBT_MS;
+            self.formers.clear();
+            self.expire();
+        }
+    }
+
     fn ask(&mut self) {
         let request = self.request();
         self.push_question(request);
@@ -146,7 +164,7 @@
         let may_refuse = self.may_refuse();
         let question = &self.questions[index];
         let (request, waits) = (question.request.clone(), question.waits());
-        match self.owner.open(&request, NOW_MS) {
+        match self.owner.open(&request, self.now_ms) {
             OpenOutcome::Opened {
                 allowed, records, ..
             } => {
@@ -194,7 +212,7 @@
         };
         let question = &mut self.questions[index];
         let request = question.request.clone();
-        let outcome = self.formers[former].open(&request, NOW_MS);
+        let outcome = self.formers[former].open(&request, self.now_ms);
         if let OpenOutcome::Opened { allowed, .. } = outcome
             && allowed > 0
             && question.waits()
@@ -223,7 +241,7 @@
             return;
         };
         let end = self.questions[index].request.withdrawn();
-        let records = self.owner.close(&end, NOW_MS);
+        let records = self.owner.close(&end, self.now_ms);
         self.push(records);
         self.questions[index].told_at.get_or_insert(self.queued);
     }
@@ -234,7 +252,7 @@
         };
         let end = self.questions[index].request.withdrawn();
         if let Some(former) = usize::from(former).checked_rem(self.formers.len()) {
-            self.formers[former].close(&end, NOW_MS);
+            self.formers[former].close(&end, self.now_ms);
         }
     }
 
