--- a/crates/ledger/tests/budget_room/main.rs
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -6,7 +6,8 @@
 //! reserved ahead; of that the most of one turn costs nothing, as a budget may be exceeded by
 //! it. The other side is checked beside it, as in `budget_fuzz/`: the tokens handed out are
 //! never more than the budget and one turn's most, also where turns hand out what they are
-//! allowed before their record and successors in doubt have parts of their own.
+//! allowed before their record and successors in doubt have parts of their own. A turn that never
+//! ran and whose end was told counts nothing, whenever its question reaches an owner.
 
 mod world;
 
