Ends of turns: told in rounds for 120 s, and before the answer that sends a client back

An end was told for 20 s, in a loop of its own that looked for owners beside every request that waits for the same one: gone too early where the log is away for longer and its owner is lost then, and some 200 messages for each try that was left (from the constants; not measured). It is told in rounds of 1.2 s with pauses up to 2 s now. A try that a limit refuses gives its reservation back before its client hears so. The number of a try depends on the turn and the daemon as well: daemons that start at the same moment may draw the same numbers. Without a budget nothing is told, as nothing is reserved.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -32,8 +32,8 @@
             let _ = daemon.stopping.send(Stopping::Refusing);
         }
         let idle = daemon.in_flight.get() == 0 && daemon.client_connections.get() == 0;
-        let is_told = daemon.ledger.endings.get() == 0;
-        if idle && is_told && daemon.owner.held_count() == 0 {
+        let ends_told = daemon.ledger.endings.get() == 0;
+        if idle && ends_told && daemon.owner.held_count() == 0 {
             break;
         }
         sleep(CHECK_PERIOD).await;
--- a/crates/gateway/src/ledger/ending.rs
+++ b/crates/gateway/src/ledger/ending.rs
@@ -4,10 +4,17 @@
 use fieldhook_ledger::message::CloseTurn;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-/// How long the end of a turn is told that did not end whole.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// How long the end of a turn is told that did not end whole. It outlasts an outage of the log,
+/// and ends before the owner forgets the program, 180 s after its last change.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// One round of telling it: an owner that is silent is noticed, and asked once more.
+const ROUND: Duration = Duration::from_millis(1_200);
+/// Pauses between rounds. Clients leave by hundreds where an owner is silent, and each end that
+/// is told asks and looks for owners beside the requests that wait for the same ones.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// An end that is being told.
 struct Telling(Rc<LedgerClient>);
@@ -25,16 +32,29 @@
         self.endings.set(self.endings.get() + 1);
         let telling = Telling(self.clone());
         ntex::rt::spawn(async move {
-            let ledger = &telling.0;
-            if !ledger.close(&close, Instant::now() + PATIENCE).await {
+            if !telling.0.tell(&close).await {
                 tracing::warn!(
                     event = "turn_end_untold",
                     request = close.turn,
                     program = close.program,
                     reservation = close.reservation(),
-                    "its most stays reserved"
+                    "its most stays reserved where no owner has noted it"
                 );
             }
         });
     }
+
+    /// Tells an end in rounds. False if none was answered.
+    async fn tell(&self, close: &CloseTurn) -> bool {
+        let until = Instant::now() + PATIENCE;
+        let mut pause = FIRST_PAUSE;
+        while Instant::now() < until {
+            if self.close(close, Instant::now() + ROUND).await {
+                return true;
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+        false
+    }
 }
--- a/crates/gateway/src/serve/opening.rs
+++ b/crates/gateway/src/serve/opening.rs
@@ -36,7 +36,7 @@
 /// A turn that owners are asked about. Its client may leave, or its time pass, while the answer
 /// of an owner that has opened it is under way. Dropped then, it tells its end: nobody else would,
 /// and one turn's most that is reserved for nobody refuses each further turn of a program whose
-/// budget does not hold two (29 tries in a row after a loss of all power).
+/// budget does not hold two.
 struct Opening {
     ledger: Rc<LedgerClient>,
     metrics: Rc<Metrics>,
@@ -99,7 +99,7 @@
     Ok(OpenTurn {
         tenant: context.tenant_name().map(str::to_owned),
         turn: meta.id.clone(),
-        attempt: fastrand::u64(..),
+        attempt: attempt(context),
         program,
         previous: meta.previous.clone(),
         wants_chain: route.keeps_context,
@@ -112,6 +112,14 @@
     })
 }
 
+/// A number for this try, which no other try of the program has: daemons that start at the same
+/// moment may draw the same numbers, and clients may try again under the same identity.
+fn attempt(context: &RequestContext) -> u64 {
+    let drawn = fastrand::u64(..);
+    let (turn, daemon) = (&context.meta.id, &context.daemon.settings.name);
+    fieldhook_traffic::assignment::prefix_hash(&format!("{turn} {daemon} {drawn:x}"))
+}
+
 /// What the owner needs to assign an engine.
 fn placement(context: &RequestContext, homes: &Set) -> Option<Placement> {
     let meta = &context.meta;
@@ -259,7 +267,8 @@
 
 impl Drop for Opening {
     fn drop(&mut self) {
-        if !self.in_doubt.get() {
+        // Without a budget nothing is reserved.
+        if !self.in_doubt.get() || self.request.budget.is_none() {
             return;
         }
         self.metrics.turns_in_doubt.inc();
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -178,7 +178,11 @@
     match opening::open(&context).await {
         Ok(turn) => match quota::take(&context, turn.as_ref().is_some_and(Turn::begins)).await {
             Ok(()) => serve_turn(context, turn, writer).await,
-            Err(refusal) => context.answer(refusal, writer).await,
+            Err(refusal) => {
+                // Its client may be back with the next try as soon as it has the answer.
+                drop(turn);
+                context.answer(refusal, writer).await
+            }
         },
         Err(refusal) => {
             let answer = answer_of(refusal, context.retry_later_ms());
