Homes: a partition that nobody owns is claimed for the turn that needs it

Cause: homes_with_nothing_in_common_refuse_truthfully failed now and then: 503 in place of 200. By its lines (run kept with them) no daemon had claimed the home partition of its program. The region's only daemon claims one partition after the other, each later than the one before (of four, the last 2.5 to 3.5 s after its start); the client's gateway, which is of another region and may not claim, waited 0.6 s for news and refused. So do all turns of bounded homes right after a start, and when a configuration names a region for the first time.

Excluded by the same lines: the read of the partition (0 ms), the news of a claim, a claim race, the silence of an owner, the processor (the same alone and beside others).

Change: a gateway that may not own a partition without an owner has daemons of its region claim it (the message for daemons that are cut off the log; epoch 0 where there was no claim, which a daemon of the former version answers without claiming). The 0.6 s count from the last sign of the region: an owner that still reads is awaited, a region that does not answer is not. Where a region is lost the refusal comes as before.

Not changed: a lost owner that the daemons of its region are still to replace is awaited for 0.6 s, though others of the region live (docs/design/homes.md).

--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -4,7 +4,8 @@
 //! - [`assigner`]: engines for the programs of partitions owned here.
 //! - [`owner`]: the partitions owned here; `hold`: what is done with one of them, `owned`:
 //!   serving it, `release`: giving it up.
-//! - [`homes`]: home partitions, owned within their regions alone.
+//! - [`homes`]: home partitions, owned within their regions alone; `region`: their owners,
+//!   seen from other regions.
 //! - `limits`: what tenants may send, counted where their partitions are owned; [`quota`]:
 //!   asking for it.
 //! - `cold`: what cold servers may get, counted by an owner while it is the only one for
@@ -27,5 +28,6 @@
 pub mod peer;
 pub mod quota;
 pub mod reach;
+mod region;
 mod release;
 mod replace;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -3,6 +3,7 @@
 use super::exchange::{Doubt, Exchange};
 use super::owner::Owner;
 use super::peer::Peers;
+use super::region::{SILENCE_LIMIT, Signs};
 use fieldhook_ledger::message::{CloseTurn, FindChain, LedgerReply, LedgerRequest, OpenTurn};
 use fieldhook_log::contact::Contact;
 use fieldhook_log::reach::Reach;
@@ -21,10 +22,6 @@
 /// An owner that noted an end and has not appended it in this time is asked again: it
 /// may be frozen or cut off.
 const APPEND_LIMIT: Duration = Duration::from_millis(900);
-/// How long the owner of a home partition is asked, and a new one awaited, before a turn is
-/// refused: two questions and the news of a claim between them. A region that is lost has no
-/// owner to wait for, and the client may be told so while its time lasts.
-const KEEPER_LIMIT: Duration = Duration::from_millis(600);
 /// Pause before an end is told again while the others are out of reach.
 const MINORITY_PAUSE: Duration = Duration::from_millis(200);
 /// How often it is looked whether they are.
@@ -93,6 +90,7 @@
     pub(super) silent_owner: Cell<bool>,
     /// Doubts that were said, by partition: each is said once.
     pub(super) doubts: RefCell<HashMap<u32, Doubt>>,
+    pub(super) signs: RefCell<Signs>,
 }
 
 impl LedgerClient {
@@ -107,6 +105,7 @@
             searching: RefCell::default(),
             silent_owner: Cell::default(),
             doubts: RefCell::default(),
+            signs: RefCell::default(),
         }
     }
 
@@ -127,8 +126,7 @@
         // Asked also where a program begins: without an owner that keeps what it says, it
         // must not run.
         let mut contents = request.contents();
-        let until = deadline.min(Instant::now() + KEEPER_LIMIT);
-        let kept = match self.open_whole(&mut contents, until).await {
+        let kept = match self.open_whole(&mut contents, deadline).await {
             Err(OpenFailure::Unavailable) => return Err(OpenFailure::HomeUnavailable),
             kept => kept?,
         };
@@ -179,7 +177,7 @@
                 })
             })
             .collect();
-        let until = deadline.min(Instant::now() + KEEPER_LIMIT);
+        let until = deadline.min(Instant::now() + SILENCE_LIMIT);
         let asked = questions.iter().map(|question| {
             let is_home = question.partition(layout.free()) >= layout.free();
             self.ask(question, if is_home { until } else { deadline })
@@ -203,7 +201,13 @@
         deadline: Instant,
     ) -> Result<OpenedTurn, OpenFailure> {
         let request = LedgerRequest::Open(request.clone());
-        match self.ask(&request, deadline).await {
+        let partition = request.partition(self.owner.places.layout.free());
+        let answer = tokio::select! {
+            biased;
+            answer = self.ask(&request, deadline) => answer,
+            () = self.region_is_silent(partition) => None,
+        };
+        match answer {
             Some((opened, replies)) => match opened {
                 LedgerReply::Opened {
                     chain,
--- a/crates/gateway/src/ledger/exchange.rs
+++ b/crates/gateway/src/ledger/exchange.rs
@@ -56,6 +56,7 @@
         let Some(exchange) = exchange else {
             return;
         };
+        self.note_region(partition, exchange);
         let mut doubts = self.doubts.borrow_mut();
         let Some(doubt) = exchange.doubt() else {
             doubts.remove(&partition);
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -308,7 +308,10 @@
     sender: mpsc::UnboundedSender<LedgerReply>,
 ) {
     let partition = claim.partition;
-    let claimed = owner.claims.take_over(partition, Some(claim.epoch)).await;
+    let claimed = owner
+        .claims
+        .take_over(partition, claim.former_epoch())
+        .await;
     tracing::info!(
         event = "claimed_for_another",
         partition,
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -111,7 +111,7 @@
         join_all(asked).await
     }
 
-    async fn ask_peer(
+    pub(super) async fn ask_peer(
         &self,
         address: SocketAddr,
         question: &LedgerRequest,
@@ -164,7 +164,7 @@
         if self.owner.places.layout.region(partition).is_some() {
             return self.have_region_claim(partition, epoch).await;
         }
-        let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
+        let question = LedgerRequest::Claim(ClaimPartition::after(partition, Some(epoch)));
         let answers = self.ask_peers(None, &question, CLAIM_ANSWER_LIMIT).await;
         let mut news = false;
         for answer in answers.into_iter().flatten() {
@@ -178,19 +178,11 @@
     /// Asks other owners of the region that a partition belongs to, to claim it. True if there
     /// is a newer owner.
     async fn have_region_claim(&self, partition: u32, epoch: u64) -> bool {
-        let claims = &self.owner.claims;
-        let layout = &self.owner.places.layout;
-        let region = layout.region(partition);
-        let suspected = claims.claim(partition).and_then(|claim| claim.address);
-        let mut others: Vec<SocketAddr> = layout
-            .homes()
-            .filter(|other| layout.region(*other) == region)
-            .filter_map(|other| claims.claim(other)?.address)
-            .filter(|other| Some(*other) != suspected)
-            .collect();
-        others.sort();
-        others.dedup();
-        let question = LedgerRequest::Claim(ClaimPartition { partition, epoch });
+        let claim = self.owner.claims.claim(partition);
+        let suspected = claim.and_then(|claim| claim.address);
+        let mut others = self.owners_in_region_of(partition);
+        others.retain(|other| Some(*other) != suspected);
+        let question = LedgerRequest::Claim(ClaimPartition::after(partition, Some(epoch)));
         for other in others {
             let answer = self.ask_peer(other, &question, CLAIM_ANSWER_LIMIT).await;
             if let Some(LedgerReply::NotOwner(Some(known))) = answer
@@ -204,11 +196,15 @@
 
     /// Waits for news of a partition that only daemons of another region may own; false
     /// where this one may. They look after their owners themselves: a daemon that is cut off
-    /// their region would otherwise replace owners that serve it well.
+    /// their region would otherwise replace owners that serve it well. What nobody owns they
+    /// are asked to claim.
     async fn left_to_region(&self, partition: u32, epoch: Option<u64>) -> bool {
         if self.owner.claims.is_eligible(partition) {
             return false;
         }
+        if self.have_unowned_claimed(partition).await {
+            return true;
+        }
         if !self.contact.failing() || !self.learn_from_peers(partition, epoch).await {
             let _ = timeout(CHANGE_WAIT, self.owner.claims.changed.notified()).await;
         }
--- a/crates/gateway/tests/gateway/homes.rs
+++ b/crates/gateway/tests/gateway/homes.rs
@@ -51,7 +51,15 @@
 
 impl Fleet {
     async fn start(first: TrafficConfig, zones: &[&'static str]) -> Self {
+        let fleet = Self::start_now(first, zones, FREE).await;
+        sleep(SETTLED).await;
+        fleet
+    }
+
+    /// The same with so many free partitions, before these and others have owners.
+    async fn start_now(first: TrafficConfig, zones: &[&'static str], free: u32) -> Self {
         let world = World::new().await;
+        world.partitions.set(free);
         *world.zones.borrow_mut() = map();
         world.configs.borrow_mut()[0] = first;
         let at_a = Server::start("sa", events()).await;
@@ -65,7 +73,6 @@
         for (_, gateway) in &gateways {
             gateway.wait_ready(2).await;
         }
-        sleep(SETTLED).await;
         Self {
             world,
             at_a,
@@ -487,6 +494,46 @@
     });
 }
 
+#[test]
+fn turns_right_after_a_start_are_served_in_their_homes() {
+    run(async {
+        // Its only daemon claims all by itself, one after the other within several seconds.
+        let fleet = Fleet::start_now(chat_in(1, &["a"]), &["a1", "b1"], 4).await;
+        let b = fleet.at("b1");
+        let ledger = &b.daemon.ledger;
+        let homes = Set::of(["a"]);
+        let names: Vec<String> = (0..12).map(|number| format!("p{number}")).collect();
+        let mut keepers: Vec<_> = names.iter().map(|p| ledger.keeper(p, &homes)).collect();
+        keepers.sort();
+        keepers.dedup();
+        assert_eq!(keepers.len(), 4, "{keepers:?}");
+        let asked = names.iter().map(async |program| {
+            let fields = format!("Request: t-{program}\r\nProgram: {program}\r\n");
+            b.ask("POST", "/chat/1", &fields, "said;").await.head.status
+        });
+        let answers = futures_util::future::join_all(asked).await;
+        assert!(answers.iter().all(|status| *status == 200), "{answers:?}");
+        assert_eq!([fleet.at_a.count(), fleet.at_b.count()], [12, 0]);
+        assert!(!fleet.keepers("said;").contains(&"b1"));
+    });
+}
+
+#[test]
+fn an_owner_that_reads_its_home_partition_slowly_is_awaited() {
+    run(async {
+        let fleet = Fleet::start(config(1), &["a1", "b1"]).await;
+        // Nobody has claimed for region a: its daemon begins to once it is named as a home.
+        let slow = LogFault::Slow(Duration::from_millis(250));
+        fleet.at("a1").store.set_fault(slow);
+        fleet.publish(chat_in(2, &["a"])).await;
+        let begun = Instant::now();
+        assert_eq!(turn(fleet.at("b1"), "t1", None).await, (200, true));
+        let took = begun.elapsed();
+        assert!(took > Duration::from_millis(600), "not slow: {took:?}");
+        assert!(!fleet.keepers("t1-said").contains(&"b1"));
+    });
+}
+
 #[test]
 fn homes_with_nothing_in_common_refuse_truthfully() {
     run(async {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -178,10 +178,26 @@
 pub struct ClaimPartition {
     /// Partition.
     pub partition: u32,
-    /// Epoch of the owner that is to be replaced.
+    /// Epoch of the owner that is to be replaced, or that gave it up; 0 where there was none,
+    /// as epochs begin with 1.
     pub epoch: u64,
 }
 
+impl ClaimPartition {
+    /// A partition whose newest claim known has this epoch.
+    pub fn after(partition: u32, former_epoch: Option<u64>) -> Self {
+        Self {
+            partition,
+            epoch: former_epoch.unwrap_or(0),
+        }
+    }
+
+    /// Epoch of the newest claim that the sender knows.
+    pub fn former_epoch(&self) -> Option<u64> {
+        Some(self.epoch).filter(|epoch| *epoch > 0)
+    }
+}
+
 /// A request of a gateway to an owner.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum LedgerRequest {
@@ -205,7 +221,7 @@
     /// Tell the newest configuration, if it is newer than this version.
     Config(u64),
     /// Claim a partition from the owner of this epoch: the sender is cut off the log,
-    /// so that it can neither append nor claim.
+    /// so that it can neither append nor claim, or is of another region.
     Claim(ClaimPartition),
 }
 
