--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway with a log in memory, an adapter of its own spelling, and stand-ins of
 //! servers on loopback.
 
+mod cancellation;
 mod cold;
 mod evacuation;
 mod forwarding;
@@ -9,6 +10,7 @@
 mod limits;
 mod outage;
 mod ownership;
+mod peers;
 mod readers;
 mod store;
 mod support;
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -19,6 +19,8 @@
     Answer(u16, String),
     /// Say that it did not run.
     NotRun,
+    /// Say that it did not run, and leave out the rest of the answer.
+    NotRunCutShort,
     /// Read the request, then reset the connection.
     Reset,
     /// Answer another request first, then this one.
@@ -222,6 +224,16 @@
                 );
                 let _ = stream.write_all(answer.as_bytes()).await;
             }
+            Act::NotRunCutShort => {
+                let head = format!(
+                    "HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                let mut byte = [0; 1];
+                let _ = stream.read(&mut byte).await;
+                closed_early.set(closed_early.get() + 1);
+                return;
+            }
             Act::Reset => return reset(stream),
             Act::ResetAfter(delay) => {
                 sleep(delay).await;
