A turn whose end nobody tells weighs on its engine for 10 s, as said

Cause: the assigner's table looked for turns of over 10 s only from 1,024 entries on. Below that an entry without an end stayed for good: the owner sent programs around an engine that was idle. Ends are missing where a gateway is gone, where the partition has another owner by then, and for turns without a budget that break off (the gateway tells no end of these). Excluded: the end told late; it takes its entry off. Now turns are also kept in the order in which they began; each costs one more entry for 10 s.

--- a/crates/traffic/src/assignment.rs
+++ b/crates/traffic/src/assignment.rs
@@ -15,13 +15,14 @@
 
 use fieldhook_topology::zone::Distance;
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a program is remembered after its last turn began, in milliseconds.
 const REMEMBERED_MS: u64 = 60_000;
-/// A turn whose end was not told counts as under way for this long, in milliseconds.
+/// A turn whose end was not told counts as under way for this long, in milliseconds: its
+/// gateway is gone, or told the end to another owner of its partition.
 const LONGEST_TURN_MS: u64 = 10_000;
 /// Turns under way at every engine of a group, in parts of their places, from which on
 /// programs go to engines of other groups: an engine holds a few more than it works on, and
@@ -96,6 +97,8 @@
     settings: Settings,
     programs: HashMap<Rc<str>, Program>,
     turns: HashMap<Rc<str>, OpenTurn>,
+    /// When turns began, the oldest first; also of those that have ended since.
+    begun: VecDeque<(u64, Rc<str>)>,
     open: HashMap<Rc<str>, u32>,
 }
 
@@ -132,7 +135,9 @@
             engine: engine.clone(),
             since_ms: now_ms,
         };
-        self.turns.insert(Rc::from(turn.id), open);
+        let id: Rc<str> = Rc::from(turn.id);
+        self.begun.push_back((now_ms, id.clone()));
+        self.turns.insert(id, open);
         *self.open.entry(engine.clone()).or_default() += 1;
         Some(engine)
     }
@@ -231,21 +236,24 @@
     }
 
     fn forget(&mut self, now_ms: u64) {
-        let overdue: Vec<Rc<str>> = match self.turns.len() {
-            0..SWEEP_FROM => Vec::new(),
-            _ => self.overdue(now_ms),
-        };
-        overdue.iter().for_each(|turn| self.end(turn));
+        let is_over = |begun: &(u64, Rc<str>)| now_ms >= begun.0 + LONGEST_TURN_MS;
+        while self.begun.front().is_some_and(is_over) {
+            if let Some((since_ms, turn)) = self.begun.pop_front() {
+                self.end_begun_at(&turn, since_ms);
+            }
+        }
         if self.programs.len() >= SWEEP_FROM {
             self.programs
                 .retain(|_, program| now_ms < program.seen_ms + REMEMBERED_MS);
         }
     }
 
-    fn overdue(&self, now_ms: u64) -> Vec<Rc<str>> {
-        let overdue = |turn: &OpenTurn| now_ms >= turn.since_ms + LONGEST_TURN_MS;
-        let turns = self.turns.iter().filter(|(_, turn)| overdue(turn));
-        turns.map(|(id, _)| id.clone()).collect()
+    /// Ends a turn unless it has begun anew since then.
+    fn end_begun_at(&mut self, turn: &str, since_ms: u64) {
+        let begun = self.turns.get(turn).map(|open| open.since_ms);
+        if begun == Some(since_ms) {
+            self.end(turn);
+        }
     }
 }
 
