Connections between daemons: one for those who ask together, and none left over

Cause: askers that find no connection each made one, the last was kept, and the others stayed open at both ends until a process ended: at each new owner as many as requests waited for it. The same held for a connection that was given up for a new one while its daemon was silent. Excluded: an end by the user time-out of the socket, which needs bytes on their way. Now the first to connect serves all, and one that was given up ends once nobody waits on it; whoever left waits no more.

--- a/crates/gateway/src/ledger/peer.rs
+++ b/crates/gateway/src/ledger/peer.rs
@@ -15,8 +15,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
 
 /// Largest frame, in bytes.
 const FRAME_LIMIT: usize = 16 << 20;
@@ -24,6 +24,8 @@
 const READ_SIZE: usize = 16 << 10;
 /// A daemon that does not accept in this time counts as lost.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+/// How often it is looked whether anybody waits on a connection that was given up.
+const UNUSED_PERIOD: Duration = Duration::from_millis(200);
 
 fn encode<T: SerBin>(envelope: &Envelope<T>) -> Vec<u8> {
     let body = envelope.serialize_bin();
@@ -120,13 +122,18 @@
     calls: RefCell<HashMap<u64, Replies>>,
     next_call: Cell<u64>,
     closed: Cell<bool>,
+    forgotten: Cell<bool>,
+    was_forgotten: Notify,
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    timeout(CONNECT_LIMIT, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
 impl PeerConnection {
-    async fn open(address: SocketAddr) -> io::Result<Rc<Self>> {
-        let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    fn start(stream: TcpStream) -> Rc<Self> {
         prepare(&stream);
         let (reader, writer) = stream.into_split();
         let (frames, waiting) = mpsc::unbounded_channel();
@@ -136,14 +143,25 @@
             calls: RefCell::default(),
             next_call: Cell::new(0),
             closed: Cell::new(false),
+            forgotten: Cell::new(false),
+            was_forgotten: Notify::new(),
         });
         ntex::rt::spawn(connection.clone().read_replies(reader));
-        Ok(connection)
+        connection
     }
 
     async fn read_replies(self: Rc<Self>, mut reader: OwnedReadHalf) {
         let mut buffer = BytesMut::new();
-        while let Ok(envelope) = next_frame::<LedgerReply>(&mut reader, &mut buffer).await {
+        loop {
+            // What was read of a frame is in the buffer, whichever comes first.
+            let frame = tokio::select! {
+                biased;
+                frame = next_frame::<LedgerReply>(&mut reader, &mut buffer) => frame,
+                () = self.wait_unused() => break,
+            };
+            let Ok(envelope) = frame else {
+                break;
+            };
             let mut calls = self.calls.borrow_mut();
             let more = envelope.body.has_more();
             if let Some(sender) = calls.get(&envelope.call) {
@@ -158,6 +176,29 @@
         self.calls.borrow_mut().clear();
     }
 
+    /// Ends once the connection was given up and nobody waits for an answer on it any more:
+    /// the other daemon would keep its end open for good.
+    async fn wait_unused(&self) {
+        while !self.forgotten.get() {
+            self.was_forgotten.notified().await;
+        }
+        while self.is_awaited() {
+            sleep(UNUSED_PERIOD).await;
+        }
+    }
+
+    /// Whether anybody waits for an answer; whoever left does not.
+    fn is_awaited(&self) -> bool {
+        let mut calls = self.calls.borrow_mut();
+        calls.retain(|_, sender| !sender.is_closed());
+        !calls.is_empty()
+    }
+
+    fn forget(&self) {
+        self.forgotten.set(true);
+        self.was_forgotten.notify_one();
+    }
+
     /// Sends a request; the channel ends without an answer if the connection does.
     pub fn call(&self, body: LedgerRequest) -> mpsc::UnboundedReceiver<LedgerReply> {
         let (sender, replies) = mpsc::unbounded_channel();
@@ -183,26 +224,36 @@
     /// # Errors
     /// It does not accept.
     pub async fn connection(&self, address: SocketAddr) -> io::Result<Rc<PeerConnection>> {
-        let known = self.connections.borrow().get(&address).cloned();
-        if let Some(connection) = known.filter(|connection| !connection.closed.get()) {
+        if let Some(connection) = self.known(address) {
+            return Ok(connection);
+        }
+        let stream = connect(address).await?;
+        // Many ask a new owner at the same moment: the first connection is for all of them.
+        if let Some(connection) = self.known(address) {
             return Ok(connection);
         }
-        let connection = PeerConnection::open(address).await?;
-        self.connections
-            .borrow_mut()
-            .insert(address, connection.clone());
+        let connection = PeerConnection::start(stream);
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, connection| !connection.closed.get());
+        connections.insert(address, connection.clone());
         Ok(connection)
     }
 
+    fn known(&self, address: SocketAddr) -> Option<Rc<PeerConnection>> {
+        let known = self.connections.borrow().get(&address).cloned();
+        known.filter(|connection| !connection.closed.get())
+    }
+
     /// Whether a connection to a daemon was open already.
     pub fn is_connected(&self, address: SocketAddr) -> bool {
-        let connections = self.connections.borrow();
-        let known = connections.get(&address);
-        known.is_some_and(|connection| !connection.closed.get())
+        self.known(address).is_some()
     }
 
-    /// Forgets a connection that does not answer.
+    /// Forgets a connection that does not answer. It ends once nobody waits on it.
     pub fn forget(&self, address: SocketAddr) {
-        self.connections.borrow_mut().remove(&address);
+        let forgotten = self.connections.borrow_mut().remove(&address);
+        if let Some(connection) = forgotten {
+            connection.forget();
+        }
     }
 }
