An attempt that is given up before it was sent has not run

Cause: an attempt whose answer is overdue is dropped wherever it stands: also while its connection comes up, a permit is asked for, or evacuations are confirmed. It counted as one that may have run, so the client was told 502 for a request that no server read; and the server of the attempt before was marked as failed for a wait that had nothing to do with it. Now an attempt leaves behind how far it came. The server that a turn counts as run at is the one that it was sent to, not one that it only chose. Where a turn counts as run has no test of its own.

--- a/crates/gateway/src/serve/buffered.rs
+++ b/crates/gateway/src/serve/buffered.rs
@@ -59,7 +59,7 @@
         None => Ok(attempt.await),
     };
     let Ok(outcome) = outcome else {
-        return Err(dispatch::overdue(context, begun.elapsed()));
+        return Err(dispatch::overdue(context, &retries.tried, begun.elapsed()));
     };
     if outcome.is_ok() {
         let times = &context.daemon.answer_times;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -36,9 +36,23 @@
     _in_flight: InFlight,
 }
 
+/// How far an attempt has come: one that is given up leaves it behind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// No server has anything to do with it yet.
+    #[default]
+    Choosing,
+    /// A connection to the server that was tried last comes up.
+    Connecting,
+    /// That server may have read it.
+    Sent,
+}
+
 /// Servers that a request was sent to.
 #[derive(Default)]
 pub struct Tried {
+    /// How far the attempt at the last of them has come.
+    pub stage: Stage,
     /// Their identities.
     pub servers: Vec<String>,
     /// Those of them that did not run it: they may be asked again after a while.
@@ -90,6 +104,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, DispatchFailure> {
     for _ in 0..cold::MOST_ASKED {
+        tried.stage = Stage::Choosing;
         if !context.is_still_admitted() {
             return Err(DispatchFailure::KeyGone);
         }
@@ -99,9 +114,10 @@
             break;
         };
         tried.servers.push(server.id.clone());
-        context.sent_to.replace(Some(server.id.clone()));
+        tried.stage = Stage::Connecting;
         let in_flight = context.daemon.pools.begin(&server.id);
         let connection = connect(context, &server).await?;
+        tried.stage = Stage::Choosing;
         if let Some(bears) = context.daemon.cold.cold(&server)
             && !cold::permit(context, &server, &bears).await
         {
@@ -110,6 +126,8 @@
             context.daemon.pools.put_back(&server.id, connection);
             continue;
         }
+        open::still(context, &server)?;
+        tried.stage = Stage::Sent;
         return send(context, server, connection, in_flight, last_event).await;
     }
     match cold::wait_ms(context, tried) {
@@ -155,7 +173,7 @@
     last_event: Option<u64>,
 ) -> Result<Attempt, DispatchFailure> {
     let daemon = &context.daemon;
-    open::still(context, &server)?;
+    context.sent_to.replace(Some(server.id.clone()));
     let bytes = message(context, &server, last_event);
     let outgoing = Outgoing {
         method: &context.method,
@@ -205,31 +223,38 @@
     }
 }
 
-/// The answer of the server that the request was sent to last is overdue: its connection is
-/// closed, and what it read may have run.
-pub fn overdue(context: &RequestContext, waited: Duration) -> DispatchFailure {
+/// The answer of the server that was tried last is overdue: its connection is closed, and what
+/// it read may have run. Where nothing was sent yet, nothing has.
+pub fn overdue(context: &RequestContext, tried: &Tried, waited: Duration) -> DispatchFailure {
     let daemon = &context.daemon;
-    let server = context.sent_to.borrow().clone().unwrap_or_default();
-    daemon
-        .pools
-        .observe(&server, daemon.now_ms(), Observation::Failed);
-    daemon
-        .metrics
-        .attempts
-        .with_label_values(&["overdue"])
-        .inc();
+    let (failure, outcome) = match tried.stage {
+        Stage::Sent => (AttemptFailure::MayHaveRun, "overdue"),
+        Stage::Choosing | Stage::Connecting => (AttemptFailure::NotSent, "overdue_not_sent"),
+    };
+    // No server is to blame for what was waited for before one was.
+    let server = match tried.stage {
+        Stage::Choosing => None,
+        Stage::Connecting | Stage::Sent => tried.servers.last(),
+    };
+    if let Some(server) = server {
+        let now_ms = daemon.now_ms();
+        daemon.pools.observe(server, now_ms, Observation::Failed);
+    }
+    let attempts = &daemon.metrics.attempts;
+    attempts.with_label_values(&[outcome]).inc();
     tracing::info!(
         event = "attempt_failed",
         request = context.meta.id,
         program = context.meta.program,
         route = context.entry.route.name,
         server,
-        outcome = "overdue",
+        outcome,
+        stage = ?tried.stage,
         waited_ms = waited.as_millis() as u64,
         left_ms = context.left_ms(),
         age_ms = context.age_ms()
     );
-    DispatchFailure::Attempt(AttemptFailure::MayHaveRun)
+    DispatchFailure::Attempt(failure)
 }
 
 fn judge(
