The rest of a refusal is waited for half a second

Cause: a server's refusal is read to its end beside the request, so that its connection may be used again. Where the rest never comes, since its machine is gone, the task and the connection stayed for good: nothing is on its way, so no time-out of the socket ends it. Half a second is far beyond the few bytes of a refusal on any way of the deployments (24 ms at most). Before: held after 3 s; after: closed (a_refusal_that_is_cut_short...).

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -15,7 +15,7 @@
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::Observation;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// A connection that was gone before it was used again is reset within a round trip; a
 /// server that fails while it works takes longer.
@@ -303,7 +303,8 @@
     })
 }
 
-/// A refusal's body is short: its connection is worth keeping.
+/// A refusal's body is short: its connection is worth keeping. One whose rest does not come
+/// soon is given up: a machine that is gone closes nothing.
 fn keep_after_refusal(
     context: &RequestContext,
     server: &ServerEntry,
@@ -311,14 +312,12 @@
     mut answer: Answer,
 ) {
     const REFUSAL_LIMIT: usize = 64 << 10;
+    const REFUSAL_PATIENCE: Duration = Duration::from_millis(500);
     let pools = context.daemon.pools.clone();
     let id = server.id.clone();
     ntex::rt::spawn(async move {
-        if connection
-            .read_body(&mut answer.body, REFUSAL_LIMIT)
-            .await
-            .is_ok()
-        {
+        let body = connection.read_body(&mut answer.body, REFUSAL_LIMIT);
+        if let Ok(Ok(_)) = timeout(REFUSAL_PATIENCE, body).await {
             let told = answer.meta.keep_alive_ms.map(Duration::from_millis);
             pools.give_back(&id, connection, told);
         }
