--- a/crates/gateway/tests/gateway/cancellation.rs
+++ b/crates/gateway/tests/gateway/cancellation.rs
@@ -54,3 +54,21 @@
         }
     });
 }
+
+/// A planned stop waits until no request is under way.
+#[test]
+fn a_request_whose_task_ends_early_is_under_way_no_more() {
+    run(async {
+        let server = Server::start("a", Act::Answer(200, "fine".to_owned())).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let mut client = gateway.client().await;
+        let fields = "Request: r1\r\nPanic: 1\r\n";
+        client.send("GET", "/safe/1", fields, "").await;
+        assert!(client.is_closed().await);
+        let daemon = &gateway.daemon;
+        assert_eq!(daemon.in_flight.get(), 0);
+        assert_eq!(daemon.metrics.in_flight.get(), 0);
+        assert_eq!(daemon.client_connections.get(), 0);
+    });
+}
--- a/crates/gateway/tests/gateway/support/dialect.rs
+++ b/crates/gateway/tests/gateway/support/dialect.rs
@@ -26,6 +26,7 @@
 
 impl Dialect for TestDialect {
     fn request(&self, headers: &Headers) -> Result<RequestMeta, BadField> {
+        assert!(!headers.has("panic"), "as it was told");
         let owned = |field| headers.text(field).map(str::to_owned);
         Ok(RequestMeta {
             id: owned("request").ok_or(BadField {
