A request under way is counted by a guard

Cause: the count that a planned stop waits for, and its gauge, went up and down in straight code around the request. Nothing drops that code, but a panic in it would leave one too many for good, and each planned stop would wait its whole time. Never seen; found by reading.

--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// Counts a request as under way until it is dropped, however its task ends: a planned stop
+/// waits for none to be left.
+struct UnderWay(Rc<Daemon>);
+
+impl UnderWay {
+    fn new(daemon: &Rc<Daemon>) -> Self {
+        daemon.in_flight.set(daemon.in_flight.get() + 1);
+        daemon.metrics.in_flight.inc();
+        Self(daemon.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let count = &self.0.in_flight;
+        count.set(count.get().saturating_sub(1));
+        self.0.metrics.in_flight.dec();
+    }
+}
+
 /// Serves a connection until either side closes it.
 pub async fn serve(daemon: Rc<Daemon>, stream: TcpStream) {
     daemon
@@ -88,8 +108,7 @@
 ) -> Served {
     let started = request.started;
     let keep_alive = request.head.keep_alive;
-    daemon.in_flight.set(daemon.in_flight.get() + 1);
-    daemon.metrics.in_flight.inc();
+    let under_way = UnderWay::new(daemon);
     let read = daemon.dialect.request(&request.head.headers);
     let (id, program) = read.map(|meta| (meta.id, meta.program)).unwrap_or_default();
     let partition = program
@@ -104,8 +123,7 @@
             Served::Abandon
         }
     };
-    daemon.in_flight.set(daemon.in_flight.get() - 1);
-    daemon.metrics.in_flight.dec();
+    drop(under_way);
     match served {
         Served::KeepOpen if !keep_alive || daemon.sends_away() => Served::Close,
         served => served,
