--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! servers on loopback.
 
 mod abandoned;
+mod cancellation;
 mod cold;
 mod evacuation;
 mod forwarding;
@@ -11,6 +12,7 @@
 mod limits;
 mod outage;
 mod ownership;
+mod peers;
 mod readers;
 mod store;
 mod support;
