Turns end before the answer that sends their client back; ends are told with the news of an owner

Found by the second look of the review: an answer of the gateway's own went out before the end of its turn was on its way, and the pause between two rounds of telling an end did not end when a new owner was known, while the client's next try is there within 40 ms.

--- a/crates/gateway/src/ledger/ending.rs
+++ b/crates/gateway/src/ledger/ending.rs
@@ -4,14 +4,14 @@
 use fieldhook_ledger::message::CloseTurn;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, timeout};
 
 /// How long the end of a turn is told that did not end whole. It outlasts an outage of the log,
 /// and ends before the owner forgets the program, 180 s after its last change.
 const PATIENCE: Duration = Duration::from_secs(120);
 /// One round of telling it: an owner that is silent is noticed, and asked once more.
 const ROUND: Duration = Duration::from_millis(1_200);
-/// Pauses between rounds. Clients leave by hundreds where an owner is silent, and each end that
+/// Pauses between rounds, without news of owners. Clients leave by hundreds where an owner is silent, and each end that
 /// is told asks and looks for owners beside the requests that wait for the same ones.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -52,7 +52,8 @@
             if self.close(close, Instant::now() + ROUND).await {
                 return true;
             }
-            sleep(pause).await;
+            // A new owner answers the client's next try at once: it has to know before.
+            let _ = timeout(pause, self.owner.claims.changed.notified()).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
         false
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -49,15 +49,15 @@
         ..Delivery::default()
     };
     let run = run(context, &mut turn, &mut delivery, writer);
-    let outcome = timeout_at(context.deadline, run).await;
-    match outcome {
-        Ok(Ok(served)) => served,
-        Ok(Err(answer)) => conclude(context, &delivery, answer, writer).await,
-        Err(_) => {
-            let answer = OwnAnswer::new(504, "no whole answer in time");
-            conclude(context, &delivery, answer, writer).await
-        }
+    let answer = match timeout_at(context.deadline, run).await {
+        Ok(Ok(served)) => return served,
+        Ok(Err(answer)) => answer,
+        Err(_) => OwnAnswer::new(504, "no whole answer in time"),
+    };
+    if let Some(turn) = turn {
+        turn.break_off();
     }
+    conclude(context, &delivery, answer, writer).await
 }
 
 /// An answer of the gateway's own, or a broken stream where its head is out.
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -82,6 +82,17 @@
     /// The turn is over.
     pub fn end(self) {}
 
+    /// The turn ends with what was handed out. Said before an answer that sends its client back:
+    /// the next try may be there before the end of this one.
+    pub fn break_off(&mut self) {
+        let is_apart = self.request.keeper.is_some();
+        if self.closed || (self.request.budget.is_none() && !is_apart) {
+            return;
+        }
+        self.closed = true;
+        self.ledger.tell_end(self.close_request(None));
+    }
+
     /// What is told of its end: to the partition that keeps its content, or to the one that
     /// ordered it.
     pub(super) fn close_request(&self, content: Option<TurnContent>) -> CloseTurn {
@@ -104,10 +115,6 @@
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        let is_apart = self.request.keeper.is_some();
-        if self.closed || (self.request.budget.is_none() && !is_apart) {
-            return;
-        }
-        self.ledger.tell_end(self.close_request(None));
+        self.break_off();
     }
 }
