--- a/crates/gateway/tests/gateway/incarnations.rs
+++ b/crates/gateway/tests/gateway/incarnations.rs
@@ -74,3 +74,25 @@
         ask_until(&gateway, &s1).await;
     });
 }
+
+/// What is kept of the process before, here its connections, is not used for the next one.
+#[test]
+fn a_server_that_started_again_gets_connections_of_its_own() {
+    run(async {
+        let s1 = Server::start("s1", plain()).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&s1]).await;
+        let entry = |born: u64| format!("service {} born={born}", s1.address);
+        world.put(SERVERS, "s1", &entry(1)).await;
+        sleep(IN_FORCE).await;
+        ask(&gateway, 3).await;
+        let connections = gateway.daemon.metrics.connections.get();
+        ask(&gateway, 3).await;
+        assert_eq!(gateway.daemon.metrics.connections.get(), connections);
+        world.put(SERVERS, "s1", &entry(2)).await;
+        sleep(IN_FORCE).await;
+        ask(&gateway, 3).await;
+        assert_eq!(gateway.daemon.metrics.connections.get(), connections + 1);
+        assert_eq!(gateway.daemon.directory.borrow().len(), 1);
+    });
+}
