Attempts: what became of one in a module of its own

The second is serve/attempt.rs now; judge took seven arguments and is a method of the attempt. No change of behaviour; the gateway's tests pass.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod answer;
 pub mod answer_times;
+pub mod attempt;
 pub mod buffered;
 pub mod choice;
 pub mod client;
--- a/crates/gateway/src/serve/buffered.rs
+++ b/crates/gateway/src/serve/buffered.rs
@@ -2,8 +2,9 @@
 //! that broke off can be made again where the request allows it.
 
 use super::answer::OwnAnswer;
+use super::attempt::{self, Attempt, DispatchFailure, Tried};
 use super::client::ClientWriter;
-use super::dispatch::{self, Attempt, DispatchFailure, Tried, dispatch};
+use super::dispatch::dispatch;
 use super::request::{RequestContext, Served};
 use super::retry::Retries;
 use crate::http::write::{AnswerBody, response_head};
@@ -59,7 +60,7 @@
         None => Ok(attempt.await),
     };
     let Ok(outcome) = outcome else {
-        return Err(dispatch::overdue(context, &retries.tried, begun.elapsed()));
+        return Err(attempt::overdue(context, &retries.tried, begun.elapsed()));
     };
     if outcome.is_ok() {
         let times = &context.daemon.answer_times;
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -1,6 +1,6 @@
 //! The server that a request is sent to, of those that may serve it.
 
-use super::dispatch::Tried;
+use super::attempt::Tried;
 use super::request::RequestContext;
 use fieldhook_topology::region::Set;
 use fieldhook_traffic::balance::{self, Candidate, Request};
--- a/crates/gateway/src/serve/cold.rs
+++ b/crates/gateway/src/serve/cold.rs
@@ -1,7 +1,7 @@
 //! Whether a request may be sent to a cold server: asked right before it is written.
 
 use super::answer::OwnAnswer;
-use super::dispatch::Tried;
+use super::attempt::Tried;
 use super::request::{RETRY_SOON_MS, RequestContext};
 use fieldhook_ledger::message::{ColdQuestion, QuotaAnswer};
 use fieldhook_traffic::cold::PERMIT_MS;
--- a/crates/gateway/src/serve/open.rs
+++ b/crates/gateway/src/serve/open.rs
@@ -1,7 +1,7 @@
 //! Whether a request may be sent at this moment: the operator's word on evacuations goes
 //! before the choice of a server, and once more right before the bytes go out.
 
-use super::dispatch::DispatchFailure;
+use super::attempt::DispatchFailure;
 use super::homes;
 use super::request::RequestContext;
 use fieldhook_topology::place::Denial;
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -2,8 +2,8 @@
 //! answers and streams.
 
 use super::answer::OwnAnswer;
+use super::attempt::{DispatchFailure, Tried};
 use super::cold;
-use super::dispatch::{DispatchFailure, Tried};
 use super::homes;
 use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext};
 use fieldhook_traffic::attempt::{Attempts, NextStep, Time};
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -2,9 +2,10 @@
 //! on at another server after the last event that the client has.
 
 use super::answer::OwnAnswer;
+use super::attempt::{Attempt, DispatchFailure};
 use super::buffered::{self, WholeAnswer};
 use super::client::ClientWriter;
-use super::dispatch::{Attempt, DispatchFailure, dispatch};
+use super::dispatch::dispatch;
 use super::request::{RETRY_LATER_MS, RequestContext, Served};
 use super::retry::Retries;
 use super::turn::Turn;
