Tests, red: an owner that cannot read its partition keeps programs out for good

- A daemon reads one partition at a time and holds its right to read while it tries one that lies on a part of the log that is down (gateway::ledger::hold, read).
- An owner that loses the log between its claim and the end of its reading answers "being read", and an owner that reads is awaited however long (gateway::ledger::client, act_on_doubt: nothing for Loading).
Home partitions have gateway::ledger::homes::look for it; free ones have nothing.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod ownership;
 mod peers;
 mod readers;
+mod reading;
 mod store;
 mod support;
 mod tenants;
