Test, red: a whole turn kept in its homes counts at its most after a loss

Found by reading. Where homes bind a program, its content goes to one partition and the end of its turn to another, which counts. The client has the end of its answer once the first is durable; the second is told beside it (serve::record, complete; serve::turn, drop) and appended up to 0.4 s later (Urgency::Soon). A successor that begins from the log at the end of the answer counts the turn as under way at its most: settled 0, open 40, inherited 20 of a budget of 60, ten of which were used, and refuses the next one for the 180 s that it knows the program. The same world without homes grants it (control in the same file, passes).

Real fault, not mended here.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod readers;
 mod reading;
+mod reserved_at_home;
 mod store;
 mod support;
 mod tenants;
