--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,8 @@
 mod ownership;
 mod peers;
 mod readers;
+mod reading;
+mod reserved_at_home;
 mod store;
 mod support;
 mod tenants;
