Owners that cannot read, and turns kept apart: three more ways to be refused for nothing

- A daemon that read a partition kept its right to read while the log did not serve that one; others that it served were read by nobody.
A step that fails lets the next partition go first.
- An owner without the log, which had not read its partition yet, was awaited as one that reads.
It says so now (LedgerReply::Unreadable) and is replaced like one that is silent, by a daemon that the log serves for that partition.
- A turn whose content is kept apart from its order ended for its client before its tokens were recorded.
The answer waits for both records now, made side by side; messages between daemons changed.

--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -44,25 +44,39 @@
         Former::Lost => Partition::taken_over(unix_ms(), owner.doubt_after_loss_ms()),
     };
     let mut load = Load::new(owner.place(partition), epoch, state);
-    // Partitions that are read at once would share this machine's link.
-    let _turn = owner.reading.lock().await;
     loop {
-        if !owner.is_loading(partition) {
-            return None;
+        match read_on(owner, partition, epoch, &mut load).await {
+            Ok(state) => return state,
+            Err(error) => {
+                tracing::info!(event = "load_delayed", partition, epoch, %error);
+                sleep(LOAD_PAUSE).await;
+            }
         }
+    }
+}
+
+/// Reads on until a step fails; `None` once the partition is another's. Partitions that are read
+/// at once would share this machine's link, so one at a time is read. One that fails lets the
+/// next go first: the log may serve that, and would keep its programs waiting for nothing.
+async fn read_on(
+    owner: &Owner,
+    partition: u32,
+    epoch: u64,
+    load: &mut Load,
+) -> Result<Option<Partition>, StoreError> {
+    let _turn = owner.reading.lock().await;
+    while owner.is_loading(partition) {
         match load.step(owner.store.as_ref()).await {
-            Ok(Some(state)) => return Some(state),
+            Ok(Some(state)) => return Ok(Some(state)),
             Ok(None) => {}
             Err(StoreError::Fenced) => {
                 owner.drop_partition(partition, Some(epoch));
-                return None;
-            }
-            Err(error) => {
-                tracing::info!(event = "load_delayed", partition, epoch, %error);
-                sleep(LOAD_PAUSE).await;
+                return Ok(None);
             }
+            Err(error) => return Err(error),
         }
     }
+    Ok(None)
 }
 
 /// Reads a claimed partition and serves it until it is lost.
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -99,10 +99,9 @@
         let records = self.state.borrow_mut().close(close, unix_ms());
         let _ = sender.send(LedgerReply::Noted);
         let reply = LedgerReply::Closed;
-        // Only the end of an answer whose content is kept waits for its record.
-        let urgency = match close.content {
-            Some(_) => Urgency::Now,
-            None => Urgency::Soon,
+        let urgency = match close.awaited {
+            true => Urgency::Now,
+            false => Urgency::Soon,
         };
         self.push(records, Some(Waiter { sender, reply }), urgency);
     }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -172,6 +172,11 @@
     ) {
         match self.held.borrow().get(&partition) {
             Some(Hold::Serving(owned)) => owned.handle(request, sender),
+            // Awaited as an owner that reads, it would keep programs waiting for as long as the
+            // log serves others and not this daemon.
+            Some(Hold::Loading(_)) if self.contact.lost() => {
+                let _ = sender.send(LedgerReply::Unreadable);
+            }
             Some(Hold::Loading(_) | Hold::Releasing(_)) => {
                 let _ = sender.send(LedgerReply::Unavailable);
             }
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -5,7 +5,7 @@
 use super::turn::{LARGEST_KEPT, Turn};
 use fieldhook_ledger::message::{CloseTurn, TurnContent};
 use fieldhook_topology::region::Set;
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use tokio::time::Instant;
 
 impl Turn {
@@ -23,12 +23,12 @@
         let started = Instant::now();
         let recorded = tokio::select! {
             biased;
-            recorded = self.record(context.deadline) => recorded,
+            recorded = self.record_whole(context.deadline) => recorded,
             // The client sends the turn anew, elsewhere, while it has time.
             () = self.ledger.wait_cut_off() => false,
         };
-        // The partition that orders it hears of its end by itself.
-        self.closed = recorded && self.request.keeper.is_none();
+        // Without a budget, the partition that orders it hears of its end by itself.
+        self.closed = recorded && (!self.is_apart() || self.request.budget.is_some());
         tracing::info!(
             event = "turn_recorded",
             request = self.request.turn,
@@ -43,6 +43,32 @@
         recorded
     }
 
+    /// Whether another partition orders it and counts its tokens than the one that keeps its
+    /// content.
+    fn is_apart(&self) -> bool {
+        self.request.keeper.is_some()
+    }
+
+    /// Records its content and its tokens. Where two partitions do so, the answer waits for both:
+    /// a successor that reads it as under way counts its most for as long as it knows the
+    /// program, which a budget that does not hold two turns' most never outlives.
+    async fn record_whole(&self, deadline: Instant) -> bool {
+        let (kept, counted) = join(self.record(deadline), self.record_tokens(deadline)).await;
+        kept && counted
+    }
+
+    /// Records its tokens where that is not part of recording its content.
+    async fn record_tokens(&self, deadline: Instant) -> bool {
+        if !self.is_apart() || self.request.budget.is_none() {
+            return true;
+        }
+        let close = CloseTurn {
+            awaited: true,
+            ..self.close_request(None)
+        };
+        self.ledger.close(&close, deadline).await
+    }
+
     /// Records its content. A chain that it brings may be longer than a record holds: all but
     /// the end of it goes into records of their own before, as turns that it goes on from.
     async fn record(&self, deadline: Instant) -> bool {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -109,6 +109,7 @@
             content,
             engine: self.ran_at.borrow().clone(),
             keeper: self.request.keeper.filter(|_| has_content),
+            awaited: has_content,
         }
     }
 }
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -92,6 +92,7 @@
             content: None,
             engine: None,
             keeper: None,
+            awaited: false,
         }
     }
 }
@@ -150,6 +151,8 @@
     pub engine: Option<String>,
     /// Home partition that keeps its content apart from its order, where homes bound it.
     pub keeper: Option<u32>,
+    /// Its client's answer ends only once this is durable.
+    pub awaited: bool,
 }
 
 impl CloseTurn {
@@ -373,6 +376,9 @@
     Config(ConfigNews),
     /// The owner cannot tell now; nothing was done.
     Unavailable,
+    /// The owner has not read the partition, and the log does not answer it: nothing was done,
+    /// and another owner could do it sooner.
+    Unreadable,
 }
 
 impl LedgerReply {
--- a/crates/ledger/tests/budget_fuzz/world.rs
+++ b/crates/ledger/tests/budget_fuzz/world.rs
@@ -160,6 +160,7 @@
             content: None,
             engine: None,
             keeper: None,
+            awaited: false,
         };
         let records = self.owner.close(&request, NOW_MS);
         self.push(records);
--- a/crates/ledger/tests/budget_room/world.rs
+++ b/crates/ledger/tests/budget_room/world.rs
@@ -266,6 +266,7 @@
             }),
             engine: None,
             keeper: None,
+            awaited: false,
         };
         let records = self.owner.close(&request, self.now_ms);
         self.push(records);
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -144,6 +144,7 @@
             }),
             engine: None,
             keeper: None,
+            awaited: true,
         };
         let records = self.owner.close(&close, self.now_ms);
         if !acknowledged {
