Ends of turns: remembered until a record of them is durable

An owner remembered the latest 24 ends of a program. The ends are a module of their own now (ledger::ended).

--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -20,6 +20,7 @@
 //! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
 
 use crate::doubt::Unrecorded;
+use crate::ended::Ends;
 use crate::message::Shortage;
 use crate::record::{OpenReservation, ProgramRecord};
 use std::collections::VecDeque;
@@ -28,8 +29,6 @@
 /// one in this. Programs use less than a half of their budget, so that part carries nearly all
 /// of them through an outage, and what is left holds them after a loss as well.
 const AHEAD_DIVISOR: u64 = 2;
-/// Ended turns that are remembered: several times what one program asks for side by side.
-const ENDED_REMEMBERED: usize = 24;
 
 /// Outcome of a reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,11 +95,11 @@
 pub struct Budget {
     settled: u64,
     open: Vec<Open>,
-    /// The latest turns whose ends were told, also those that were not asked for before: a
-    /// question may be under way for as long as a cut lasts, and whoever asked has left. Reserved
-    /// then, the most of such a turn would stay reserved for nobody. The question may also reach
-    /// a later owner, after no more than a planned stop, so records tell of them all.
-    ended: Vec<String>,
+    /// The turns whose ends were told, also those that were not asked for before: a question may
+    /// be under way for as long as a cut lasts, and whoever asked has left. Reserved then, the
+    /// most of such a turn would stay reserved for nobody. The question may also reach a later
+    /// owner, after no more than a planned stop, so records tell of them all.
+    ended: Ends,
     /// The newest durable record, and behind it those that are being appended.
     bases: VecDeque<Basis>,
     /// Records made so far.
@@ -140,7 +139,7 @@
                 .iter()
                 .map(|open| Open::recorded(open, record.changed_ms))
                 .collect(),
-            ended: record.ended.clone(),
+            ended: Ends::recorded(&record.ended),
             bases: VecDeque::from([Basis::default()]),
             records: 0,
             inherited: record.ahead,
@@ -202,7 +201,7 @@
 
     /// Reserves the most of a turn. Asking again for the same turn changes nothing.
     pub fn reserve(&mut self, turn: &str, most: u64, budget: u64, now_ms: u64) -> Reservation {
-        if self.has_ended(turn) {
+        if self.ended.has(turn) {
             return Reservation::Ended;
         }
         if !self.has_open(turn) {
@@ -221,11 +220,6 @@
         self.allow(turn)
     }
 
-    /// Whether the end of a turn was told.
-    fn has_ended(&self, turn: &str) -> bool {
-        self.ended.iter().any(|ended| ended == turn)
-    }
-
     /// What is counted, for one whose turn it does not hold.
     pub fn shortage(&self, now_ms: u64) -> Shortage {
         let oldest = self.open.iter().min_by_key(|open| open.since_ms);
@@ -258,12 +252,12 @@
 
     /// Ends a turn with the tokens that reached the client.
     pub fn settle(&mut self, turn: &str, tokens: u64, now_ms: u64) -> End {
-        if self.has_ended(turn) {
+        if self.ended.has(turn) {
             return End::Known;
         }
         // Also where nothing is counted: the program may be known by this alone.
         self.changed_ms = now_ms;
-        self.remember_end(turn);
+        self.ended.remember(turn);
         if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
             let ended = self.open.swap_remove(index);
             for basis in &mut self.bases {
@@ -283,13 +277,6 @@
         End::Counted
     }
 
-    fn remember_end(&mut self, turn: &str) {
-        self.ended.push(turn.to_owned());
-        if self.ended.len() > ENDED_REMEMBERED {
-            self.ended.remove(0);
-        }
-    }
-
     /// The record to append of a program that none tells of yet.
     pub fn first_record(&mut self) -> Option<ProgramRecord> {
         let budget = self.unrecorded_budget?;
@@ -327,15 +314,15 @@
     /// A record that reserves so much ahead.
     fn record_ahead(&mut self, ahead: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
+        self.records += 1;
+        let number = self.records;
         let record = ProgramRecord {
             settled: self.settled,
             open: self.open.iter().map(Open::reservation).collect(),
             ahead: self.inherited + ahead,
-            ended: self.ended.clone(),
+            ended: self.ended.record(number),
             changed_ms: self.changed_ms,
         };
-        self.records += 1;
-        let number = self.records;
         for open in &mut self.open {
             open.recorded_by.get_or_insert(number);
         }
@@ -362,6 +349,7 @@
         }
         self.bases.pop_front();
         let durable = self.bases.front().map_or(0, |basis| basis.number);
+        self.ended.recorded_up_to(durable);
         for open in &mut self.open {
             if open.is_in(durable) {
                 open.allowed = open.most;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,10 +10,12 @@
 //! - [`record`]: what is appended, and its keys.
 //! - [`budget`]: how much of its budget a program may still hand out.
 //! - [`doubt`]: programs that no record tells of after a take-over.
+//! - [`ended`]: ends of turns that are remembered.
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
 pub mod doubt;
+pub mod ended;
 pub mod layout;
 pub mod message;
 pub mod partition;
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -28,7 +28,7 @@
     pub open: Vec<OpenReservation>,
     /// Tokens reserved ahead of turns that were not yet asked for.
     pub ahead: u64,
-    /// Reservations of the latest ended turns, so that a repeated end counts once.
+    /// Reservations of ended turns, so that a repeated end counts once: see [`crate::ended`].
     pub ended: Vec<String>,
     /// Unix time of the last change, in milliseconds.
     pub changed_ms: u64,
