Owners drop the history of their partitions: what is kept takes its room once

Owners read the newest alone.

Of 1,980 inputs no two have the same first KiB, no window of 64 bytes is in two of 500, and they don't deflate (2,834,951 bytes become 2,840,671). Shared beginnings and content-defined chunks would save nothing, compression 7 in 100.

Change: log::trimmer, run by the owner in force: a call (fields in a JSON body) once 1 MB was appended since the last one, and one when the partition was read. Stand-ins know the call; the one in memory can be given a room. Hedged appends tell the end that they learned.

Tests: trimmer.rs (log), room.rs (gateway), calls.rs (platform). Shown to bite: the trimmer not run by the holder fails room.rs (turn 425 was not kept); bytes that never make a call due fail the_history_of_an_owner_never_fills_the_log; what was inherited not dropped fails the other three of trimmer.rs.

--- a/crates/daemon/src/platform/log_store.rs
+++ b/crates/daemon/src/platform/log_store.rs
@@ -2,10 +2,10 @@
 
 use fieldhook_http::{HttpClient, SendError};
 use fieldhook_log::api::{
-    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError, Trim,
 };
 use fieldhook_log::contact::Contact;
-use fieldhook_log::wire::{AppendCall, NewestCall, ReadCall, StoreCall, StoreReply};
+use fieldhook_log::wire::{AppendCall, NewestCall, ReadCall, StoreCall, StoreReply, TrimCall};
 use futures_util::future::LocalBoxFuture;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +64,11 @@
     ) -> Result<NewestPage, StoreError> {
         self.call(StoreCall::Newest(call), timeout).await?.page()
     }
+
+    async fn trim_call(&self, trim: Trim) -> Result<(), StoreError> {
+        let call = StoreCall::Trim(TrimCall::from(&trim));
+        self.call(call, trim.timeout).await?.trimmed()
+    }
 }
 
 impl LogStore for HttpLog {
@@ -100,4 +105,8 @@
         };
         Box::pin(self.newest_call(call, timeout))
     }
+
+    fn trim(&self, trim: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(self.trim_call(trim))
+    }
 }
--- a/crates/emulator/src/log/core.rs
+++ b/crates/emulator/src/log/core.rs
@@ -29,6 +29,8 @@
 #[derive(Default)]
 pub struct LogCore {
     partitions: HashMap<(String, u32), PartitionLog>,
+    /// Bytes that are kept in all, history and newest records; without bound if there is none.
+    room: Option<usize>,
 }
 
 impl LogCore {
@@ -37,12 +39,28 @@
         self.partitions.entry(key).or_default()
     }
 
+    /// Takes no records once so many bytes are kept.
+    pub fn set_room(&mut self, bytes: usize) {
+        self.room = Some(bytes);
+    }
+
+    /// Bytes kept in all: the history, and the newest record of each key once more.
+    pub fn kept(&self) -> usize {
+        self.partitions.values().map(PartitionLog::kept).sum()
+    }
+
     /// Appends all records or none.
     ///
     /// # Errors
-    /// The fence, the sequence or the condition forbids it.
+    /// The fence, the sequence, the condition or a want of room forbids it.
     pub fn append(&mut self, append: &Append) -> Result<Appended, StoreError> {
-        self.partition(&append.partition).append(append)
+        let is_full = self.room.is_some_and(|room| self.kept() >= room);
+        self.partition(&append.partition).append(append, is_full)
+    }
+
+    /// Drops the history of a partition before an offset; the newest of each key stays.
+    pub fn trim(&mut self, partition: &Partition, before: u64) {
+        self.partition(partition).trim(before);
     }
 
     /// Reads from an offset on.
@@ -72,7 +90,21 @@
         self.first + self.records.len() as u64
     }
 
-    fn append(&mut self, append: &Append) -> Result<Appended, StoreError> {
+    fn kept(&self) -> usize {
+        let history = self.records.iter();
+        let history = history.map(|record| record.key.len() + record.value.len());
+        let newest = self.newest.iter();
+        let newest = newest.map(|(key, (_, value))| key.len() + value.len());
+        history.sum::<usize>() + newest.sum::<usize>()
+    }
+
+    fn trim(&mut self, before: u64) {
+        while self.first < before && self.records.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+
+    fn append(&mut self, append: &Append, is_full: bool) -> Result<Appended, StoreError> {
         if let Some(producer) = &append.producer
             && let Some(answer) = self.admit(producer, append.records.is_empty())?
         {
@@ -83,6 +115,9 @@
         {
             return Err(StoreError::Moved(self.end()));
         }
+        if is_full && !append.records.is_empty() {
+            return Err(StoreError::Full);
+        }
         let appended = self.push(&append.records);
         if let Some(producer) = &append.producer {
             self.remember(producer, appended, append.records.is_empty());
--- a/crates/emulator/src/log/memory.rs
+++ b/crates/emulator/src/log/memory.rs
@@ -3,7 +3,7 @@
 
 use super::core::LogCore;
 use fieldhook_log::api::{
-    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError, Trim,
 };
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
@@ -186,6 +186,13 @@
             .borrow_mut()
             .newest(&partition, after.as_deref()))
     }
+
+    async fn trim_call(&self, trim: Trim) -> Result<(), StoreError> {
+        self.begin(&trim.partition, trim.timeout).await?;
+        let mut core = self.log.core.borrow_mut();
+        core.trim(&trim.partition, trim.before);
+        Ok(())
+    }
 }
 
 impl LogStore for MemoryLog {
@@ -211,4 +218,8 @@
     ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>> {
         Box::pin(self.newest_call(partition, after, timeout))
     }
+
+    fn trim(&self, trim: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(self.trim_call(trim))
+    }
 }
--- a/crates/emulator/src/log/topics.rs
+++ b/crates/emulator/src/log/topics.rs
@@ -3,7 +3,7 @@
 use super::core::LogCore;
 use crate::faults::Faults;
 use fieldhook_log::api::{Append, Partition};
-use fieldhook_log::wire::{NewestCall, ReadCall, StoreCall, StoreReply};
+use fieldhook_log::wire::{NewestCall, ReadCall, StoreCall, StoreReply, TrimCall};
 use nanoserde::{DeBin, SerBin};
 use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
@@ -49,6 +49,7 @@
         }
         StoreCall::Read(call) => answer(&read(&topics, &call).await),
         StoreCall::Newest(call) => answer(&newest(&topics, &call)),
+        StoreCall::Trim(call) => answer(&trim(&topics, call)),
     }
 }
 
@@ -79,6 +80,15 @@
     }
 }
 
+fn trim(topics: &Topics, call: TrimCall) -> StoreReply {
+    let partition = Partition {
+        topic: call.topic,
+        number: call.partition,
+    };
+    topics.core.borrow_mut().trim(&partition, call.before);
+    StoreReply::Trimmed
+}
+
 fn newest(topics: &Topics, call: &NewestCall) -> StoreReply {
     let partition = Partition {
         topic: call.topic.clone(),
--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -1,6 +1,6 @@
 //! A partition from its claim to its loss: read, served, given up.
 
-use super::load::Load;
+use super::load::{Load, Loaded};
 use super::owned::Owned;
 use super::owner::Owner;
 use crate::daemon::unix_ms;
@@ -36,7 +36,7 @@
 }
 
 /// Reads a claimed partition; `None` once it is another's.
-async fn read(owner: &Owner, partition: u32, epoch: u64) -> Option<Partition> {
+async fn read(owner: &Owner, partition: u32, epoch: u64) -> Option<Loaded> {
     let claim = owner.claims.claim(partition);
     let state = match claim.map_or(Former::Lost, |claim| claim.former) {
         Former::None => Partition::default(),
@@ -51,7 +51,7 @@
             return None;
         }
         match load.step(owner.store.as_ref()).await {
-            Ok(Some(state)) => return Some(state),
+            Ok(Some(loaded)) => return Some(loaded),
             Ok(None) => {}
             Err(StoreError::Fenced) => {
                 owner.drop_partition(partition, Some(epoch));
@@ -68,10 +68,10 @@
 /// Reads a claimed partition and serves it until it is lost.
 pub(super) async fn hold(owner: Rc<Owner>, partition: u32, epoch: u64) {
     let started = Instant::now();
-    let Some(state) = read(&owner, partition, epoch).await else {
+    let Some(loaded) = read(&owner, partition, epoch).await else {
         return;
     };
-    let state = Rc::new(RefCell::new(state));
+    let state = Rc::new(RefCell::new(loaded.state));
     let appender = Rc::new(Appender::new(
         owner.place(partition),
         epoch,
@@ -105,9 +105,11 @@
         .insert(partition, Hold::Serving(owned));
     owner.note_held(&owner.held.borrow());
     owner.claims.changed.notify_waiters();
-    let end = appender
-        .run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64()))
-        .await;
+    appender.trimmer.inherited(loaded.end);
+    let end = tokio::select! {
+        end = appender.run(|took| owner.metrics.append_seconds.observe(took.as_secs_f64())) => end,
+        never = appender.trimmer.run() => match never {},
+    };
     tracing::info!(event = "partition_given_up", partition, epoch, cause = ?end);
     owner.drop_partition(partition, Some(epoch));
     if end == AppendEnd::Fenced {
--- a/crates/gateway/src/ledger/load.rs
+++ b/crates/gateway/src/ledger/load.rs
@@ -23,6 +23,15 @@
     timeout: Duration,
     state: Partition,
     after: Option<Vec<u8>>,
+    end: u64,
+}
+
+/// A partition that was read whole.
+pub struct Loaded {
+    /// What it holds.
+    pub state: Partition,
+    /// Where it ends, by its offsets.
+    pub end: u64,
 }
 
 impl Load {
@@ -35,6 +44,7 @@
             timeout: FIRST_TIMEOUT,
             state,
             after: None,
+            end: 0,
         }
     }
 
@@ -45,7 +55,7 @@
     /// # Errors
     /// [`StoreError::Fenced`] where a later owner is in force; after any other error the
     /// step may be repeated.
-    pub async fn step(&mut self, store: &dyn LogStore) -> Result<Option<Partition>, StoreError> {
+    pub async fn step(&mut self, store: &dyn LogStore) -> Result<Option<Loaded>, StoreError> {
         let result = match self.fenced {
             false => self.fence(store).await,
             true => self.page(store).await,
@@ -56,13 +66,13 @@
         result
     }
 
-    async fn fence(&mut self, store: &dyn LogStore) -> Result<Option<Partition>, StoreError> {
+    async fn fence(&mut self, store: &dyn LogStore) -> Result<Option<Loaded>, StoreError> {
         fence(store, self.place.clone(), self.epoch, self.timeout).await?;
         self.fenced = true;
         Ok(None)
     }
 
-    async fn page(&mut self, store: &dyn LogStore) -> Result<Option<Partition>, StoreError> {
+    async fn page(&mut self, store: &dyn LogStore) -> Result<Option<Loaded>, StoreError> {
         let page = store
             .newest(self.place.clone(), self.after.clone(), self.timeout)
             .await?;
@@ -75,10 +85,14 @@
             }
         }
         self.after = page.more_after;
+        self.end = page.end;
         if self.after.is_some() {
             return Ok(None);
         }
         self.state.loaded();
-        Ok(Some(std::mem::take(&mut self.state)))
+        Ok(Some(Loaded {
+            state: std::mem::take(&mut self.state),
+            end: self.end,
+        }))
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod ownership;
 mod peers;
 mod readers;
+mod room;
 mod store;
 mod support;
 mod tenants;
--- a/crates/gateway/tests/gateway/support/spy.rs
+++ b/crates/gateway/tests/gateway/support/spy.rs
@@ -3,7 +3,7 @@
 
 use fieldhook_emulator::log::memory::MemoryLog;
 use fieldhook_log::api::{
-    Append, Appended, KeyedRecord, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+    Append, Appended, KeyedRecord, LogStore, NewestPage, Partition, ReadBatch, StoreError, Trim,
 };
 use futures_util::future::LocalBoxFuture;
 use std::cell::RefCell;
@@ -79,4 +79,8 @@
             Ok(page)
         })
     }
+
+    fn trim(&self, trim: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        self.inner.trim(trim)
+    }
 }
--- a/crates/log/src/api.rs
+++ b/crates/log/src/api.rs
@@ -48,6 +48,17 @@
     pub timeout: Duration,
 }
 
+/// Drops the history of a compacted partition; the newest record of each key stays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trim {
+    /// Where.
+    pub partition: Partition,
+    /// What was appended before this offset is dropped.
+    pub before: u64,
+    /// How long to wait for the answer.
+    pub timeout: Duration,
+}
+
 /// Place of appended records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Appended {
@@ -142,4 +153,7 @@
         after: Option<Vec<u8>>,
         timeout: Duration,
     ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>>;
+
+    /// Drops history.
+    fn trim(&self, trim: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 }
--- a/crates/log/src/appender.rs
+++ b/crates/log/src/appender.rs
@@ -4,6 +4,7 @@
 use crate::api::{Append, KeyedRecord, LogStore, Partition, Producer, StoreError};
 use crate::contact::Contact;
 use crate::hedge;
+use crate::trimmer::Trimmer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +50,8 @@
     epoch: u64,
     store: Rc<dyn LogStore>,
     contact: Rc<Contact>,
+    /// Drops the history that the appends leave, where it is [run](Trimmer::run).
+    pub trimmer: Trimmer,
     queue: RefCell<Vec<Entry>>,
     urgent: Cell<bool>,
     wake: Notify,
@@ -98,6 +101,7 @@
         contact: Rc<Contact>,
     ) -> Self {
         Self {
+            trimmer: Trimmer::new(partition.clone(), store.clone()),
             partition,
             epoch,
             store,
@@ -192,6 +196,7 @@
             .flat_map(|entry| entry.records.iter().cloned())
             .collect();
         let empty = records.is_empty();
+        let bytes = records.iter().map(size_of_record).sum();
         let sequence = self.next_sequence.get();
         let append = Append {
             partition: self.partition.clone(),
@@ -204,8 +209,10 @@
             expected_end: None,
             timeout: Duration::ZERO,
         };
-        hedge::append(self.store.as_ref(), &self.contact, append).await?;
+        let appended = hedge::append(self.store.as_ref(), &self.contact, append).await?;
         if !empty {
+            let end = appended.map(|appended| appended.end);
+            self.trimmer.appended(end, bytes);
             self.next_sequence.set(sequence + 1);
         }
         Ok(())
--- a/crates/log/src/hedge.rs
+++ b/crates/log/src/hedge.rs
@@ -6,7 +6,7 @@
 //! only slow; waiting for it would lose time where the answer is lost or the
 //! connection silent. So an overdue try stays out beside the next one.
 
-use crate::api::{Append, LogStore, StoreError};
+use crate::api::{Append, Appended, LogStore, StoreError};
 use crate::contact::Contact;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -58,8 +58,8 @@
     pause.mul_f64(0.75 + fastrand::f64() / 2.0)
 }
 
-/// Appends until the outcome is known. The append must be fenced: its sequence tells
-/// repeats apart.
+/// Appends until the outcome is known; its place is not where a try whose answer was lost did it.
+/// The append must be fenced: its sequence tells repeats apart.
 ///
 /// # Errors
 /// Only [`StoreError::Fenced`]: a later owner is in force.
@@ -67,7 +67,7 @@
     store: &dyn LogStore,
     contact: &Contact,
     append: Append,
-) -> Result<(), StoreError> {
+) -> Result<Option<Appended>, StoreError> {
     let append = Append {
         timeout: TRY_LIMIT,
         ..append
@@ -85,13 +85,13 @@
     loop {
         tokio::select! {
             Some((result, took)) = tries.next() => match result {
-                Ok(_) => {
+                Ok(appended) => {
                     contact.appends.observe(took);
-                    return Ok(());
+                    return Ok(Some(appended));
                 }
                 Err(StoreError::Fenced) => return Err(StoreError::Fenced),
                 // An earlier try was done.
-                Err(StoreError::Sequence(wanted)) if wanted == sequence + 1 => return Ok(()),
+                Err(StoreError::Sequence(wanted)) if wanted == sequence + 1 => return Ok(None),
                 Err(error) => {
                     if refusals == 0 {
                         note(&append, error);
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`patience`]: who claims first.
 //! - [`reach`]: whether the log is down or this daemon cut off.
 //! - [`round_trip`]: how long an answer takes.
+//! - [`trimmer`]: dropping the history of one owned partition.
 //! - [`wire`]: the calls in binary form, for the stand-in.
 
 pub mod api;
@@ -28,4 +29,5 @@
 pub mod patience;
 pub mod reach;
 pub mod round_trip;
+pub mod trimmer;
 pub mod wire;
--- a/crates/log/src/wire.rs
+++ b/crates/log/src/wire.rs
@@ -1,7 +1,7 @@
 //! Binary form of the calls, spoken by the product's own stand-in of the service.
 
 use crate::api::{
-    Append, Appended, KeyedRecord, NewestPage, Partition, Producer, ReadBatch, StoreError,
+    Append, Appended, KeyedRecord, NewestPage, Partition, Producer, ReadBatch, StoreError, Trim,
 };
 use nanoserde::{DeBin, SerBin};
 use std::time::Duration;
@@ -15,6 +15,8 @@
     Read(ReadCall),
     /// A page of the newest records.
     Newest(NewestCall),
+    /// Drop history.
+    Trim(TrimCall),
 }
 
 impl StoreCall {
@@ -24,6 +26,7 @@
             Self::Append(call) => call.partition,
             Self::Read(call) => call.partition,
             Self::Newest(call) => call.partition,
+            Self::Trim(call) => call.partition,
         }
     }
 }
@@ -71,6 +74,17 @@
     pub after: Option<Vec<u8>>,
 }
 
+/// A dropping of history.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct TrimCall {
+    /// Topic.
+    pub topic: String,
+    /// Partition.
+    pub partition: u32,
+    /// What was appended before this offset is dropped.
+    pub before: u64,
+}
+
 /// A keyed record, with its offset in answers.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct WireRecord {
@@ -91,6 +105,8 @@
     Records(Vec<WireRecord>, u64, u64),
     /// Records, the key to continue after, and the end.
     Newest(Vec<WireRecord>, Option<Vec<u8>>, u64),
+    /// History was dropped.
+    Trimmed,
     /// A higher epoch is in force.
     Fenced,
     /// This sequence is wanted.
@@ -146,6 +162,16 @@
     }
 }
 
+impl From<&Trim> for TrimCall {
+    fn from(trim: &Trim) -> Self {
+        Self {
+            topic: trim.partition.topic.clone(),
+            partition: trim.partition.number,
+            before: trim.before,
+        }
+    }
+}
+
 fn wire(offset: u64, record: &KeyedRecord) -> WireRecord {
     WireRecord {
         offset,
@@ -237,6 +263,17 @@
         }
     }
 
+    /// The answer to a dropping of history.
+    ///
+    /// # Errors
+    /// It failed.
+    pub fn trimmed(self) -> Result<(), StoreError> {
+        match self {
+            Self::Trimmed => Ok(()),
+            other => Err(other.failure()),
+        }
+    }
+
     /// The answer to a question for the newest records.
     ///
     /// # Errors
--- a/crates/log/tests/follow.rs
+++ b/crates/log/tests/follow.rs
@@ -1,7 +1,7 @@
 //! Following a topic: what an answer confirms.
 
 use fieldhook_log::api::{
-    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError,
+    Append, Appended, LogStore, NewestPage, Partition, ReadBatch, StoreError, Trim,
 };
 use fieldhook_log::contact::Contact;
 use fieldhook_log::follow::Follower;
@@ -55,6 +55,10 @@
     ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>> {
         Box::pin(async { Ok(NewestPage::default()) })
     }
+
+    fn trim(&self, _: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async { Err(StoreError::NotDone) })
+    }
 }
 
 #[test]
