--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod readers;
 mod reading;
 mod reserved_at_home;
+mod room;
 mod store;
 mod support;
 mod tenants;
