A window tells the time at which there is a place, not one up to 50 ms before

Cause: requests are counted by spans of 50 ms, which are dropped a window after their end; the time that was told to who has to wait took them for dropped a window after their begin. Whoever came back then found no place, was told 1 ms, and asked the owner each millisecond for 50 ms.

Change: both go by the span's own end.

Windows keep their promise: the quickcheck of traffic/tests/quota.rs is as it was and passes.

--- a/crates/traffic/src/window.rs
+++ b/crates/traffic/src/window.rs
@@ -87,6 +87,14 @@
     requests: u32,
 }
 
+impl Span {
+    /// When none of its requests lies within a window any more: the last of them may have gone
+    /// out at its end.
+    fn forgotten_ms(&self, bounds: &Bounds) -> u64 {
+        self.began_ms + SPAN_MS + bounds.window_ms
+    }
+}
+
 /// A limit that was lowered.
 #[derive(Clone, Copy, Debug)]
 struct Lowered {
@@ -204,7 +212,8 @@
 
     /// Drops spans that ended a window ago.
     fn forget(&mut self, now_ms: u64) {
-        let is_over = |span: &Span| span.began_ms + SPAN_MS + self.bounds.window_ms <= now_ms;
+        let bounds = self.bounds;
+        let is_over = |span: &Span| span.forgotten_ms(&bounds) <= now_ms;
         while self.spans.front().is_some_and(is_over) {
             self.spans.pop_front();
         }
@@ -250,11 +259,13 @@
         for span in self.counted(spans) {
             sent += f64::from(span.requests);
             let missing = sent - bounds.depth(&self.limit);
-            until_ms = until_ms.max(self.regained_ms(bounds, missing, span.began_ms));
+            let regained_ms = self.regained_ms(missing, span.began_ms);
+            until_ms = until_ms.max(regained_ms.min(span.forgotten_ms(bounds) as f64));
         }
         if let Some(since_ms) = self.taken_over_ms {
             let missing = sent - bounds.seed(&self.limit);
-            until_ms = until_ms.max(self.regained_ms(bounds, missing, since_ms));
+            let regained_ms = self.regained_ms(missing, since_ms);
+            until_ms = until_ms.max(regained_ms.min((since_ms + bounds.window_ms) as f64));
         }
         until_ms
     }
@@ -263,9 +274,9 @@
         self.limit.rate_per_s * RATE_PART * now_ms.saturating_sub(since_ms) as f64 / 1_000.0
     }
 
-    /// When the rate has brought so many since some time, or that time is a window ago.
-    fn regained_ms(&self, bounds: &Bounds, missing: f64, since_ms: u64) -> f64 {
+    /// When the rate has brought so many since some time.
+    fn regained_ms(&self, missing: f64, since_ms: u64) -> f64 {
         let gained_ms = missing.max(0.0) / (self.limit.rate_per_s * RATE_PART) * 1_000.0;
-        since_ms as f64 + gained_ms.min(bounds.window_ms as f64)
+        since_ms as f64 + gained_ms
     }
 }
