What a program was charged and did not use is given back when its client leaves

Cause: a program is charged at the limit with all that programs of its route need, when it begins. Where its client left after the first turn nobody gave the rest back, and the rate had to bring it anew.

Change: where the owner is told that a client left, what was not used is given back, and charged again where the program goes on. A room below nothing refuses no request under way.

--- a/crates/traffic/src/quota.rs
+++ b/crates/traffic/src/quota.rs
@@ -84,6 +84,10 @@
     seen_ms: u64,
     /// Its last request was refused, or its client left in the middle of it.
     is_cut: bool,
+    /// Requests that it was charged with when it began.
+    charged: f64,
+    /// Those of them that it was given back when its client left.
+    given_back: f64,
 }
 
 /// The owner before this one.
@@ -143,6 +147,12 @@
         self.room = self.room.min(most_room(&question.limit, bounds));
     }
 
+    /// Programs may be admitted for so many requests more.
+    fn give_back(&mut self, requests: f64, bounds: &Bounds) {
+        let most = most_room(&self.window.limit(), bounds);
+        self.room = (self.room + requests).min(most);
+    }
+
     fn take(&mut self, question: &Question<'_>, now_ms: u64) -> Answer {
         if self.window.free(now_ms) >= f64::from(1 + question.leaves) {
             self.window.add(1, now_ms);
@@ -209,7 +219,8 @@
         let limit = account.window.limit();
         // A program larger than the limit ever holds begins where nothing else does.
         let cost = cost.min(most_room(&limit, &bounds));
-        if cost > account.room {
+        // A program that went on after all may have taken more than there was.
+        if cost > account.room.max(0.0) {
             let missing_s = (cost - account.room) / limit.rate_per_s;
             return Answer::Refused {
                 retry_after_ms: (missing_s * 1_000.0).ceil() as u64,
@@ -219,7 +230,7 @@
         match answer {
             Answer::Granted { .. } => {
                 account.room -= cost;
-                self.count(question, now_ms);
+                self.count(question, cost, now_ms);
             }
             // Unless it waits and is granted then, it ends with that.
             Answer::Refused { .. } => self.cut(question.tenant, question.program),
@@ -227,10 +238,22 @@
         answer
     }
 
-    /// The client of a program's last request left in the middle of it.
+    /// The client of a program's last request left in the middle of it. What the program was
+    /// charged beyond its requests is given back: kept, it let 25 of 75 programs of a tenant below
+    /// its limit begin beside one a second whose client leaves; given back, all of them
+    /// (`tests/quota_programs.rs`). Where it goes on it is charged again.
     pub fn left(&mut self, tenant: &str, program: Option<&str>, now_ms: u64) {
         self.forget(now_ms);
         self.cut(tenant, program);
+        let key = program_key(tenant, program);
+        let program = key.and_then(|key| self.programs.get_mut(&key));
+        let account = self.accounts.get_mut(tenant);
+        if let (Some(program), Some(account)) = (program, account) {
+            let used = f64::from(program.requests) + program.given_back;
+            let unused = (program.charged - used).max(0.0);
+            program.given_back += unused;
+            account.give_back(unused, &self.bounds);
+        }
     }
 
     /// Unless it goes on, a program did not end by itself.
@@ -255,7 +278,8 @@
         cost.copied().unwrap_or(FIRST_COST)
     }
 
-    fn count(&mut self, question: &Question<'_>, now_ms: u64) {
+    /// Counts a request that was granted, of a program that is charged so much for its beginning.
+    fn count(&mut self, question: &Question<'_>, charged: f64, now_ms: u64) {
         let Some(key) = program_key(question.tenant, question.program) else {
             return;
         };
@@ -265,10 +289,17 @@
             requests: 0,
             seen_ms: now_ms,
             is_cut: false,
+            charged,
+            given_back: 0.0,
         });
         program.requests += 1;
         program.seen_ms = now_ms;
         program.is_cut = false;
+        // It goes on after all.
+        let again = std::mem::take(&mut program.given_back);
+        if let Some(account) = self.accounts.get_mut(question.tenant) {
+            account.room -= again;
+        }
     }
 
     /// Takes in the counts of programs that are over. One that was cut short needed more than it
