--- a/crates/gateway/src/serve/quota.rs
+++ b/crates/gateway/src/serve/quota.rs
@@ -15,8 +15,9 @@
 const LATE_MS: u64 = 100;
 
 /// A request that the owner of its tenant's limit is asked for, and that may be let through.
-/// Dropped before its end, its client has left in the middle of it, and the owner is told: a
-/// program that was cut short says nothing of what programs of its route need.
+/// Dropped before its end, its client has left in the middle of it, or got no whole answer, and
+/// the owner is told: a program that was cut short says nothing of what programs of its route
+/// need, and does not need what it was charged.
 #[derive(Default)]
 pub struct Taken {
     told: Option<(Rc<Daemon>, QuotaQuestion)>,
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -183,8 +183,8 @@
 pub enum QuotaMatter {
     /// One request more is to be sent.
     Request,
-    /// The client of the program's last request left in the middle of it. Nothing is taken, and
-    /// the answer says what is used.
+    /// The client of the program's last request left in the middle of it, or got no whole answer.
+    /// Nothing is taken, and the answer says what is used.
     ClientLeft,
 }
 
