--- a/crates/gateway/src/serve/quota.rs
+++ b/crates/gateway/src/serve/quota.rs
@@ -1,27 +1,76 @@
 //! Whether a request's tenant may send it.
 
 use super::answer::OwnAnswer;
-use super::request::RequestContext;
+use super::request::{RequestContext, Served};
+use crate::daemon::Daemon;
 use crate::ledger::quota::Outcome;
-use fieldhook_ledger::message::QuotaQuestion;
+use fieldhook_ledger::message::{QuotaMatter, QuotaQuestion};
 use fieldhook_traffic::tenants::Limit;
 use fieldhook_traffic::wait;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// A request that got through later than this after it came is told of, in milliseconds.
 const LATE_MS: u64 = 100;
 
+/// A request that the owner of its tenant's limit is asked for, and that may be let through.
+/// Dropped before its end, its client has left in the middle of it, or got no whole answer, and
+/// the owner is told: a program that was cut short says nothing of what programs of its route
+/// need, and does not need what it was charged.
+#[derive(Default)]
+pub struct Taken {
+    told: Option<(Rc<Daemon>, QuotaQuestion)>,
+}
+
+impl Taken {
+    /// Before the owner is asked, as its answer may be under way when the client leaves. Only
+    /// programs have an end to be told.
+    fn new(context: &RequestContext, question: &QuotaQuestion) -> Self {
+        let program = question.program.as_ref();
+        let told = program.map(|_| {
+            let question = QuotaQuestion {
+                matter: QuotaMatter::ClientLeft,
+                ..question.clone()
+            };
+            (context.daemon.clone(), question)
+        });
+        Self { told }
+    }
+
+    /// The request is over.
+    pub fn end(mut self, served: Served) {
+        if served != Served::Abandon {
+            self.told = None;
+        }
+    }
+
+    /// No owner let it through.
+    fn withdraw(mut self) {
+        self.told = None;
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        if let Some((daemon, question)) = self.told.take() {
+            daemon.metrics.quota.with_label_values(&["left"]).inc();
+            daemon.ledger.tell_client_left(question);
+        }
+    }
+}
+
 /// Takes one request from the tenant's limit; `begins` says that it is the first of its
 /// program.
 ///
 /// # Errors
 /// The answer for the client where it may not be sent.
-pub async fn take(context: &RequestContext, begins: bool) -> Result<(), OwnAnswer> {
+pub async fn take(context: &RequestContext, begins: bool) -> Result<Taken, OwnAnswer> {
     let Some((tenant, limit, version)) = limit_of(context) else {
-        return Ok(());
+        return Ok(Taken::default());
     };
-    let question = QuotaQuestion {
+    let mut question = QuotaQuestion {
+        matter: QuotaMatter::Request,
         tenant,
         rate_per_s: limit.rate_per_s,
         burst: limit.burst,
@@ -29,12 +78,14 @@
         program: context.meta.program.clone(),
         route: context.entry.route.name.clone(),
         begins,
-        waits: true,
+        patience_ms: 0,
     };
-    let outcome = ask(context, &question).await;
-    tell(context, outcome, begins, limit, version);
-    match outcome {
-        Outcome::Granted | Outcome::Unasked => Ok(()),
+    let taken = Taken::new(context, &question);
+    let outcome = ask(context, &mut question).await;
+    tell(context, outcome, &question);
+    let answer = match outcome {
+        Outcome::Granted => return Ok(taken),
+        Outcome::Unasked => Ok(Taken::default()),
         Outcome::Refused { retry_after_ms } => Err(OwnAnswer::over_limit(
             "the tenant is at its limit",
             retry_after_ms,
@@ -43,37 +94,42 @@
             "the tenant's limit cannot be told",
             context.retry_later_ms(),
         )),
-    }
+    };
+    taken.withdraw();
+    answer
 }
 
-/// Asks until there is a place, or the next one comes too late for the answer.
-async fn ask(context: &RequestContext, question: &QuotaQuestion) -> Outcome {
+/// Asks until there is a place, or the next one comes too late for the answer. The owner is
+/// told how late that is, and keeps no place that would be too late: where this request leaves
+/// while it waits, its place lapses at its time.
+async fn ask(context: &RequestContext, question: &mut QuotaQuestion) -> Outcome {
     let daemon = &context.daemon;
     loop {
+        let patience = patience(context, question.begins);
+        question.patience_ms = patience.map_or(0, |patience| patience.as_millis() as u64);
         let outcome = daemon.quota.take(&daemon.ledger, question).await;
         let Outcome::Refused { retry_after_ms } = outcome else {
             return outcome;
         };
-        let pause = Duration::from_millis(retry_after_ms);
-        if !is_worth(context, question, pause) {
+        if retry_after_ms.max(1) > question.patience_ms {
             return outcome;
         }
         daemon.metrics.quota.with_label_values(&["waits"]).inc();
-        sleep(pause).await;
+        sleep(Duration::from_millis(retry_after_ms)).await;
     }
 }
 
-/// Whether a place that is so far off is worth waiting for. A program that begins is late as
-/// a whole by what it waits: beyond its route's aim it had better come back. What is under
-/// way needs its answer while there is time for it.
-fn is_worth(context: &RequestContext, question: &QuotaQuestion, pause: Duration) -> bool {
+/// How long a place is worth waiting for. A program that begins is late as a whole by what it
+/// waits: beyond its route's aim it had better come back. What is under way needs its answer
+/// while there is time for it.
+fn patience(context: &RequestContext, begins: bool) -> Option<Duration> {
     let route = &context.entry.route;
-    if question.begins {
+    if begins {
         let left_ms = route.target_ms.saturating_sub(context.age_ms());
-        return wait::is_worth(pause, Duration::ZERO, Duration::from_millis(left_ms));
+        return wait::patience(Duration::ZERO, Duration::from_millis(left_ms));
     }
     let answer = context.daemon.answer_times.overdue_after(&route.name);
-    wait::is_worth(pause, answer, Duration::from_millis(context.left_ms()))
+    wait::patience(answer, Duration::from_millis(context.left_ms()))
 }
 
 /// Name and limit of the tenant, with the version of the configuration that says so.
@@ -84,7 +140,7 @@
     Some((name.to_owned(), limit, table.config.version))
 }
 
-fn tell(context: &RequestContext, outcome: Outcome, begins: bool, limit: Limit, version: u64) {
+fn tell(context: &RequestContext, outcome: Outcome, question: &QuotaQuestion) {
     let (label, wait_ms) = match outcome {
         Outcome::Granted => ("granted", 0),
         Outcome::Unasked => ("unasked", 0),
@@ -103,11 +159,12 @@
         program = context.meta.program,
         route = context.entry.route.name,
         tenant = context.tenant_name(),
-        begins,
+        begins = question.begins,
         wait_ms,
-        rate_per_s = limit.rate_per_s,
-        burst = limit.burst,
-        version,
+        patience_ms = question.patience_ms,
+        rate_per_s = question.rate_per_s,
+        burst = question.burst,
+        version = question.version,
         age_ms = context.age_ms()
     );
 }
--- a/crates/gateway/tests/gateway/limits.rs
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -160,22 +160,25 @@
     });
 }
 
+/// A tenant with three places at once, then one each 700 ms; a call has 2,000 ms.
+fn slow() -> Tenant {
+    let rate_per_s = 1.0 / 0.525;
+    Tenant {
+        limit: Some(Limit {
+            rate_per_s,
+            burst: 3.0 - rate_per_s * 1.25,
+        }),
+        ..tenant("red", "k1")
+    }
+}
+
 /// A call of a program under way that is told a place in time waits for it: refused, it
 /// would end the program.
 #[test]
 fn a_call_waits_for_a_place_that_comes_in_its_time() {
     run(async {
         let server = Server::start("s1", Act::Answer(200, "yes".to_owned())).await;
-        // Three places at once, then one each 700 ms, of 2,000 ms that a call has.
-        let rate_per_s = 1.0 / 0.525;
-        let slow = Tenant {
-            limit: Some(Limit {
-                rate_per_s,
-                burst: 3.0 - rate_per_s * 1.25,
-            }),
-            ..tenant("red", "k1")
-        };
-        let world = world_of(vec![slow]).await;
+        let world = world_of(vec![slow()]).await;
         let gateway = world.ready(&[&server]).await;
         sleep(Duration::from_millis(900)).await;
         for number in 0..4 {
@@ -190,3 +193,63 @@
         assert!(waits.get() > 0);
     });
 }
+
+/// No place is kept for calls whose time is over before it comes: the next one that can wait
+/// gets it.
+#[test]
+fn calls_that_cannot_wait_for_a_place_stand_in_nobodys_way() {
+    run(async {
+        let server = Server::start("s1", Act::Answer(200, "yes".to_owned())).await;
+        let world = world_of(vec![slow()]).await;
+        let gateway = world.ready(&[&server]).await;
+        sleep(Duration::from_millis(900)).await;
+        assert_eq!(statuses(&[&gateway], 3).await, [200; 3]);
+        for number in 3..8 {
+            let fields = format!("Request: r{number}\r\nKey: k1\r\nDeadline: 300\r\n");
+            let reply = gateway.ask("POST", "/unsafe/1", &fields, "").await;
+            assert_eq!(reply.head.status, 429, "call {number}");
+        }
+        assert_eq!(ask(&gateway, 8).await.head.status, 200);
+        assert_eq!(server.count(), 4);
+    });
+}
+
+/// Clients that leave in the middle of their programs' first turns neither make programs of the
+/// route look short, so that more begin than before, nor keep what these were charged.
+#[test]
+fn programs_whose_clients_left_are_neither_charged_nor_taken_for_short_ones() {
+    run(async {
+        let server = Server::start("s1", Act::Silent).await;
+        // Room for five programs, by what they are thought to need at first, and for one more
+        // each six seconds.
+        let mut red = limited();
+        red.limit = Some(Limit {
+            rate_per_s: 2.0,
+            burst: 50.0,
+        });
+        let world = world_of(vec![red]).await;
+        let [a, b] = two_gateways(&world, &server).await;
+        let fields = |name: &str| format!("Request: {name}\r\nProgram: {name}\r\nKey: k1\r\n");
+        for (gateway, name) in [(&a, "l1"), (&b, "l2"), (&a, "l3")] {
+            let mut client = gateway.client().await;
+            client.send("POST", "/chat/1", &fields(name), "x").await;
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(server.count(), 3);
+        // Until they count as over.
+        sleep(Duration::from_millis(4_600)).await;
+        let left = |gateway: &Gateway| {
+            let metrics = &gateway.daemon.metrics;
+            metrics.quota.with_label_values(&["left"]).get()
+        };
+        assert_eq!((left(&a), left(&b)), (2, 1));
+        server.set(Act::Events(vec!["one".to_owned()], None));
+        let mut statuses = Vec::new();
+        for (gateway, number) in [&a, &b].into_iter().cycle().zip(0..6) {
+            let fields = fields(&format!("p{number}"));
+            let reply = gateway.ask("POST", "/chat/1", &fields, "x").await;
+            statuses.push(reply.head.status);
+        }
+        assert_eq!(statuses, [200, 200, 200, 200, 200, 429]);
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -181,9 +181,21 @@
     pub turn: Name,
 }
 
+/// What the owner of a tenant's limit is told by a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum QuotaMatter {
+    /// One request more is to be sent.
+    Request,
+    /// The client of the program's last request left in the middle of it, or got no whole answer.
+    /// Nothing is taken, and the answer says what is used.
+    ClientLeft,
+}
+
 /// Asks the owner of a tenant's limit for a request.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub struct QuotaQuestion {
+    /// What it is about.
+    pub matter: QuotaMatter,
     /// Name of the tenant.
     pub tenant: String,
     /// Requests a second that it may send, as the asking daemon knows.
@@ -198,8 +210,9 @@
     pub route: String,
     /// It is the first request of its program.
     pub begins: bool,
-    /// The daemon asks again where it is told when.
-    pub waits: bool,
+    /// How long the request would wait for a place from now on, in milliseconds. A place that
+    /// comes later is not kept for it.
+    pub patience_ms: u64,
 }
 
 /// Asks the owner of a cold server's count whether a request may be sent there now.
--- a/crates/traffic/src/quota.rs
+++ b/crates/traffic/src/quota.rs
@@ -41,8 +41,9 @@
     pub route: &'a str,
     /// The request is the first of its program.
     pub begins: bool,
-    /// The daemon asks again where it is told when.
-    pub waits: bool,
+    /// How long the asker would wait for a place, in milliseconds. It asks again when a place
+    /// that comes in this time is there, and is refused where none does.
+    pub patience_ms: u64,
     /// Requests that must be left for others, more urgent ones.
     pub leaves: u32,
 }
@@ -57,7 +58,8 @@
     },
     /// None may be sent now.
     Refused {
-        /// When one could be, in milliseconds from now.
+        /// When one could be, in milliseconds from now. A place is kept for the asker until then
+        /// if it comes within the asker's patience, and not otherwise.
         retry_after_ms: u64,
     },
 }
@@ -68,7 +70,10 @@
     /// Requests that programs may still be admitted for.
     room: f64,
     room_at_ms: u64,
-    /// When those who wait were told to ask again, the next one first.
+    /// When those who wait were told to ask again, the next one first. Only theirs: a place kept
+    /// for an asker that was refused is a place less for those who come after it. 200 askers at
+    /// once at a limit of 20 a second, each with a patience of 2 s, had 20 of the 80 refused who
+    /// came after them at half of the limit, and none of them since (`tests/quota_waits.rs`).
     promised: VecDeque<u64>,
 }
 
@@ -77,6 +82,12 @@
     began_on: Option<u64>,
     requests: u32,
     seen_ms: u64,
+    /// Its last request was refused, or its client left in the middle of it.
+    is_cut: bool,
+    /// Requests that it was charged with when it began.
+    charged: f64,
+    /// Those of them that it was given back when its client left.
+    given_back: f64,
 }
 
 /// The owner before this one.
@@ -136,6 +147,12 @@
         self.room = self.room.min(most_room(&question.limit, bounds));
     }
 
+    /// Programs may be admitted for so many requests more.
+    fn give_back(&mut self, requests: f64, bounds: &Bounds) {
+        let most = most_room(&self.window.limit(), bounds);
+        self.room = (self.room + requests).min(most);
+    }
+
     fn take(&mut self, question: &Question<'_>, now_ms: u64) -> Answer {
         if self.window.free(now_ms) >= f64::from(1 + question.leaves) {
             self.window.add(1, now_ms);
@@ -145,7 +162,7 @@
         }
         let ahead = self.promised.len() as u32;
         let retry_after_ms = self.window.wait_ms(ahead + 1 + question.leaves, now_ms);
-        if question.waits {
+        if retry_after_ms <= question.patience_ms {
             self.promised.push_back(now_ms + retry_after_ms);
         }
         Answer::Refused { retry_after_ms }
@@ -181,6 +198,12 @@
         accounts.map(move |(name, account)| (name.clone(), account.window.used(now_ms)))
     }
 
+    /// How much of its limit one tenant uses, 0 to 1.
+    pub fn used_by(&mut self, tenant: &str, now_ms: u64) -> f64 {
+        let account = self.accounts.get_mut(tenant);
+        account.map_or(0.0, |account| account.window.used(now_ms))
+    }
+
     /// Answers a question.
     pub fn ask(&mut self, question: &Question<'_>, now_ms: u64) -> Answer {
         self.forget(now_ms);
@@ -196,26 +219,58 @@
         let limit = account.window.limit();
         // A program larger than the limit ever holds begins where nothing else does.
         let cost = cost.min(most_room(&limit, &bounds));
-        if cost > account.room {
+        // A program that went on after all may have taken more than there was.
+        if cost > account.room.max(0.0) {
             let missing_s = (cost - account.room) / limit.rate_per_s;
             return Answer::Refused {
                 retry_after_ms: (missing_s * 1_000.0).ceil() as u64,
             };
         }
         let answer = account.take(question, now_ms);
-        if matches!(answer, Answer::Granted { .. }) {
-            account.room -= cost;
-            self.count(question, now_ms);
+        match answer {
+            Answer::Granted { .. } => {
+                account.room -= cost;
+                self.count(question, cost, now_ms);
+            }
+            // Unless it waits and is granted then, it ends with that.
+            Answer::Refused { .. } => self.cut(question.tenant, question.program),
         }
         answer
     }
 
+    /// The client of a program's last request left in the middle of it. What the program was
+    /// charged beyond its requests is given back: kept, it let 25 of 75 programs of a tenant below
+    /// its limit begin beside one a second whose client leaves; given back, all of them
+    /// (`tests/quota_programs.rs`). Where it goes on it is charged again.
+    pub fn left(&mut self, tenant: &str, program: Option<&str>, now_ms: u64) {
+        self.forget(now_ms);
+        self.cut(tenant, program);
+        let key = program_key(tenant, program);
+        let program = key.and_then(|key| self.programs.get_mut(&key));
+        let account = self.accounts.get_mut(tenant);
+        if let (Some(program), Some(account)) = (program, account) {
+            let used = f64::from(program.requests) + program.given_back;
+            let unused = (program.charged - used).max(0.0);
+            program.given_back += unused;
+            account.give_back(unused, &self.bounds);
+        }
+    }
+
+    /// Unless it goes on, a program did not end by itself.
+    fn cut(&mut self, tenant: &str, program: Option<&str>) {
+        let key = program_key(tenant, program);
+        if let Some(program) = key.and_then(|key| self.programs.get_mut(&key)) {
+            program.is_cut = true;
+        }
+    }
+
     /// Requests that a program which begins will need; nothing for one under way.
     fn cost_of(&self, question: &Question<'_>) -> f64 {
         if !question.begins {
             return 0.0;
         }
-        let is_known = program_key(question).is_some_and(|key| self.programs.contains_key(&key));
+        let key = program_key(question.tenant, question.program);
+        let is_known = key.is_some_and(|key| self.programs.contains_key(&key));
         if is_known {
             return 0.0;
         }
@@ -223,8 +278,9 @@
         cost.copied().unwrap_or(FIRST_COST)
     }
 
-    fn count(&mut self, question: &Question<'_>, now_ms: u64) {
-        let Some(key) = program_key(question) else {
+    /// Counts a request that was granted, of a program that is charged so much for its beginning.
+    fn count(&mut self, question: &Question<'_>, charged: f64, now_ms: u64) {
+        let Some(key) = program_key(question.tenant, question.program) else {
             return;
         };
         let began_on = question.begins.then(|| route_key(question));
@@ -232,12 +288,26 @@
             began_on,
             requests: 0,
             seen_ms: now_ms,
+            is_cut: false,
+            charged,
+            given_back: 0.0,
         });
         program.requests += 1;
         program.seen_ms = now_ms;
+        program.is_cut = false;
+        // It goes on after all.
+        let again = std::mem::take(&mut program.given_back);
+        if let Some(account) = self.accounts.get_mut(question.tenant) {
+            account.room -= again;
+        }
     }
 
-    /// Takes in the counts of programs that are over.
+    /// Takes in the counts of programs that are over. One that was cut short needed more than it
+    /// had, so it raises the mean of its route and never lowers it: where it lowered it, more
+    /// programs began than the rate carries, and these were cut short in their turn. A tenant that
+    /// wants twice its limit of 20 a second for ten minutes, in programs of 40 requests, had 256
+    /// whole and 168 refused under way, and has 297 and 21; after a minute in which clients left
+    /// after their first turn 40 began where 3 are carried, and 3 do (`tests/quota_programs.rs`).
     fn forget(&mut self, now_ms: u64) {
         if now_ms < self.swept_ms + SWEEP_MS {
             return;
@@ -248,17 +318,19 @@
             let is_over = now_ms >= program.seen_ms + PROGRAM_OVER_MS;
             if is_over && let Some(route) = program.began_on {
                 let cost = costs.entry(route).or_insert(FIRST_COST);
-                *cost += (f64::from(program.requests) - *cost) * COST_GAIN;
+                let beyond = f64::from(program.requests) - *cost;
+                if beyond > 0.0 || !program.is_cut {
+                    *cost += beyond * COST_GAIN;
+                }
             }
             !is_over
         });
     }
 }
 
-fn program_key(question: &Question<'_>) -> Option<u64> {
-    let tenant = xxh3_64_with_seed(question.tenant.as_bytes(), 0);
-    let program = question.program?;
-    Some(xxh3_64_with_seed(program.as_bytes(), tenant))
+fn program_key(tenant: &str, program: Option<&str>) -> Option<u64> {
+    let tenant = xxh3_64_with_seed(tenant.as_bytes(), 0);
+    Some(xxh3_64_with_seed(program?.as_bytes(), tenant))
 }
 
 fn route_key(question: &Question<'_>) -> u64 {
