Servers: records of other writers are said once, older ones change nothing

Cause: a listing read anew said and counted each foreign entry again, with the whole of its value in the line; an entry whose name is no text was passed over without a word; a record or a listing older than what is known of a name removed its server (insertion alone looked at the place in the topic). Unreadable configurations and evacuations were not counted.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,9 +3,11 @@
 //! - [`config`]: the configuration in force.
 //! - [`known`]: the configuration as it was read, for other daemons.
 //! - [`servers`]: the servers that exist.
+//! - [`unreadable`]: records of other writers, said once and counted.
 //! - [`wait`]: how long reads wait.
 
 pub mod config;
 pub mod known;
 pub mod servers;
+pub mod unreadable;
 pub mod wait;
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: read from the log, or learned from other daemons while the
 //! log answers them and not this one.
 
+use super::unreadable::{Report, Source};
 use crate::daemon::Daemon;
 use fieldhook_log::api::{KeyedRecord, Partition};
 use fieldhook_log::follow::{Follower, Update};
@@ -20,6 +21,19 @@
 /// Problems of one configuration that are named, a line each: the volume of logs is bounded.
 const MOST_PROBLEMS: usize = 50;
 
+/// Configurations that can't be read.
+const FOREIGN_CONFIG: Source = Source {
+    event: "config_unreadable",
+    kind: "configuration",
+    remedy: "the former one stays in force; publish a corrected one with a higher version",
+};
+/// Evacuations of what is no zone.
+const FOREIGN_ZONE: Source = Source {
+    event: "zone_unreadable",
+    kind: "evacuation",
+    remedy: "it evacuates nothing; evacuate zones by their names in the settings",
+};
+
 /// Follows the configuration for good.
 pub async fn run(daemon: Rc<Daemon>) {
     let partition = Partition {
@@ -39,28 +53,45 @@
             Update::Listing(records) => (records, true),
             Update::Records(records) => (records, false),
         };
-        for (offset, record) in &records {
-            if record.key == daemon.topics.config_key {
-                take(&daemon, Some(*offset), &record.value);
-            } else if let Some(zone) = evacuated_zone(&daemon, record) {
-                let state = match record.value.is_empty() {
-                    true => State::Open,
-                    false => State::Evacuated,
-                };
-                daemon.places.take(zone, state, *offset, "log");
-            }
-        }
+        let listed = take_all(&daemon, &records);
         if is_listing {
-            let listed: Vec<&str> = records
-                .iter()
-                .filter(|(_, record)| !record.value.is_empty())
-                .filter_map(|(_, record)| evacuated_zone(&daemon, record))
-                .collect();
             daemon.places.retain_listed(&listed, follower.position());
         }
     }
 }
 
+/// Takes in the operator's records; the zones that they evacuate.
+fn take_all<'a>(daemon: &Daemon, records: &'a [(u64, KeyedRecord)]) -> Vec<&'a str> {
+    let mut evacuated = Vec::new();
+    let mut foreign = Report::new(FOREIGN_ZONE, &daemon.metrics);
+    for (offset, record) in records {
+        if record.key == daemon.topics.config_key {
+            take(daemon, Some(*offset), &record.value);
+            continue;
+        }
+        let state = match record.value.is_empty() {
+            true => State::Open,
+            false => State::Evacuated,
+        };
+        let zone = match evacuated_zone(daemon, record) {
+            None => continue,
+            Some(Ok(zone)) => zone,
+            Some(Err(problem)) => {
+                let known = &daemon.owner.config;
+                if known.is_first_refusal(Some(*offset), &record.key) {
+                    foreign.add(&record.key, Some(*offset), problem);
+                }
+                continue;
+            }
+        };
+        daemon.places.take(zone, state, *offset, "log");
+        if state == State::Evacuated {
+            evacuated.push(zone);
+        }
+    }
+    evacuated
+}
+
 /// Asks other daemons for the configuration while the log may answer them and not this one.
 pub async fn run_peers(daemon: Rc<Daemon>) {
     loop {
@@ -91,18 +122,20 @@
 }
 
 /// The zone that a record of the operator's topic is about, if it is about one.
-fn evacuated_zone<'a>(daemon: &Daemon, record: &'a KeyedRecord) -> Option<&'a str> {
+fn evacuated_zone<'a>(
+    daemon: &Daemon,
+    record: &'a KeyedRecord,
+) -> Option<Result<&'a str, &'static str>> {
+    if record.key.is_empty() {
+        return Some(Err("it has no key"));
+    }
     let name = record
         .key
         .strip_prefix(daemon.topics.evacuations.as_slice())?;
-    match std::str::from_utf8(name) {
-        Ok(zone) if !zone.is_empty() => Some(zone),
-        _ => {
-            tracing::error!(event = "zone_unreadable", key = ?record.key,
-                "evacuate zones by their names in the settings");
-            None
-        }
-    }
+    Some(match std::str::from_utf8(name) {
+        Ok(zone) if !zone.is_empty() => Ok(zone),
+        _ => Err("its key names no zone"),
+    })
 }
 
 /// Takes in a document; one that was learned from another daemon has no offset in the log.
@@ -110,12 +143,10 @@
     let config = match daemon.dialect.traffic_config(document) {
         Ok(config) => config,
         Err(problem) => {
-            tracing::error!(
-                event = "config_unreadable",
-                offset,
-                problem,
-                "former one stays"
-            );
+            if daemon.owner.config.is_first_refusal(offset, document) {
+                let key = &daemon.topics.config_key;
+                Report::new(FOREIGN_CONFIG, &daemon.metrics).add(key, offset, &problem);
+            }
             return;
         }
     };
--- a/crates/gateway/src/follow/known.rs
+++ b/crates/gateway/src/follow/known.rs
@@ -6,6 +6,8 @@
 use crate::places::Places;
 use fieldhook_ledger::message::ConfigNews;
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -15,9 +17,18 @@
     bytes: Rc<[u8]>,
 }
 
+/// Records that could not be read and are remembered, so that each is said once although
+/// listings and other daemons bring it again. Beyond that one may be said twice.
+const MOST_REFUSED: usize = 1_024;
+
+/// A record that could not be read: its place in the log, where it was read there, and a hash
+/// of its bytes.
+type Refused = (Option<u64>, u64);
+
 /// What this daemon knows of the configuration.
 #[derive(Default)]
 pub struct Known {
+    refused: RefCell<HashSet<Refused>>,
     newest: RefCell<Option<Document>>,
     /// When the newest version was last seen to be that.
     confirmed: Cell<Option<Instant>>,
@@ -30,6 +41,17 @@
         self.newest.replace(Some(Document { version, bytes }));
     }
 
+    /// Whether a record that can't be read comes for the first time.
+    pub fn is_first_refusal(&self, offset: Option<u64>, bytes: &[u8]) -> bool {
+        let mut hasher = DefaultHasher::new();
+        bytes.hash(&mut hasher);
+        let mut refused = self.refused.borrow_mut();
+        if refused.len() >= MOST_REFUSED {
+            refused.clear();
+        }
+        refused.insert((offset, hasher.finish()))
+    }
+
     /// What is known was the newest `age_ms` ago.
     pub fn confirm(&self, age_ms: u64) {
         let Some(at) = Instant::now().checked_sub(std::time::Duration::from_millis(age_ms)) else {
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -1,17 +1,27 @@
-//! The servers that exist.
+//! The servers that exist, and which incarnation of each is in force
+//! (docs/design/incarnations.md).
 
+use super::unreadable::{Report, Source};
 use crate::daemon::Daemon;
 use fieldhook_log::api::{KeyedRecord, Partition};
 use fieldhook_log::follow::{Follower, Update};
-use fieldhook_traffic::directory::DirectoryChange;
+use fieldhook_traffic::directory::{DirectoryChange, ServerEntry};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Pause between reads: changes of several servers come in one answer.
+/// Pause between reads: changes of several servers come in one answer. While the log answers,
+/// nothing is believed of a former incarnation for longer than this and one answer of the log.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Entries that other writers left.
+const FOREIGN: Source = Source {
+    event: "server_unreadable",
+    kind: "server",
+    remedy: "it names no server to use until its entry is written anew",
+};
+
 /// Follows the servers for good.
 pub async fn run(daemon: Rc<Daemon>) {
     let partition = Partition {
@@ -26,18 +36,15 @@
     );
     loop {
         match follower.next_update().await {
-            Update::Listing(records) => take_listing(&daemon, &records),
-            Update::Records(records) => {
-                for (offset, record) in &records {
-                    take(&daemon, *offset, record);
-                }
-            }
+            Update::Listing(records) => take_listing(&daemon, &records, follower.position()),
+            Update::Records(records) => take_all(&daemon, &records),
         }
         sleep(PAUSE).await;
     }
 }
 
-fn take_listing(daemon: &Daemon, records: &[(u64, KeyedRecord)]) {
+/// Takes in all entries that there are, read where the topic ended at `end`.
+fn take_listing(daemon: &Daemon, records: &[(u64, KeyedRecord)], end: u64) {
     let listed: HashSet<&[u8]> = records
         .iter()
         .map(|(_, record)| record.key.as_slice())
@@ -45,40 +52,47 @@
     let gone = daemon
         .directory
         .borrow_mut()
-        .retain(&|id| listed.contains(id.as_bytes()));
+        .retain(&|name| listed.contains(name.as_bytes()), end);
     for id in gone {
         daemon.cold.forget(&id);
         tracing::info!(event = "server_gone", server = id, cause = "not listed");
     }
+    take_all(daemon, records);
+    daemon.cold.listed();
+}
+
+fn take_all(daemon: &Daemon, records: &[(u64, KeyedRecord)]) {
+    let mut foreign = Report::new(FOREIGN, &daemon.metrics);
     for (offset, record) in records {
-        take(daemon, *offset, record);
+        take(daemon, *offset, record, &mut foreign);
     }
-    daemon.cold.listed();
 }
 
-fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord) {
-    let Ok(name) = std::str::from_utf8(&record.key) else {
-        return;
-    };
+fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord, foreign: &mut Report<'_>) {
+    let name = String::from_utf8_lossy(&record.key);
     if record.value.is_empty() {
-        remove(daemon, name, offset, "removed");
+        remove(daemon, &name, offset, "removed");
         return;
     }
-    let entry = match daemon.dialect.server_entry(name, &record.value) {
-        Ok(entry) => entry,
-        Err(problem) => {
-            daemon.metrics.entries_unreadable.inc();
-            tracing::error!(
-                event = "server_unreadable",
-                server = name,
-                offset,
-                problem,
-                "it names no server to use until it is written anew"
-            );
-            remove(daemon, name, offset, "unreadable");
-            return;
+    let is_news = daemon.directory.borrow().is_news(&name, offset);
+    match read(daemon, record) {
+        Ok(entry) => take_entry(daemon, &name, entry, offset),
+        Err(problem) if is_news => {
+            foreign.add(&record.key, Some(offset), &problem);
+            remove(daemon, &name, offset, "unreadable");
         }
-    };
+        // It was said when it was new.
+        Err(_) => {}
+    }
+}
+
+/// Reads an entry; its name is text, since a server is told whom a request is meant for.
+fn read(daemon: &Daemon, record: &KeyedRecord) -> Result<ServerEntry, String> {
+    let name = std::str::from_utf8(&record.key).map_err(|_| "its name is no text".to_owned())?;
+    daemon.dialect.server_entry(name, &record.value)
+}
+
+fn take_entry(daemon: &Daemon, name: &str, entry: ServerEntry, offset: u64) {
     let former = daemon
         .directory
         .borrow()
@@ -115,7 +129,7 @@
 
 /// A name has no server any more.
 fn remove(daemon: &Daemon, name: &str, offset: u64, cause: &'static str) {
-    let Some(id) = daemon.directory.borrow_mut().remove(name) else {
+    let Some(id) = daemon.directory.borrow_mut().remove(name, offset) else {
         return;
     };
     daemon.cold.forget(&id);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,8 +37,9 @@
     pub tenant_limit_used: GaugeVec,
     /// Turns that an owner may have opened for an asker that left.
     pub turns_in_doubt: IntCounter,
-    /// Entries of service discovery that could not be read.
-    pub entries_unreadable: IntCounter,
+    /// Records of the configuration, of evacuations and of servers that could not be read, by
+    /// kind.
+    pub unreadable: IntCounterVec,
     /// Connections opened to servers.
     pub connections: IntCounter,
     /// Calls to the log service by kind.
@@ -139,9 +140,10 @@
                 "fieldhook_turns_in_doubt_total",
                 "Turns whose askers left before the owner's answer",
             ),
-            entries_unreadable: b.counter(
+            unreadable: b.counters(
                 "fieldhook_entries_unreadable_total",
-                "Entries of service discovery that could not be read",
+                "Records of the platform's log that could not be read",
+                "kind",
             ),
             connections: b.counter("fieldhook_server_connections_total", "Connections opened"),
             store_calls: b.counters("fieldhook_store_calls_total", "Log service calls", "kind"),
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -47,6 +47,8 @@
 pub struct Seen {
     /// When it was read whole.
     pub at: Instant,
+    /// When the connection was accepted that it came over.
+    pub accepted: Instant,
     pub head: RequestHead,
     pub body: Vec<u8>,
 }
@@ -145,7 +147,11 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<Seen> {
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    accepted: Instant,
+) -> Option<Seen> {
     let head = loop {
         if let Ok(Some(head)) = take_request(buffer, 1 << 20) {
             break head;
@@ -161,7 +167,12 @@
             Piece::Data(data) => body.extend_from_slice(&data),
             Piece::End => {
                 let at = Instant::now();
-                return Some(Seen { at, head, body });
+                return Some(Seen {
+                    at,
+                    accepted,
+                    head,
+                    body,
+                });
             }
             Piece::Wait => {
                 if stream.read_buf(buffer).await.ok()? == 0 {
@@ -183,7 +194,8 @@
     closed_early: Rc<Cell<u32>>,
 ) {
     let mut buffer = BytesMut::new();
-    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+    let accepted = Instant::now();
+    while let Some(request) = read_request(&mut stream, &mut buffer, accepted).await {
         let id = request
             .head
             .headers
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -167,14 +167,20 @@
     }
 
     pub async fn put(&self, topic: &str, key: &str, value: &str) {
+        self.put_bytes(topic, key.as_bytes(), value.as_bytes())
+            .await;
+    }
+
+    /// Writes a record as any writer may.
+    pub async fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
         let append = Append {
             partition: Partition {
                 topic: topic.to_owned(),
                 number: 0,
             },
             records: vec![KeyedRecord {
-                key: key.as_bytes().to_vec(),
-                value: value.as_bytes().to_vec(),
+                key: key.to_vec(),
+                value: value.to_vec(),
             }],
             producer: None,
             expected_end: None,
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -48,20 +48,28 @@
     Unchanged,
 }
 
-/// The newest entry of a name.
+/// Names without a server that are remembered for the place of their last record: entries
+/// come and go with each restart of a fleet, a few hundred a day.
+const MOST_GONE: usize = 10_000;
+
+/// The newest record of a name.
 struct Known {
-    id: String,
-    /// Place of the entry in its topic.
+    /// Identity of its server; none where the record took the name out of use.
+    id: Option<String>,
+    /// Place of the record in its topic.
     revision: u64,
 }
 
 /// Known servers by identity. Leaving is final for an identity: an older entry
 /// that is read again never makes a leaving server take work. Of two incarnations of one name
-/// the one whose entry was written later is in force; clocks of servers may step back.
+/// the one whose entry was written later is in force; clocks of servers may step back. A
+/// record or a listing that is older than what is known of a name changes nothing.
 #[derive(Default)]
 pub struct Directory {
     servers: HashMap<String, ServerEntry>,
     names: HashMap<String, Known>,
+    /// Names that are known to have no server.
+    gone: usize,
     version: u64,
 }
 
@@ -73,7 +81,7 @@
             return DirectoryChange::Unchanged;
         }
         let former = known
-            .map(|known| known.id.clone())
+            .and_then(|known| known.id.clone())
             .filter(|id| *id != entry.id);
         if let Some(id) = &former {
             self.servers.remove(id);
@@ -90,25 +98,52 @@
         if change != DirectoryChange::Unchanged {
             self.version += 1;
         }
-        let id = entry.id.clone();
-        self.names
-            .insert(entry.name.clone(), Known { id, revision });
+        let id = Some(entry.id.clone());
+        self.know(&entry.name, Known { id, revision });
         self.servers.insert(entry.id.clone(), entry);
         change
     }
 
-    /// Drops the entry of a name that is gone from discovery, or names no server any more:
-    /// the identity that it had.
-    pub fn remove(&mut self, name: &str) -> Option<String> {
-        let known = self.names.remove(name)?;
-        self.servers.remove(&known.id);
+    /// Whether a record of this place in the topic is newer than what is known of its name.
+    pub fn is_news(&self, name: &str, revision: u64) -> bool {
+        let known = self.names.get(name);
+        known.is_none_or(|known| revision > known.revision)
+    }
+
+    /// Takes a name out of use whose record of this place says that it is gone from discovery,
+    /// or names no server: the identity that it had. The place is remembered, so that an older
+    /// entry does not bring the server back.
+    pub fn remove(&mut self, name: &str, revision: u64) -> Option<String> {
+        if !self.is_news(name, revision) {
+            return None;
+        }
+        let former = self.know(name, Known { id: None, revision });
+        if self.gone > MOST_GONE {
+            self.names.retain(|_, known| known.id.is_some());
+            self.gone = 0;
+        }
+        self.end(former?)
+    }
+
+    /// Takes in the newest record of a name; what was known of it before.
+    fn know(&mut self, name: &str, known: Known) -> Option<Known> {
+        self.gone += usize::from(known.id.is_none());
+        let former = self.names.insert(name.to_owned(), known);
+        self.gone -= usize::from(former.as_ref().is_some_and(|former| former.id.is_none()));
+        former
+    }
+
+    /// Drops the server of a name; its identity.
+    fn end(&mut self, former: Known) -> Option<String> {
+        let id = former.id?;
+        self.servers.remove(&id);
         self.version += 1;
-        Some(known.id)
+        Some(id)
     }
 
     /// Identity of a name's incarnation in force.
     pub fn identity_of(&self, name: &str) -> Option<&str> {
-        self.names.get(name).map(|known| known.id.as_str())
+        self.names.get(name)?.id.as_deref()
     }
 
     /// Counts the changes of which servers take work: what was worked out from them holds
@@ -117,11 +152,19 @@
         self.version
     }
 
-    /// Keeps only the names that a complete listing holds: the identities that are gone.
-    pub fn retain(&mut self, listed: &dyn Fn(&str) -> bool) -> Vec<String> {
-        let names = self.names.keys().filter(|name| !listed(name));
-        let gone: Vec<String> = names.cloned().collect();
-        gone.iter().filter_map(|name| self.remove(name)).collect()
+    /// Keeps only the names that a complete listing holds, read where the topic ended at
+    /// `end`, and those whose records are later: the identities that are gone.
+    pub fn retain(&mut self, listed: &dyn Fn(&str) -> bool, end: u64) -> Vec<String> {
+        let is_gone = |name: &String, known: &mut Known| known.revision < end && !listed(name);
+        let gone: Vec<Known> = self
+            .names
+            .extract_if(is_gone)
+            .map(|(_, known)| known)
+            .collect();
+        self.gone -= gone.iter().filter(|known| known.id.is_none()).count();
+        gone.into_iter()
+            .filter_map(|known| self.end(known))
+            .collect()
     }
 
     /// Servers of a service that take new work.
@@ -146,6 +189,11 @@
         self.servers.len()
     }
 
+    /// Names of which the last record is remembered, with a server or without.
+    pub fn remembered(&self) -> usize {
+        self.names.len()
+    }
+
     /// Whether no server is known.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -147,7 +147,7 @@
         DirectoryChange::Restarted
     );
     assert_eq!(directory.identity_of("a"), Some("a~50"));
-    assert_eq!(directory.remove("a"), Some("a~50".to_owned()));
+    assert_eq!(directory.remove("a", 5), Some("a~50".to_owned()));
     assert!(directory.is_empty());
 }
 
@@ -156,12 +156,50 @@
     let mut directory = Directory::default();
     directory.insert(server("a", "z1"), 1);
     directory.insert(server("b", "z1"), 2);
-    let gone = directory.retain(&|id| id == "b");
+    let gone = directory.retain(&|id| id == "b", 3);
     assert_eq!(gone, vec!["a".to_owned()]);
     assert!(!directory.takes_work("a"));
     assert!(directory.takes_work("b"));
 }
 
+#[test]
+fn a_listing_from_before_a_server_came_does_not_drop_it() {
+    let mut directory = Directory::default();
+    directory.insert(server("a", "z1"), 1);
+    directory.insert(server("b", "z1"), 7);
+    let gone = directory.retain(&|_| false, 5);
+    assert_eq!(gone, vec!["a".to_owned()]);
+    assert!(directory.takes_work("b"));
+}
+
+#[test]
+fn an_older_record_neither_ends_a_server_nor_brings_it_back() {
+    let mut directory = Directory::default();
+    directory.insert(born(1, false), 5);
+    assert_eq!(directory.remove("a", 4), None);
+    assert!(directory.takes_work("a~1"));
+    assert_eq!(directory.remove("a", 6), Some("a~1".to_owned()));
+    assert!(!directory.is_news("a", 6) && directory.is_news("a", 7));
+    directory.insert(born(1, false), 5);
+    assert!(!directory.takes_work("a~1"));
+    assert_eq!(directory.identity_of("a"), None);
+    assert_eq!(directory.insert(born(1, false), 7), DirectoryChange::Added);
+    assert!(directory.takes_work("a~1"));
+}
+
+#[test]
+fn names_that_are_gone_do_not_fill_the_memory() {
+    let mut directory = Directory::default();
+    directory.insert(server("a", "z1"), 1);
+    for number in 0..30_000_u64 {
+        directory.remove(&format!("gone{number}"), number);
+    }
+    assert!(directory.remembered() <= 10_001);
+    assert!(directory.takes_work("a"));
+    directory.retain(&|id| id == "a", 40_000);
+    assert_eq!(directory.remembered(), 1);
+}
+
 #[test]
 fn pauses_grow_with_failures_and_end_with_an_answer() {
     let mut health = Health::default();
