Servers: a foreign entry whose name is no text is said once

Cause: a listing dropped the place that was remembered for such a name, since it compared the name as text with the bytes of the keys.

Change: names are compared as text. The test drops records that nobody has read, so that the followers list anew; it fails without the mend (4 lines in place of 2) and with either memory of what was said taken out.

--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -6,6 +6,7 @@
 use fieldhook_log::api::{KeyedRecord, Partition};
 use fieldhook_log::follow::{Follower, Update};
 use fieldhook_traffic::directory::{DirectoryChange, ServerEntry};
+use std::borrow::Cow;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,14 +46,11 @@
 
 /// Takes in all entries that there are, read where the topic ended at `end`.
 fn take_listing(daemon: &Daemon, records: &[(u64, KeyedRecord)], end: u64) {
-    let listed: HashSet<&[u8]> = records
-        .iter()
-        .map(|(_, record)| record.key.as_slice())
-        .collect();
+    let listed: HashSet<Cow<'_, str>> = records.iter().map(|(_, record)| name_of(record)).collect();
     let gone = daemon
         .directory
         .borrow_mut()
-        .retain(&|name| listed.contains(name.as_bytes()), end);
+        .retain(&|name| listed.contains(name), end);
     for id in gone {
         daemon.cold.forget(&id);
         tracing::info!(event = "server_gone", server = id, cause = "not listed");
@@ -69,7 +67,7 @@
 }
 
 fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord, foreign: &mut Report<'_>) {
-    let name = String::from_utf8_lossy(&record.key);
+    let name = name_of(record);
     if record.value.is_empty() {
         remove(daemon, &name, offset, "removed");
         return;
@@ -86,6 +84,11 @@
     }
 }
 
+/// The name that a record is known by: a foreign one may be no text.
+fn name_of(record: &KeyedRecord) -> Cow<'_, str> {
+    String::from_utf8_lossy(&record.key)
+}
+
 /// Reads an entry; its name is text, since a server is told whom a request is meant for.
 fn read(daemon: &Daemon, record: &KeyedRecord) -> Result<ServerEntry, String> {
     let name = std::str::from_utf8(&record.key).map_err(|_| "its name is no text".to_owned())?;
--- a/crates/gateway/tests/gateway/incarnations.rs
+++ b/crates/gateway/tests/gateway/incarnations.rs
@@ -3,6 +3,7 @@
 use crate::support::{Act, CONFIG, Gateway, Lines, SERVERS, Server, World, run};
 use fieldhook_emulator::log::memory::LogFault;
 use fieldhook_gateway::settings::Bounds;
+use fieldhook_log::api::{Append, KeyedRecord, Partition};
 use fieldhook_traffic::config::Cold;
 use futures_util::future::{join, join_all};
 use std::time::Duration;
@@ -390,8 +391,25 @@
     counter.with_label_values(&[kind]).get()
 }
 
-/// The log drops its history, so that all that is there is listed once more.
+/// The log drops records that nobody has read yet, so that all that is there is listed anew.
 async fn list_anew(world: &World) {
+    for topic in [SERVERS, CONFIG] {
+        let unread = Append {
+            partition: Partition {
+                topic: topic.to_owned(),
+                number: 0,
+            },
+            records: vec![KeyedRecord {
+                key: b"later".to_vec(),
+                value: Vec::new(),
+            }],
+            producer: None,
+            expected_end: None,
+            timeout: IN_FORCE,
+        };
+        let appended = world.log.core.borrow_mut().append(&unread);
+        assert!(appended.is_ok());
+    }
     world.log.core.borrow_mut().forget_history();
     world.put(SERVERS, "later", "").await;
     world.put(CONFIG, "later", "").await;
