Turns that nobody may wait for refuse no further turn

Cause: a turn was granted only where ended turns and the most of every open one left room for it. An open turn may have nobody who waits for it: it was lost with its owner and its gateway, or its client has gone on in the same line while its end is under way or will never be told. A budget of 900 with one such turn of 575 was answered 402, which ends the program, with nothing settled.

Change: such turns are in doubt (ledger::open, split off ledger::budget). They count in full for what may have been used, which has to be within the budget before each grant as before, and not for what is waited for. A turn that its gateway asks for again is waited for. A further turn of a line passes an earlier one only where that one's end is recorded by the same partition: else its client may have had its whole answer already. After a planned stop nothing is in doubt. OpenTurn tells the line; turn_refused says in_doubt_turns and in_doubt.

Proof and bound: docs/design/losses.md.

Tests: in_doubt.rs, two in the gateway's abandoned.rs, lines and lost gateways in the stories of budget_room and budget_fuzz; the oracle of budget_room allows fewer refusals (what is waited for in place of what was used at most) and checks grants as well.

The test of a planned stop in abandoned.rs says so now (handed_over in place of taken_over): the latter is a loss.

--- a/crates/gateway/src/ledger/hold.rs
+++ b/crates/gateway/src/ledger/hold.rs
@@ -40,7 +40,7 @@
     let claim = owner.claims.claim(partition);
     let state = match claim.map_or(Former::Lost, |claim| claim.former) {
         Former::None => Partition::default(),
-        Former::Settled { doubt_ms } => Partition::taken_over(unix_ms(), doubt_ms),
+        Former::Settled { doubt_ms } => Partition::handed_over(unix_ms(), doubt_ms),
         Former::Lost => Partition::taken_over(unix_ms(), owner.doubt_after_loss_ms()),
     };
     let mut load = Load::new(owner.place(partition), epoch, state);
--- a/crates/gateway/tests/gateway/abandoned.rs
+++ b/crates/gateway/tests/gateway/abandoned.rs
@@ -10,6 +10,8 @@
 //! after it were served.
 
 use crate::support::{Act, Gateway, Server, World, run};
+use fieldhook_ledger::message::OpenTurn;
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -106,3 +108,76 @@
         }
     });
 }
+
+/// A turn that the owner opens for a gateway which tells nothing of it any more.
+async fn open_and_fall_silent(gateway: &Gateway, program: &str) -> OpenTurn {
+    let mut request = OpenTurn {
+        tenant: None,
+        turn: format!("lost-{program}"),
+        attempt: 1,
+        program: program.to_owned(),
+        line: Some("a".to_owned()),
+        previous: None,
+        wants_chain: true,
+        keeps_context: true,
+        brings_chain: false,
+        budget: Some(60),
+        most_tokens: 40,
+        placement: None,
+        keeper: None,
+    };
+    let ledger = &gateway.daemon.ledger;
+    let deadline = Instant::now() + KNOWN_WITHIN;
+    let opened = ledger.open(&mut request, &Cell::default(), deadline).await;
+    assert!(opened.is_ok(), "the owner did not open it");
+    request
+}
+
+/// What users saw: 402 to the only try that a program made after its gateway was gone.
+#[test]
+fn the_next_try_of_a_line_is_served_where_the_gateway_of_the_former_one_is_lost() {
+    run(async {
+        let act = Act::Events(vec!["one".to_owned()], None);
+        let server = Server::start("s1", act).await;
+        let world = World::new().await;
+        let [a, b] = two_gateways(&world, &server).await;
+        for number in 0..PROGRAMS {
+            let program = format!("q{number}");
+            open_and_fall_silent(&a, &program).await;
+            let before = server.count();
+            let other = format!("Request: other{number}\r\nProgram: {program}\r\nSession: b\r\n");
+            let reply = b.ask("POST", "/chat/1", &(other + BUDGET), "x").await;
+            assert_eq!(reply.head.status, 402, "{program} of another line");
+            assert_eq!(server.count(), before, "a refusal is true");
+            let next = format!("Request: next{number}\r\nProgram: {program}\r\nSession: a\r\n");
+            let reply = b.ask("POST", "/chat/1", &(next + BUDGET), "x").await;
+            assert_eq!(reply.head.status, 200, "{program}");
+        }
+    });
+}
+
+#[test]
+fn an_end_that_is_slow_to_be_told_does_not_refuse_the_next_try_of_its_line() {
+    run(async {
+        let act = Act::Events(vec!["one".to_owned()], None);
+        let server = Server::start("s1", act).await;
+        let world = World::new().await;
+        let [a, b] = two_gateways(&world, &server).await;
+        for number in 0..PROGRAMS {
+            let program = format!("q{number}");
+            let left = open_and_fall_silent(&a, &program).await;
+            let fields = format!("Program: {program}\r\nSession: a\r\n{BUDGET}");
+            let next = format!("Request: next{number}\r\n{fields}");
+            let reply = b.ask("POST", "/chat/1", &next, "x").await;
+            assert_eq!(reply.head.status, 200, "{program}");
+            let ledger = &a.daemon.ledger;
+            let end = left.withdrawn();
+            let is_told = ledger.close(&end, Instant::now() + KNOWN_WITHIN).await;
+            assert!(is_told, "its end is not known");
+            // Ten tokens are used: the budget holds one more turn.
+            let last = format!("Request: last{number}\r\n{fields}");
+            let reply = b.ask("POST", "/chat/1", &last, "x").await;
+            assert_eq!(reply.head.status, 200, "{program} at last");
+        }
+    });
+}
--- a/crates/gateway/tests/gateway/support/dialect.rs
+++ b/crates/gateway/tests/gateway/support/dialect.rs
@@ -35,6 +35,7 @@
             })?,
             deadline_ms: number(headers, "deadline")?,
             program: owned("program"),
+            session: owned("session"),
             budget: number(headers, "budget")?,
             most_tokens: number(headers, "most")?.unwrap_or(0),
             previous: owned("previous"),
--- a/crates/ledger/src/budget.rs
+++ b/crates/ledger/src/budget.rs
@@ -15,13 +15,16 @@
 //! without the log.
 //!
 //! A budget may be exceeded by the most of one turn. That covers what was counted in vain:
-//! a turn begins if what is known to be used leaves room for it, and what may have been used
-//! is within the budget. Tokens handed out are never more than what is counted, and the last
-//! turn adds its most to that at the most (docs/PROOF.md, BUDGET; docs/design/losses.md).
+//! a turn begins if what is known to be used, or waited for, leaves room for it, and what may
+//! have been used is within the budget. So turns in doubt ([`crate::open`]) refuse nobody
+//! before the budget has no room for what they may have used. Tokens handed out are never more
+//! than what is counted, and the last turn adds its most to that at the most (docs/PROOF.md,
+//! BUDGET; docs/design/losses.md).
 
 use crate::doubt::Unrecorded;
 use crate::message::Shortage;
-use crate::record::{OpenReservation, ProgramRecord};
+use crate::open::{Request, Turns};
+use crate::record::ProgramRecord;
 use std::collections::VecDeque;
 
 /// Part of what is left of a budget that is reserved ahead where turns end without the log:
@@ -68,19 +71,6 @@
     Part,
 }
 
-/// A turn under way.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Open {
-    turn: String,
-    most: u64,
-    /// Tokens of it that are within the mark.
-    allowed: u64,
-    /// The first record that tells of it: once that is durable, all of its most is allowed.
-    recorded_by: Option<u64>,
-    /// Unix time of its begin, or of the record that told of it, in milliseconds.
-    since_ms: u64,
-}
-
 /// What a successor begins with that has this record, or none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Basis {
@@ -95,7 +85,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Budget {
     settled: u64,
-    open: Vec<Open>,
+    open: Turns,
     /// The latest turns whose ends were told, also those that were not asked for before: a
     /// question may be under way for as long as a cut lasts, and whoever asked has left. Reserved
     /// then, the most of such a turn would stay reserved for nobody. The question may also reach
@@ -135,11 +125,7 @@
     pub fn recover(record: &ProgramRecord) -> Self {
         Self {
             settled: record.settled,
-            open: record
-                .open
-                .iter()
-                .map(|open| Open::recorded(open, record.changed_ms))
-                .collect(),
+            open: Turns::recorded(&record.open, record.changed_ms),
             ended: record.ended.clone(),
             bases: VecDeque::from([Basis::default()]),
             records: 0,
@@ -151,6 +137,11 @@
         }
     }
 
+    /// The owner that it was taken over from was lost, maybe with gateways of its turns.
+    pub fn doubt_open(&mut self) {
+        self.open.doubt();
+    }
+
     /// Tokens that were handed out or may be.
     pub fn committed(&self) -> u64 {
         self.known() + self.inherited
@@ -158,8 +149,13 @@
 
     /// Tokens of turns that are known: the ended ones, and the most of those under way.
     fn known(&self) -> u64 {
-        let open: u64 = self.open.iter().map(|open| open.most).sum();
-        self.settled + open
+        self.settled + self.open.most()
+    }
+
+    /// Whether a turn may begin that asks for so much.
+    fn holds(&self, most: u64, budget: u64) -> bool {
+        let waited_for = self.settled + self.open.most_waited_for();
+        waited_for + most <= budget && self.committed() <= budget
     }
 
     /// What may still be allowed to turns. Beyond each record that a successor may begin with,
@@ -192,33 +188,29 @@
     /// Whether a turn is the first of its program: nothing was handed out yet, and no other
     /// turn is under way.
     pub fn begins_with(&self, turn: &str) -> bool {
-        self.settled == 0 && self.open.iter().all(|open| open.turn == turn)
+        self.settled == 0 && self.open.iter().all(|open| open.name == turn)
     }
 
     /// Whether a turn is under way.
     pub fn has_open(&self, turn: &str) -> bool {
-        self.open.iter().any(|open| open.turn == turn)
+        self.open.has(turn)
     }
 
-    /// Reserves the most of a turn. Asking again for the same turn changes nothing.
-    pub fn reserve(&mut self, turn: &str, most: u64, budget: u64, now_ms: u64) -> Reservation {
-        if self.has_ended(turn) {
+    /// Reserves the most of a turn. Asking again for the same turn changes nothing that is
+    /// counted.
+    pub fn reserve(&mut self, request: &Request<'_>, budget: u64, now_ms: u64) -> Reservation {
+        if self.has_ended(request.turn) {
             return Reservation::Ended;
         }
-        if !self.has_open(turn) {
-            if self.known() + most > budget || self.committed() > budget {
+        self.open.ask(request);
+        if !self.has_open(request.turn) {
+            if !self.holds(request.most, budget) {
                 return Reservation::Spent;
             }
-            self.open.push(Open {
-                turn: turn.to_owned(),
-                most,
-                allowed: 0,
-                recorded_by: None,
-                since_ms: now_ms,
-            });
+            self.open.begin(request, now_ms);
             self.changed_ms = now_ms;
         }
-        self.allow(turn)
+        self.allow(request.turn)
     }
 
     /// Whether the end of a turn was told.
@@ -231,9 +223,11 @@
         let oldest = self.open.iter().min_by_key(|open| open.since_ms);
         Shortage {
             settled: self.settled,
-            open_turns: self.open.len() as u32,
-            open: self.known() - self.settled,
-            oldest: oldest.map(|open| open.turn.clone()),
+            open_turns: self.open.iter().count() as u32,
+            open: self.open.most(),
+            in_doubt_turns: self.open.in_doubt().count() as u32,
+            in_doubt: self.open.most() - self.open.most_waited_for(),
+            oldest: oldest.map(|open| open.name.clone()),
             oldest_ms: oldest.map(|open| now_ms.saturating_sub(open.since_ms)),
             inherited: self.inherited,
         }
@@ -242,8 +236,7 @@
     /// Lets a turn have what the mark holds of its most.
     fn allow(&mut self, turn: &str) -> Reservation {
         let room = self.room();
-        let open = self.open.iter_mut().find(|open| open.turn == turn);
-        let Some(open) = open else {
+        let Some(open) = self.open.get_mut(turn) else {
             return Reservation::Durable;
         };
         open.allowed += room.min(open.most - open.allowed);
@@ -264,8 +257,7 @@
         // Also where nothing is counted: the program may be known by this alone.
         self.changed_ms = now_ms;
         self.remember_end(turn);
-        if let Some(index) = self.open.iter().position(|open| open.turn == turn) {
-            let ended = self.open.swap_remove(index);
+        if let Some(ended) = self.open.end(turn) {
             for basis in &mut self.bases {
                 if !ended.is_in(basis.number) {
                     basis.used += tokens;
@@ -327,18 +319,15 @@
     /// A record that reserves so much ahead.
     fn record_ahead(&mut self, ahead: u64) -> ProgramRecord {
         self.unrecorded_budget = None;
+        self.records += 1;
+        let number = self.records;
         let record = ProgramRecord {
             settled: self.settled,
-            open: self.open.iter().map(Open::reservation).collect(),
+            open: self.open.record(number),
             ahead: self.inherited + ahead,
             ended: self.ended.clone(),
             changed_ms: self.changed_ms,
         };
-        self.records += 1;
-        let number = self.records;
-        for open in &mut self.open {
-            open.recorded_by.get_or_insert(number);
-        }
         self.bases.push_back(Basis {
             number,
             ahead,
@@ -362,35 +351,6 @@
         }
         self.bases.pop_front();
         let durable = self.bases.front().map_or(0, |basis| basis.number);
-        for open in &mut self.open {
-            if open.is_in(durable) {
-                open.allowed = open.most;
-            }
-        }
-    }
-}
-
-impl Open {
-    /// A turn that a record tells of.
-    fn recorded(reservation: &OpenReservation, since_ms: u64) -> Self {
-        Self {
-            turn: reservation.turn.clone(),
-            most: reservation.tokens,
-            allowed: reservation.tokens,
-            recorded_by: Some(0),
-            since_ms,
-        }
-    }
-
-    /// Whether the record of this number tells of it.
-    fn is_in(&self, number: u64) -> bool {
-        self.recorded_by.is_some_and(|first| first <= number)
-    }
-
-    fn reservation(&self) -> OpenReservation {
-        OpenReservation {
-            turn: self.turn.clone(),
-            tokens: self.most,
-        }
+        self.open.recorded_up_to(durable);
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`message`]: what gateways ask an owner, and its answers.
 //! - [`record`]: what is appended, and its keys.
 //! - [`budget`]: how much of its budget a program may still hand out.
+//! - [`open`]: the turns under way of a program, and which of them are in doubt.
 //! - [`doubt`]: programs that no record tells of after a take-over.
 //! - [`partition`]: the state machine of one partition.
 
@@ -16,6 +17,7 @@
 pub mod doubt;
 pub mod layout;
 pub mod message;
+pub mod open;
 pub mod partition;
 pub mod record;
 pub mod scope;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between gateways and the owner of a partition.
 
+use crate::open::Request;
 use crate::partition_of;
 use crate::scope::Name;
 use nanoserde::{DeBin, SerBin};
@@ -29,6 +30,9 @@
     pub attempt: u64,
     /// Program that it belongs to.
     pub program: String,
+    /// Line of turns of its program that it belongs to: its client takes the turns of one line
+    /// one after another, so it waits for none of them any more that it asked for earlier.
+    pub line: Option<String>,
     /// Turn that it goes on from.
     pub previous: Option<String>,
     /// The gateway needs the contents of the chain.
@@ -79,6 +83,17 @@
         reservation(self.attempt)
     }
 
+    /// What its program's budget is asked for, where this names what it reserves. A turn whose
+    /// content this partition keeps ends, for its client, only with the record of it.
+    pub fn of_budget<'a>(&'a self, reservation: &'a str) -> Request<'a> {
+        Request {
+            turn: reservation,
+            most: self.most_tokens,
+            line: self.line.as_deref(),
+            ends_here: self.keeps_context,
+        }
+    }
+
     /// Its end where it was asked for and does not begin.
     pub fn withdrawn(&self) -> CloseTurn {
         CloseTurn {
@@ -119,6 +134,10 @@
     pub open_turns: u32,
     /// Tokens that they may hand out at their most.
     pub open: u64,
+    /// Those of them that nobody may wait for: see [`crate::open`].
+    pub in_doubt_turns: u32,
+    /// Tokens that these may hand out at their most.
+    pub in_doubt: u64,
     /// The reservation of the one that has been under way for longest.
     pub oldest: Option<String>,
     /// How long it has, in milliseconds.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -69,14 +69,23 @@
     forgotten: HashMap<Name, u32>,
     /// Whether a program that no record tells of may be an earlier owner's.
     doubt: Doubt,
+    /// The owner before was lost: gateways of turns that it told of may be lost with it.
+    is_after_loss: bool,
 }
 
 impl Partition {
-    /// A partition of earlier owners. For `doubt_ms` from now on they may have granted turns
-    /// which no record tells of: [`doubt_after_loss`] where the last one was lost, and what
-    /// it was itself in doubt about where it recorded all that it granted before it gave the
-    /// partition up.
+    /// A partition whose last owner was lost. For `doubt_ms` from now on it may have granted
+    /// turns which no record tells of: see [`doubt_after_loss`].
     pub fn taken_over(now_ms: u64, doubt_ms: u64) -> Self {
+        Self {
+            is_after_loss: true,
+            ..Self::handed_over(now_ms, doubt_ms)
+        }
+    }
+
+    /// A partition whose last owner recorded all that it granted before it gave the partition
+    /// up. For `doubt_ms` from now on unknown programs are in doubt, as they were for it.
+    pub fn handed_over(now_ms: u64, doubt_ms: u64) -> Self {
         Self {
             doubt: Doubt::until(now_ms + doubt_ms),
             ..Self::default()
@@ -148,6 +157,9 @@
 
     /// All records are in: a chain is kept as long as its latest turn.
     pub fn loaded(&mut self) {
+        if self.is_after_loss {
+            self.programs.values_mut().for_each(Budget::doubt_open);
+        }
         let ends: Vec<(Name, u64)> = self
             .turns
             .iter()
@@ -176,7 +188,7 @@
         let program = self.program(name.clone(), budget, now_ms);
         program.observe(request.most_tokens, Some(ahead_for(request)));
         let turn = request.reservation();
-        let allowed = match program.reserve(&turn, request.most_tokens, budget, now_ms) {
+        let allowed = match program.reserve(&request.of_budget(&turn), budget, now_ms) {
             Reservation::Durable => request.most_tokens,
             Reservation::Pending { allowed } => allowed,
             Reservation::Spent => return OpenOutcome::BudgetSpent(program.shortage(now_ms)),
--- a/crates/ledger/tests/budget_room/main.rs
+++ b/crates/ledger/tests/budget_room/main.rs
@@ -1,5 +1,6 @@
-//! What losses of owners take from a program's budget: a turn is refused only where what the
-//! program can have used at its most leaves no room for it, beyond a stated bound.
+//! What losses of owners take from a program's budget: a turn is refused only where what ended
+//! and what is waited for leaves no room for it, or what the program can have used at its most
+//! is beyond a stated bound. It begins only beside what is waited for.
 //!
 //! The oracle counts a turn whose end was recorded by its tokens, any other turn that may
 //! have handed something out at its most. Each loss of an owner may hide at most what was
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -82,6 +82,7 @@
             turn: turn.to_owned(),
             attempt: 0,
             program: "p".to_owned(),
+            line: None,
             previous,
             wants_chain: true,
             keeps_context: true,
--- a/crates/ledger/tests/doubt.rs
+++ b/crates/ledger/tests/doubt.rs
@@ -14,6 +14,7 @@
         turn: format!("{program}-{number}"),
         attempt: u64::from(number),
         program: program.to_owned(),
+        line: None,
         previous: None,
         wants_chain: false,
         keeps_context: false,
--- a/crates/ledger/tests/expiry.rs
+++ b/crates/ledger/tests/expiry.rs
@@ -17,6 +17,7 @@
         turn: format!("t{attempt}"),
         attempt,
         program: "p".to_owned(),
+        line: None,
         previous: None,
         wants_chain: false,
         keeps_context: false,
