--- a/crates/gateway/tests/gateway/reserved_at_home.rs
+++ b/crates/gateway/tests/gateway/reserved_at_home.rs
@@ -55,6 +55,7 @@
         turn: "t2".to_owned(),
         attempt: 1,
         program: program.to_owned(),
+        line: None,
         previous: Some("t1".to_owned()),
         wants_chain: false,
         keeps_context: false,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`message`]: what gateways ask an owner, and its answers.
 //! - [`record`]: what is appended, and its keys.
 //! - [`budget`]: how much of its budget a program may still hand out.
+//! - [`open`]: the turns under way of a program, and which of them are in doubt.
 //! - [`doubt`]: programs that no record tells of after a take-over.
 //! - [`ended`]: ends of turns that are remembered.
 //! - [`partition`]: the state machine of one partition.
@@ -18,6 +19,7 @@
 pub mod ended;
 pub mod layout;
 pub mod message;
+pub mod open;
 pub mod partition;
 pub mod record;
 pub mod scope;
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -17,6 +17,8 @@
     pub turn: String,
     /// Tokens reserved for it.
     pub tokens: u64,
+    /// Nobody may wait for it: see [`crate::open`]. A planned stop hands this on.
+    pub in_doubt: bool,
 }
 
 /// Budget of a program.
