Limits: an owner that is cut off counts for no tenant

Excluded: one owner alone, which lets 129 through by its bounds; a change of the count itself, which is as it was.

Change: while others reach the log and this daemon does not (Reach::CutOff), it says that it does not own the partition, as it does for its own requests already. In an outage of the log for all, owners go on. Test: an_owner_that_is_cut_off_counts_for_no_tenant, fails without it; ownership, limits and cold tests of the gateway: 28 passed.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -103,7 +103,7 @@
     /// Contact with the log.
     pub contact: Rc<Contact>,
     /// What this daemon reaches, kept by [`super::reach`].
-    pub reach: Cell<Reach>,
+    pub reach: Rc<Cell<Reach>>,
     pub(super) peers: Peers,
     pub(super) claiming: RefCell<HashSet<u32>>,
     /// Held while one of them is claimed.
@@ -123,9 +123,9 @@
     /// A client beside this daemon's own partitions.
     pub fn new(owner: Rc<Owner>, contact: Rc<Contact>) -> Self {
         Self {
+            reach: owner.reach.clone(),
             owner,
             contact,
-            reach: Cell::default(),
             peers: Peers::default(),
             claiming: RefCell::default(),
             claim_turn: Mutex::default(),
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -19,6 +19,7 @@
 use fieldhook_log::contact::Contact;
 use fieldhook_log::ownership::Claim;
 use fieldhook_log::patience::{Capacity, before_claim};
+use fieldhook_log::reach::Reach;
 use fieldhook_traffic::window::Bounds;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -59,6 +60,8 @@
     pub places: Rc<Places>,
     /// Held while a partition is read.
     pub(super) reading: Mutex<()>,
+    /// What this daemon reaches, kept by [`super::reach`].
+    pub reach: Rc<Cell<Reach>>,
 }
 
 impl Owner {
@@ -95,6 +98,7 @@
             places,
             assigner,
             reading: Mutex::default(),
+            reach: Rc::default(),
         });
         let weak = Rc::downgrade(&owner);
         owner.claims.set_on_change(Rc::new(move |partition| {
@@ -187,14 +191,18 @@
     }
 
     /// Answers a question about a tenant's limit. What the partition holds need not be read
-    /// for that.
+    /// for that. While others reach the log and this daemon does not, it counts nothing: another
+    /// may have claimed the partition without its hearing of it, and count beside it, for 8 s in
+    /// a play in which a third of the machines were without the log.
     fn handle_quota(
         &self,
         partition: u32,
         question: &QuotaQuestion,
         sender: &mpsc::UnboundedSender<LedgerReply>,
     ) {
-        let reply = match self.own_claim(partition) {
+        let may_be_replaced = self.reach.get() == Reach::CutOff;
+        let claim = self.own_claim(partition).filter(|_| !may_be_replaced);
+        let reply = match claim {
             Some(claim) => LedgerReply::Quota(match question.matter {
                 QuotaMatter::Request => {
                     let question = limits::of_tenant(question);
@@ -202,6 +210,7 @@
                 }
                 QuotaMatter::ClientLeft => self.limits.client_left(partition, &claim, question),
             }),
+            None if may_be_replaced => LedgerReply::NotOwner(None),
             None => LedgerReply::NotOwner(self.known_owner(partition)),
         };
         let _ = sender.send(reply);
--- a/crates/gateway/tests/gateway/ownership.rs
+++ b/crates/gateway/tests/gateway/ownership.rs
@@ -3,9 +3,11 @@
 use crate::support::{Act, Gateway, Server, World, run};
 use fieldhook_emulator::log::memory::LogFault;
 use fieldhook_gateway::ledger::owner::LEDGER_TOPIC;
+use fieldhook_ledger::message::{LedgerReply, LedgerRequest, QuotaMatter, QuotaQuestion};
 use fieldhook_log::api::Partition;
 use fieldhook_log::reach::Reach;
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 fn events() -> Act {
@@ -169,6 +171,49 @@
     });
 }
 
+/// What an owner says to a request of tenant `p`, whose limit is counted where program `p` is.
+async fn quota_reply(owner: &Gateway) -> LedgerReply {
+    let question = QuotaQuestion {
+        matter: QuotaMatter::Request,
+        tenant: "p".to_owned(),
+        rate_per_s: 1.0,
+        burst: 10.0,
+        version: 1,
+        program: None,
+        route: "r".to_owned(),
+        begins: false,
+        patience_ms: 0,
+    };
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    let owner = &owner.daemon.owner;
+    owner.handle(LedgerRequest::Quota(question), sender);
+    replies.recv().await.expect("an answer")
+}
+
+/// Story: a third of the machines lose the log while the others have it. The owner of a tenant's
+/// limit is one of them; another claims its partition, and it does not hear of that. Those that
+/// still believe in it are let through by its count, beside the successor's, and a window holds
+/// more than the limit.
+#[test]
+fn an_owner_that_is_cut_off_counts_for_no_tenant() {
+    run(async {
+        let server = Server::start("s1", events()).await;
+        let world = World::new().await;
+        let (owner, other) = two_gateways(&world, &server).await;
+        assert!(matches!(quota_reply(&owner).await, LedgerReply::Quota(_)));
+        let contact = other.daemon.contact.clone();
+        ntex::rt::spawn(async move {
+            loop {
+                contact.answered();
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+        cut_off(&owner).await;
+        wait_for_reach(&owner, Reach::CutOff).await;
+        assert_eq!(quota_reply(&owner).await, LedgerReply::NotOwner(None));
+    });
+}
+
 #[test]
 fn a_gateway_that_reaches_nobody_says_so_at_once() {
     run(async {
