Split: each daemon begins its division at a place of its own

Cause: each daemon divided its requests by smooth weighted round robin that began with credit 0, and anew with each configuration, so the first request of each of a thousand daemons went to the heaviest part: with a request or two each a part of weight 1 of 100 got nothing, and one of 50 all. The division begins at a random place of its cycle now, and goes on where it was when a configuration leaves a route's parts as they were. Random numbers of daemons that start in the same moment are seeded by their names as well.

Excluded: a draw for each request (its share strays more on one daemon). Test: 300, 1,000 and 2,000 daemons with 1 to 3 requests each stay within four standard deviations of independent draws; all requests went to the heaviest part before.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use fieldhook_log::api::LogStore;
 use fieldhook_log::contact::Contact;
 use fieldhook_log::reach::Reach;
+use fieldhook_traffic::assignment::prefix_hash;
 use fieldhook_traffic::directory::Directory;
 use fieldhook_traffic::retry_budget;
 use fieldhook_traffic::table::RouteTable;
@@ -107,6 +108,9 @@
 impl Daemon {
     /// The state of a daemon that starts.
     pub fn new(settings: GatewaySettings, adapter: Adapter) -> Rc<Self> {
+        // Daemons that start at the same moment would draw the same numbers, and what is spread
+        // by chance would fall together.
+        fastrand::seed(prefix_hash(&settings.name) ^ fastrand::u64(..));
         let incarnation = fastrand::u64(1..u64::MAX);
         let directory = Rc::new(RefCell::new(Directory::default()));
         let pools = Rc::new(Pools::default());
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -177,7 +177,9 @@
         daemon.owner.set_longest_turn(longest_ms);
     }
     daemon.cold.set_config(&config);
-    *daemon.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+    let former = daemon.routes.borrow().clone();
+    let table = RouteTable::new(config, former.as_deref(), fastrand::u64(..));
+    daemon.routes.replace(Some(Rc::new(table)));
     daemon.routes_changed.notify_waiters();
 }
 
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A route with the state of its split.
 pub struct RouteEntry {
@@ -31,14 +32,15 @@
 }
 
 impl RouteTable {
-    /// Builds the index.
-    pub fn new(config: TrafficConfig) -> Self {
+    /// Builds the index. A route whose parts are those of the former table is divided on from
+    /// where that stands; `random` says where the others begin.
+    pub fn new(config: TrafficConfig, former: Option<&Self>, random: u64) -> Self {
         let mut by_host: HashMap<String, Vec<Rc<RouteEntry>>> = HashMap::new();
         for route in &config.routes {
-            let weights = route.parts.iter().map(|part| part.weight).collect();
+            let split = former.and_then(|former| former.split_of(route));
             let entry = Rc::new(RouteEntry {
                 route: route.clone(),
-                split: RefCell::new(Split::new(weights)),
+                split: RefCell::new(split.unwrap_or_else(|| begin_split(route, random))),
             });
             by_host
                 .entry(route.host.to_ascii_lowercase())
@@ -56,6 +58,15 @@
         }
     }
 
+    /// The split of a route as it stands, where its parts are the same.
+    fn split_of(&self, route: &Route) -> Option<Split> {
+        let entries = self.by_host.get(&route.host.to_ascii_lowercase())?;
+        let entry = entries
+            .iter()
+            .find(|entry| entry.route.name == route.name && entry.route.parts == route.parts)?;
+        Some(entry.split.borrow().clone())
+    }
+
     /// Whether requests belong to tenants.
     pub fn has_tenants(&self) -> bool {
         self.tenants.is_some()
@@ -89,6 +100,11 @@
     }
 }
 
+fn begin_split(route: &Route, random: u64) -> Split {
+    let weights = route.parts.iter().map(|part| part.weight).collect();
+    Split::new(weights, xxh3_64_with_seed(route.name.as_bytes(), random))
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
--- a/crates/traffic/tests/routes.rs
+++ b/crates/traffic/tests/routes.rs
@@ -30,15 +30,20 @@
 }
 
 fn table() -> RouteTable {
-    RouteTable::new(TrafficConfig {
-        version: 3,
-        routes: vec![
-            route("short", "a.example", "/x/", &[("one", 1)]),
-            route("long", "a.example", "/x/y/", &[("two", 1)]),
-            route("other", "b.example", "/x/", &[("three", 1)]),
-        ],
+    let routes = vec![
+        route("short", "a.example", "/x/", &[("one", 1)]),
+        route("long", "a.example", "/x/y/", &[("two", 1)]),
+        route("other", "b.example", "/x/", &[("three", 1)]),
+    ];
+    RouteTable::new(config(3, routes), None, 0)
+}
+
+fn config(version: u64, routes: Vec<Route>) -> TrafficConfig {
+    TrafficConfig {
+        version,
+        routes,
         ..TrafficConfig::default()
-    })
+    }
 }
 
 fn found(host: &str, path: &str) -> Option<String> {
@@ -81,10 +86,10 @@
 /// for each part.
 #[test]
 fn shares_follow_weights_over_short_runs() {
-    fn holds(weights: Vec<u8>, requests: u16) -> bool {
+    fn holds(weights: Vec<u8>, requests: u16, random: u64) -> bool {
         let weights: Vec<u32> = weights.iter().take(6).map(|w| u32::from(*w)).collect();
         let total: u32 = weights.iter().sum();
-        let mut split = Split::new(weights.clone());
+        let mut split = Split::new(weights.clone(), random);
         if total == 0 {
             return split.next().is_none();
         }
@@ -103,5 +108,57 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(60, 11))
         .tests(300)
-        .quickcheck(holds as fn(Vec<u8>, u16) -> bool);
+        .quickcheck(holds as fn(Vec<u8>, u16, u64) -> bool);
+}
+
+/// Parts that got the requests, where each of so many daemons divides so many of them.
+fn divided(daemons: u64, each: u32, weights: &[u32]) -> Vec<u32> {
+    let mut counts = vec![0; weights.len()];
+    let mut random = fastrand::Rng::with_seed(daemons);
+    for _ in 0..daemons {
+        let mut split = Split::new(weights.to_vec(), random.u64(..));
+        for _ in 0..each {
+            counts[split.next().expect("a part")] += 1;
+        }
+    }
+    counts
+}
+
+/// Daemons that each began at the heaviest part sent it all of these requests.
+#[test]
+fn a_thousand_daemons_with_a_request_each_follow_the_weights() {
+    for daemons in [300, 1_000, 2_000] {
+        for weights in [&[1, 99][..], &[50, 50], &[70, 20, 10], &[3, 0, 5]] {
+            for each in [1, 2, 3] {
+                let total: u32 = weights.iter().sum();
+                let requests = daemons as u32 * each;
+                let counts = divided(daemons, each, weights);
+                for (count, weight) in counts.iter().zip(weights) {
+                    let share = f64::from(*count) / f64::from(requests);
+                    let wanted = f64::from(*weight) / f64::from(total);
+                    // Four standard deviations of independent draws, the most there may be.
+                    let spread = 4.0 * (wanted * (1.0 - wanted) / f64::from(requests)).sqrt();
+                    assert!(
+                        (share - wanted).abs() <= spread,
+                        "{daemons} daemons, {each} each: {counts:?} by {weights:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_new_configuration_divides_a_route_on_from_where_it_was() {
+    let parts = [("one", 1), ("two", 1)];
+    let routes = || vec![route("r", "a.example", "/x/", &parts)];
+    let mut table = RouteTable::new(config(1, routes()), None, 7);
+    let mut counts = [0; 2];
+    for version in 2..102 {
+        let entry = table.find("a.example", "/x/").expect("a route");
+        let service = entry.next_service().expect("a service");
+        counts[usize::from(service == "two")] += 1;
+        table = RouteTable::new(config(version, routes()), Some(&table), version);
+    }
+    assert_eq!(counts, [50, 50]);
 }
