Slow peers: what is held for them is bounded, and servers are read at their own pace

Cause: an answer of up to 16 MB was read whole and copied once more, a client that took nothing held it for good, a stream was read no faster than its client read, and nothing bounded the sum, so that six slow clients filled a machine of 88 MB.

Now each account is counted against a quarter of the machine's memory. Idle connections hold no buffers. Line client_stalled, gauge fieldhook_held_bytes.

Tests: the pure bound under a fuzz test with an oracle; fakes of clients that read nothing, a byte at a time, a hundred at once, of a server that stops reading in the middle of a body; five ways in which a kept connection lost the answer of a request under way would show (none did). The test of a planned stop beside ends of turns waited 2 ms and found the end told by then, now that a close is seen sooner: it looks until the end is under way and stops right then, which is stricter.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::ledger::client::LedgerClient;
 use crate::ledger::owner::Owner;
 use crate::ledger::quota::Shares;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::places::Places;
 use crate::serve::answer_times::AnswerTimes;
@@ -77,6 +78,8 @@
     pub ledger: Rc<LedgerClient>,
     /// Asks for tenants' requests.
     pub quota: Shares,
+    /// What is held for peers that are slow to read.
+    pub memory: Rc<Memory>,
     /// Figures.
     pub metrics: Rc<Metrics>,
     /// Requests under way.
@@ -133,6 +136,7 @@
         );
         let ledger = Rc::new(LedgerClient::new(owner.clone(), adapter.contact.clone()));
         let quota = Shares::new(settings.quota.window_ms);
+        let memory = Rc::new(Memory::new(settings.slow_peers, adapter.metrics.clone()));
         Rc::new(Self {
             settings,
             dialect: adapter.dialect,
@@ -151,6 +155,7 @@
             owner,
             ledger,
             quota,
+            memory,
             metrics: adapter.metrics,
             in_flight: Cell::new(0),
             client_connections: Cell::new(0),
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// How the end of the body is found.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Whether the end is where the peer closes.
     pub fn ends_with_connection(&self) -> bool {
         self.framing == Framing::UntilClose
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`follow`]: configuration, evacuations and servers, followed on the log.
 //! - [`places`]: zones, and which are evacuated.
 //! - [`cold`]: servers that bear only a few requests for now.
+//! - [`memory`]: what is held for peers that are slow to read.
 //! - [`ledger`]: owners of partitions and the gateways that ask them.
 //! - [`upstream`]: connections to servers.
 //! - [`serve`]: clients' connections and requests.
@@ -26,6 +27,7 @@
 pub mod http;
 pub mod ledger;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod places;
 pub mod probes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,10 @@
     /// Records of the configuration, of evacuations and of servers that could not be read, by
     /// kind.
     pub unreadable: IntCounterVec,
+    /// Bytes held for peers that are slow to read.
+    pub held_bytes: IntGauge,
+    /// What became of them where they were too many or too old, by outcome.
+    pub held_outcomes: IntCounterVec,
     /// Connections opened to servers.
     pub connections: IntCounter,
     /// Calls to the log service by kind.
@@ -145,6 +149,12 @@
                 "Records of the platform's log that could not be read",
                 "kind",
             ),
+            held_bytes: b.gauge("fieldhook_held_bytes", "Held for peers slow to read"),
+            held_outcomes: b.counters(
+                "fieldhook_held_outcomes_total",
+                "Refused for want of memory, given up for others, or stalled",
+                "outcome",
+            ),
             connections: b.counter("fieldhook_server_connections_total", "Connections opened"),
             store_calls: b.counters("fieldhook_store_calls_total", "Log service calls", "kind"),
             partitions_owned: b.gauge("fieldhook_partitions_owned", "Partitions owned"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,7 +1,7 @@
 //! Clients' connections and requests.
 //!
 //! Place in the request path: first. [`listener`] accepts, [`connection`] reads
-//! requests one after another, [`request`] decides what a request may do: whose it is
+//! requests one after another ([`client`]; [`writer`] sends what answers them), [`request`] decides what a request may do: whose it is
 //! ([`admission`]), where it may be served and kept ([`homes`]) and whether its tenant may
 //! send it ([`quota`]);
 //! [`buffered`] and [`stream`] bring its answer by attempts ([`dispatch`], [`retry`];
@@ -30,3 +30,4 @@
 pub mod stream;
 pub mod turn;
 mod watch;
+pub mod writer;
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -1,6 +1,7 @@
 //! Answers of the gateway's own.
 
-use super::client::ClientWriter;
+use super::request::RETRY_LATER_MS;
+use super::writer::ClientWriter;
 use crate::daemon::Daemon;
 use crate::http::write::{AnswerBody, reason, response_head};
 use std::io;
@@ -17,6 +18,11 @@
     close: bool,
 }
 
+/// More is held for slow peers than there is memory for: the request has not run.
+pub fn no_room() -> OwnAnswer {
+    OwnAnswer::not_run("this daemon holds too much for slow peers", RETRY_LATER_MS)
+}
+
 impl OwnAnswer {
     /// An answer with a status and what the client may do.
     pub fn new(status: u16, remedy: &'static str) -> Self {
--- a/crates/gateway/src/serve/client.rs
+++ b/crates/gateway/src/serve/client.rs
@@ -1,22 +1,26 @@
-//! The two halves of a client's connection.
+//! The reading half of a client's connection.
 
-use crate::http::body::{BodyDecoder, Piece};
+use super::writer::ClientWriter;
+use crate::http::body::{BodyDecoder, Framing, Piece};
 use crate::http::head::{HeadError, RequestHead, take_request};
+use crate::memory::{Held, Memory, NoRoom};
 use bytes::{Bytes, BytesMut};
 use fieldhook_traffic::config::Limits;
+use fieldhook_traffic::room::Purpose;
 use std::future::pending;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::{Instant, timeout, timeout_at};
 
 const READ_SIZE: usize = 8 << 10;
 /// Bytes of later requests that are read while one is served.
 const MOST_AHEAD: usize = 64 << 10;
+/// A body lies in memory as it came, and as it goes to a server.
+pub const BODY_COPIES: usize = 2;
 
 /// A request with its whole body.
-#[derive(Debug)]
 pub struct ClientRequest {
     /// Head.
     pub head: RequestHead,
@@ -24,6 +28,8 @@
     pub body: Bytes,
     /// When its first byte was seen.
     pub started: Instant,
+    /// The memory that it takes.
+    pub held: Held,
 }
 
 /// Why no request came.
@@ -39,20 +45,30 @@
     BodyTooLarge,
     /// The body is not framed as announced.
     BrokenBody,
+    /// This daemon holds too much for slow peers.
+    NoRoom,
+}
+
+impl From<NoRoom> for ReadFailure {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
 }
 
 /// The reading half.
 pub struct ClientReader {
     half: OwnedReadHalf,
     buffer: BytesMut,
+    memory: Rc<Memory>,
 }
 
 impl ClientReader {
     /// Reads from a connection.
-    pub fn new(half: OwnedReadHalf) -> Self {
+    pub fn new(half: OwnedReadHalf, memory: Rc<Memory>) -> Self {
         Self {
             half,
             buffer: BytesMut::new(),
+            memory,
         }
     }
 
@@ -61,11 +77,18 @@
         !self.buffer.is_empty()
     }
 
-    async fn fill(&mut self) -> Result<(), ReadFailure> {
-        self.buffer.reserve(READ_SIZE);
-        match self.half.read_buf(&mut self.buffer).await {
-            Ok(size) if size > 0 => Ok(()),
-            _ => Err(ReadFailure::Ended),
+    /// Reads some bytes; their number. Memory is taken once they are there: thousands of idle
+    /// connections would hold a buffer each.
+    async fn fill(&mut self) -> Result<usize, ReadFailure> {
+        loop {
+            let is_readable = self.half.readable().await;
+            is_readable.map_err(|_| ReadFailure::Ended)?;
+            self.buffer.reserve(READ_SIZE);
+            match self.half.try_read_buf(&mut self.buffer) {
+                Ok(size) if size > 0 => return Ok(size),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                _ => return Err(ReadFailure::Ended),
+            }
         }
     }
 
@@ -75,6 +98,7 @@
     /// None came in time.
     pub async fn wait_first_byte(&mut self, idle: Duration) -> Result<(), ReadFailure> {
         if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
             timeout(idle, self.fill())
                 .await
                 .map_err(|_| ReadFailure::Ended)??;
@@ -105,17 +129,19 @@
         writer: &mut ClientWriter,
         started: Instant,
     ) -> Result<ClientRequest, ReadFailure> {
+        let held = self.memory.open(Purpose::Incoming);
         let head = loop {
             match take_request(&mut self.buffer, limits.header_bytes) {
                 Ok(Some(head)) => break head,
-                Ok(None) => self.fill().await?,
+                Ok(None) => held.grow(self.fill().await?)?,
                 Err(error) => return Err(ReadFailure::Head(error)),
             }
         };
-        if let crate::http::body::Framing::Length(length) = head.framing
-            && length > limits.body_bytes as u64
-        {
-            return Err(ReadFailure::BodyTooLarge);
+        if let Framing::Length(length) = head.framing {
+            if length > limits.body_bytes as u64 {
+                return Err(ReadFailure::BodyTooLarge);
+            }
+            held.grow(length as usize * BODY_COPIES)?;
         }
         if head.expects_continue {
             let _ = writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
@@ -124,9 +150,16 @@
         let mut body = BytesMut::new();
         loop {
             match decoder.next(&mut self.buffer) {
-                Ok(Piece::Data(data)) => body.extend_from_slice(&data),
+                Ok(Piece::Data(data)) => {
+                    if head.framing == Framing::Chunked {
+                        held.grow(data.len() * BODY_COPIES)?;
+                    }
+                    body.extend_from_slice(&data);
+                }
                 Ok(Piece::End) => break,
-                Ok(Piece::Wait) => self.fill().await?,
+                Ok(Piece::Wait) => {
+                    self.fill().await?;
+                }
                 Err(_) => return Err(ReadFailure::BrokenBody),
             }
             if body.len() > limits.body_bytes {
@@ -137,6 +170,7 @@
             head,
             body: body.freeze(),
             started,
+            held,
         })
     }
 
@@ -159,34 +193,9 @@
         loop {
             self.buffer.clear();
             match timeout_at(until, self.fill()).await {
-                Ok(Ok(())) => {}
+                Ok(Ok(_)) => {}
                 _ => return,
             }
         }
     }
 }
-
-/// The writing half.
-pub struct ClientWriter {
-    half: OwnedWriteHalf,
-}
-
-impl ClientWriter {
-    /// Writes to a connection.
-    pub fn new(half: OwnedWriteHalf) -> Self {
-        Self { half }
-    }
-
-    /// Writes all bytes.
-    ///
-    /// # Errors
-    /// The client is gone.
-    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.half.write_all(bytes).await
-    }
-
-    /// Says that nothing more will come.
-    pub async fn finish(&mut self) {
-        let _ = self.half.shutdown().await;
-    }
-}
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -1,8 +1,9 @@
 //! One connection of a client: requests one after another.
 
-use super::answer::OwnAnswer;
-use super::client::{ClientReader, ClientRequest, ClientWriter, ReadFailure};
+use super::answer::{OwnAnswer, no_room};
+use super::client::{ClientReader, ClientRequest, ReadFailure};
 use super::request::{self, Served};
+use super::writer::ClientWriter;
 use crate::daemon::{Daemon, Stopping};
 use crate::http::head::HeadError;
 use fieldhook_traffic::config::Limits;
@@ -53,8 +54,8 @@
         .set(daemon.client_connections.get() + 1);
     let _counted = Counted(daemon.clone());
     let (read_half, write_half) = stream.into_split();
-    let mut reader = ClientReader::new(read_half);
-    let mut writer = ClientWriter::new(write_half);
+    let mut reader = ClientReader::new(read_half, daemon.memory.clone());
+    let mut writer = ClientWriter::new(write_half, &daemon.memory);
     loop {
         if !wait_for_request(&daemon, &mut reader).await {
             break;
@@ -111,6 +112,7 @@
     let under_way = UnderWay::new(daemon);
     let read = daemon.dialect.request(&request.head.headers);
     let (id, program) = read.map(|meta| (meta.id, meta.program)).unwrap_or_default();
+    writer.answers(&id);
     let partition = program
         .as_deref()
         .map(|program| daemon.ledger.partition_of(program));
@@ -131,15 +133,20 @@
 }
 
 async fn refuse(daemon: &Rc<Daemon>, failure: ReadFailure, writer: &mut ClientWriter) -> Served {
-    let status = match failure {
+    let cannot_be_taken = |status| OwnAnswer::new(status, "the request cannot be taken");
+    let answer = match failure {
         ReadFailure::Ended => return Served::Abandon,
-        ReadFailure::TooSlow => 408,
-        ReadFailure::Head(HeadError::TooLarge) => 431,
-        ReadFailure::Head(HeadError::Malformed(_)) | ReadFailure::BrokenBody => 400,
-        ReadFailure::BodyTooLarge => 413,
+        ReadFailure::TooSlow => cannot_be_taken(408),
+        ReadFailure::Head(HeadError::TooLarge) => cannot_be_taken(431),
+        ReadFailure::Head(HeadError::Malformed(_)) | ReadFailure::BrokenBody => {
+            cannot_be_taken(400)
+        }
+        ReadFailure::BodyTooLarge => cannot_be_taken(413),
+        ReadFailure::NoRoom => no_room(),
     };
-    tracing::info!(event = "request_not_taken", status, cause = ?failure);
-    let answer = OwnAnswer::new(status, "the request cannot be taken").closing();
+    tracing::info!(event = "request_not_taken", status = answer.status, cause = ?failure,
+        held = daemon.memory.held());
+    let answer = answer.closing();
     let _ = answer.write(daemon, None, writer).await;
     Served::Close
 }
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -1,13 +1,15 @@
 //! What one request may do: its route, its deadline, its turn.
 
-use super::answer::OwnAnswer;
-use super::client::{ClientRequest, ClientWriter};
+use super::answer::{OwnAnswer, no_room};
+use super::client::{BODY_COPIES, ClientRequest};
 use super::opening::{self, TurnRefusal};
 use super::turn::Turn;
+use super::writer::ClientWriter;
 use super::{admission, buffered, homes, quota, stream};
 use crate::daemon::Daemon;
 use crate::dialect::RequestMeta;
 use crate::http::headers::Headers;
+use crate::memory::Held;
 use bytes::Bytes;
 use fieldhook_log::reach::Reach;
 use fieldhook_topology::region;
@@ -67,6 +69,8 @@
     pub engine: Option<String>,
     /// Server that it was sent to last.
     pub sent_to: Rc<RefCell<Option<String>>>,
+    /// The memory that it takes.
+    pub held: Held,
     /// When it came.
     pub started: Instant,
     /// When it has to be over.
@@ -205,7 +209,13 @@
     writer: &mut ClientWriter,
 ) -> Served {
     if let Some(turn) = &mut turn {
-        context.body = turn.prompt(&context.body);
+        let prompt = turn.prompt(&context.body);
+        let chain = prompt.len().saturating_sub(context.body.len());
+        if context.held.grow(chain * BODY_COPIES).is_err() {
+            turn.break_off();
+            return context.answer(no_room(), writer).await;
+        }
+        context.body = prompt;
         context.engine = turn.engine();
     }
     let served = stream::serve(&context, turn.as_mut(), writer).await;
@@ -296,6 +306,7 @@
         service: OnceCell::new(),
         engine: None,
         sent_to: Rc::default(),
+        held: request.held,
         started: request.started,
     })
 }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,13 +3,13 @@
 
 use super::answer::OwnAnswer;
 use super::attempt::{Attempt, DispatchFailure};
-use super::buffered::{self, WholeAnswer};
-use super::client::ClientWriter;
+use super::buffered;
 use super::dispatch::dispatch;
 use super::request::{RETRY_LATER_MS, RequestContext, Served};
 use super::retry::Retries;
 use super::turn::Turn;
 use super::watch;
+use super::writer::ClientWriter;
 use crate::http::body::Piece;
 use crate::http::events::{Event, EventReader};
 use crate::http::write::{AnswerBody, LAST_CHUNK, chunk, response_head};
@@ -17,8 +17,6 @@
 use fieldhook_traffic::attempt::AttemptFailure;
 use tokio::time::{Instant, timeout_at};
 
-const ANSWER_LIMIT: usize = 1 << 20;
-
 /// What the client has of the answer.
 #[derive(Default)]
 struct Delivery {
@@ -51,7 +49,7 @@
     };
     let run = run(context, &mut turn, &mut delivery, writer);
     let answer = match timeout_at(context.deadline, run).await {
-        Ok(Ok(served)) => return served,
+        Ok(Ok(served)) => return settle(served, writer).await,
         Ok(Err(answer)) => answer,
         Err(_) => OwnAnswer::new(504, "no whole answer in time"),
     };
@@ -61,6 +59,14 @@
     conclude(context, &delivery, answer, writer).await
 }
 
+/// What the server made is delivered, also where the client takes it late.
+async fn settle(served: Served, writer: &mut ClientWriter) -> Served {
+    match writer.flush().await {
+        Ok(()) => served,
+        Err(_) => Served::Abandon,
+    }
+}
+
 /// An answer of the gateway's own, or a broken stream where its head is out.
 async fn conclude(
     context: &RequestContext,
@@ -85,6 +91,7 @@
         cause = answer.remedy,
         age_ms = context.age_ms()
     );
+    let _ = writer.flush().await;
     Served::Abandon
 }
 
@@ -134,17 +141,13 @@
 async fn pass_other(
     context: &RequestContext,
     delivery: &Delivery,
-    mut attempt: Attempt,
+    attempt: Attempt,
     writer: &mut ClientWriter,
 ) -> Result<Served, OwnAnswer> {
-    let read = attempt
-        .connection
-        .read_body(&mut attempt.answer.body, ANSWER_LIMIT)
-        .await;
-    match read {
+    match buffered::read_whole(context, attempt).await {
         Ok(_) if delivery.head_sent => Err(OwnAnswer::new(502, "the engine refused to resume")),
-        Ok(body) => Ok(buffered::pass_on(context, WholeAnswer { attempt, body }, writer).await),
-        Err(error) => {
+        Ok(answer) => Ok(buffered::pass_on(context, answer, writer).await),
+        Err((attempt, error)) => {
             attempt.fail(context, error);
             Err(OwnAnswer::new(502, "the outcome is not known"))
         }
@@ -161,7 +164,10 @@
     let mut events = EventReader::default();
     loop {
         let next = attempt.connection.next_piece(&mut attempt.answer.body);
-        let piece = watch::watched(context, &attempt.server, next).await;
+        let next = watch::watched(context, &attempt.server, next);
+        let Ok(piece) = writer.while_draining(next).await else {
+            return StreamEnd::ClientGone;
+        };
         match piece {
             Ok(Piece::Data(data)) => events.feed(&data),
             Ok(Piece::End) if events.has_rest() => {
@@ -244,7 +250,7 @@
         delivery.events += 1;
         bytes.extend_from_slice(&chunk(&event.raw));
     }
-    writer.write(&bytes).await.is_ok()
+    writer.send(&bytes).await.is_ok()
 }
 
 fn stream_head(context: &RequestContext, attempt: &Attempt) -> Vec<u8> {
@@ -295,7 +301,7 @@
         events = delivery.events,
         age_ms = context.age_ms()
     );
-    match writer.write(LAST_CHUNK).await {
+    match writer.send(LAST_CHUNK).await {
         Ok(()) => Ok(Served::KeepOpen),
         Err(_) => Ok(Served::Abandon),
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -67,6 +67,43 @@
     }
 }
 
+/// What a daemon holds for peers that are slow to read, clients and servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowPeers {
+    /// Bytes held for all of them together.
+    pub held_bytes: u64,
+    /// Bytes of an answer that are held for one client. A server cuts off an answer that stays
+    /// unread for seconds, so what is smaller is taken off it at the pace of the server.
+    pub connection_bytes: usize,
+    /// A client that takes nothing for so long gets nothing more, in milliseconds.
+    pub stall_ms: u64,
+}
+
+/// Part of a machine's memory that is held for slow peers: one in this. The smallest machine
+/// has 88 MB, of which the rest of a daemon takes less than half.
+const HELD_DIVISOR: u64 = 4;
+
+impl SlowPeers {
+    /// What a machine with so much memory holds for them.
+    pub fn on(memory_bytes: u64) -> Self {
+        Self {
+            held_bytes: memory_bytes / HELD_DIVISOR,
+            ..Self::default()
+        }
+    }
+}
+
+impl Default for SlowPeers {
+    /// Of a large machine. No client waits for longer than this for an answer.
+    fn default() -> Self {
+        Self {
+            held_bytes: 128 << 20,
+            connection_bytes: 256 << 10,
+            stall_ms: 10_000,
+        }
+    }
+}
+
 /// Settings of a gateway, checked by the adapter that read them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -92,6 +129,8 @@
     pub partitions: u32,
     /// What the machine gives the process.
     pub capacity: Capacity,
+    /// What it holds for peers that are slow to read.
+    pub slow_peers: SlowPeers,
     /// How limits of tenants are judged.
     pub quota: Quota,
     /// Where keys that were taken away must not be served for longer than this, in
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -115,6 +115,12 @@
         self.reusable && self.buffer.is_empty()
     }
 
+    /// It waits for its next request, and takes no memory meanwhile.
+    pub fn rest(&mut self) {
+        self.buffer = BytesMut::new();
+        self.idle_since = Instant::now();
+    }
+
     /// Never use it again.
     pub fn spoil(&mut self) {
         self.reusable = false;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -211,7 +211,7 @@
         if !connection.is_reusable() {
             return;
         }
-        connection.idle_since = Instant::now();
+        connection.rest();
         connection.idle_limit = told.map_or(UNTOLD_IDLE, |limit| limit.mul_f64(IDLE_SHARE));
         let mut servers = self.servers.borrow_mut();
         let state = servers.entry(id.to_owned()).or_default();
--- a/crates/gateway/tests/gateway/abandoned.rs
+++ b/crates/gateway/tests/gateway/abandoned.rs
@@ -19,6 +19,8 @@
 const BUDGET: &str = "Budget: 60\r\nMost: 40\r\n";
 /// Programs of one test: which of two gateways owns their partition differs.
 const PROGRAMS: usize = 8;
+/// An end is under way so soon after its client left, where its gateway tells one.
+const UNDER_WAY_WITHIN: Duration = Duration::from_millis(5);
 /// How long the end of a turn may take to be known.
 const KNOWN_WITHIN: Duration = Duration::from_secs(2);
 
@@ -95,7 +97,11 @@
         for number in 0..PROGRAMS {
             let fields = format!("Request: left{number}\r\nProgram: q{number}\r\n{BUDGET}");
             ask_and_leave(&other, &fields).await;
-            sleep(Duration::from_millis(2)).await;
+            // The stop begins while the end of the last one is told.
+            let begun = Instant::now();
+            while other.daemon.ledger.endings.get() == 0 && begun.elapsed() < UNDER_WAY_WITHIN {
+                tokio::task::yield_now().await;
+            }
             left = left.max(other.daemon.ledger.endings.get());
         }
         assert!(left > 0, "no end was under way");
--- a/crates/gateway/tests/gateway/support/client.rs
+++ b/crates/gateway/tests/gateway/support/client.rs
@@ -26,7 +26,7 @@
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
-    pub(super) buffer: BytesMut,
+    pub buffer: BytesMut,
 }
 
 impl Client {
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -17,6 +17,8 @@
 pub enum Act {
     /// Answer with these bytes of a body.
     Answer(u16, String),
+    /// Answer with so many bytes of a body, a piece at a time.
+    Large(usize),
     /// Say that it did not run.
     NotRun,
     /// Say that it did not run, and leave out the rest of the answer.
@@ -219,6 +221,11 @@
             Act::Answer(status, body) => {
                 let _ = stream.write_all(whole(&id, status, &body).as_bytes()).await;
             }
+            Act::Large(length) => {
+                if !send_large(&mut stream, &id, length).await {
+                    return;
+                }
+            }
             Act::Slow(delay, body) => {
                 let mut byte = [0; 1];
                 tokio::select! {
@@ -295,6 +302,23 @@
     let _ = stream.write_all(head.as_bytes()).await;
 }
 
+async fn send_large(stream: &mut TcpStream, id: &str, length: usize) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Length: {length}\r\n\r\n"
+    );
+    let _ = stream.write_all(head.as_bytes()).await;
+    let piece = [b'x'; 64 << 10];
+    let mut left = length;
+    while left > 0 {
+        let size = left.min(piece.len());
+        if stream.write_all(&piece[..size]).await.is_err() {
+            return false;
+        }
+        left -= size;
+    }
+    true
+}
+
 async fn send_paced(stream: &mut TcpStream, id: &str, events: &[String], pause: Duration) -> bool {
     send_events_head(stream, id).await;
     for (number, text) in events.iter().enumerate() {
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -11,7 +11,7 @@
 use fieldhook_gateway::dialect::Topics;
 use fieldhook_gateway::ledger::owner::OWNERS_TOPIC;
 use fieldhook_gateway::metrics::Metrics;
-use fieldhook_gateway::settings::{Bounds, GatewaySettings, Quota};
+use fieldhook_gateway::settings::{Bounds, GatewaySettings, Quota, SlowPeers};
 use fieldhook_log::api::{Append, KeyedRecord, LogStore, Partition};
 use fieldhook_log::contact::Contact;
 use fieldhook_log::ownership::Ownership;
@@ -27,7 +27,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep};
 
 pub const CONFIG: &str = "keyed.config";
@@ -37,6 +37,8 @@
 /// be taken by a server of a test beside this one before the gateway binds it.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 const FIRST_PORT: u16 = 7_100;
+/// Bytes that lie unread at a narrow client.
+const NARROW: u32 = 4 << 10;
 /// Ports of a gateway.
 const PORTS: u16 = 4;
 
@@ -61,6 +63,8 @@
     pub bounds: Cell<Bounds>,
     /// The same.
     pub partitions: Cell<u32>,
+    /// The same.
+    pub slow_peers: Cell<SlowPeers>,
     store: MemoryLog,
 }
 
@@ -161,6 +165,7 @@
             zones: RefCell::default(),
             bounds: Cell::default(),
             partitions: Cell::new(2),
+            slow_peers: Cell::default(),
         };
         world.publish(0).await;
         world
@@ -245,6 +250,7 @@
             metrics: at(3),
             partitions: self.partitions.get(),
             capacity: Capacity::default(),
+            slow_peers: self.slow_peers.get(),
             quota: Quota::default(),
             revocation_ms: self.revocation_ms.get(),
             grace_ms: 4_000,
@@ -302,6 +308,16 @@
         }
     }
 
+    /// A client whose machine takes few bytes that it has not read.
+    pub async fn narrow_client(&self) -> Client {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(NARROW).expect("set");
+        Client {
+            stream: socket.connect(self.address).await.expect("connects"),
+            buffer: BytesMut::new(),
+        }
+    }
+
     /// Sends one request on a connection of its own.
     pub async fn ask(&self, method: &str, path: &str, fields: &str, body: &str) -> Reply {
         let mut client = self.client().await;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`directory`]: which servers exist and which of them are leaving.
 //! - [`cold`]: which servers bear only a few requests for now.
 //! - [`health`]: leaving a failing server alone and trying it again.
+//! - [`room`]: the memory that is spent on peers that are slow to read.
 //! - [`rest`]: how long an idle connection may rest.
 //! - [`groups`]: which engines the owner of a partition assigns.
 //! - [`assignment`]: the engine at which a program's turns run.
@@ -34,6 +35,7 @@
 pub mod quota;
 pub mod rest;
 pub mod retry_budget;
+pub mod room;
 pub mod share;
 pub mod silence;
 pub mod split;
--- /dev/null
+++ b/crates/traffic/tests/room.rs
@@ -0,0 +1,169 @@
+//! Memory for slow peers: never over its bound, and taken only from those who take nothing.
+
+use fieldhook_traffic::room::{Id, Purpose, Room, STALLED_MS, Verdict};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::HashMap;
+
+const LIMIT: u64 = 1_000;
+
+#[test]
+fn the_client_that_took_nothing_for_longest_gives_way_first() {
+    let mut room = Room::new(LIMIT);
+    let early = room.open(Purpose::Outgoing, 0);
+    let late = room.open(Purpose::Outgoing, 0);
+    assert_eq!(room.grow(early, 400, 0), Verdict::Granted);
+    assert_eq!(room.grow(late, 400, 100), Verdict::Granted);
+    room.shrink(late, 10, 200);
+    let new = room.open(Purpose::Outgoing, STALLED_MS);
+    let verdict = room.grow(new, 500, STALLED_MS);
+    assert_eq!(verdict, Verdict::GrantedFor(vec![early]));
+    assert_eq!(room.held(), 890);
+}
+
+#[test]
+fn nobody_gives_way_who_takes_something_and_no_request_does() {
+    let mut room = Room::new(LIMIT);
+    let request = room.open(Purpose::Incoming, 0);
+    assert_eq!(room.grow(request, 600, 0), Verdict::Granted);
+    let reading = room.open(Purpose::Outgoing, 0);
+    assert_eq!(room.grow(reading, 400, 0), Verdict::Granted);
+    let now_ms = STALLED_MS * 4;
+    room.shrink(reading, 1, now_ms - 10);
+    let new = room.open(Purpose::Outgoing, now_ms);
+    assert_eq!(room.grow(new, 2, now_ms), Verdict::Refused);
+    assert_eq!(room.grow(new, 1, now_ms), Verdict::Granted);
+    room.close(request);
+    assert_eq!(room.grow(new, 600, now_ms), Verdict::Granted);
+}
+
+#[test]
+fn an_answer_that_still_comes_gives_way_only_once_its_client_takes_nothing_of_it() {
+    let mut room = Room::new(LIMIT);
+    let answer = room.open(Purpose::Incoming, 0);
+    assert_eq!(room.grow(answer, LIMIT, 0), Verdict::Granted);
+    let new = room.open(Purpose::Incoming, 0);
+    let begun_ms = STALLED_MS * 2;
+    assert_eq!(room.grow(new, 1, begun_ms), Verdict::Refused);
+    room.hand_out(answer, begun_ms);
+    assert_eq!(room.grow(new, 1, begun_ms + 1), Verdict::Refused);
+    let verdict = room.grow(new, 1, begun_ms + STALLED_MS);
+    assert_eq!(verdict, Verdict::GrantedFor(vec![answer]));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open(bool),
+    Close(usize),
+    Grow(usize, u64),
+    Shrink(usize, u64),
+    HandOut(usize),
+    Wait(u64),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let which = usize::arbitrary(g) % 12;
+        let bytes = u64::arbitrary(g) % 500;
+        match u8::arbitrary(g) % 8 {
+            0 => Self::Open(bool::arbitrary(g)),
+            1 => Self::Close(which),
+            2 | 3 => Self::Grow(which, bytes),
+            4 | 5 => Self::Shrink(which, bytes),
+            6 => Self::HandOut(which),
+            _ => Self::Wait(u64::arbitrary(g) % STALLED_MS),
+        }
+    }
+}
+
+/// What each holds by its own count: purpose, bytes, when something was taken.
+type Oracle = HashMap<Id, (Purpose, u64, u64)>;
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut room = Room::new(LIMIT);
+    let mut oracle = Oracle::new();
+    let mut ids = Vec::new();
+    let mut now_ms = 0;
+    steps.iter().all(|step| {
+        let id = |which: &usize| ids.get(*which % ids.len().max(1)).copied();
+        match step {
+            Step::Open(is_answer) => {
+                let purpose = match is_answer {
+                    true => Purpose::Outgoing,
+                    false => Purpose::Incoming,
+                };
+                let id = room.open(purpose, now_ms);
+                ids.push(id);
+                oracle.insert(id, (purpose, 0, now_ms));
+            }
+            Step::Close(which) => {
+                if let Some(id) = id(which) {
+                    room.close(id);
+                    oracle.remove(&id);
+                }
+            }
+            Step::Grow(which, bytes) => {
+                if let Some(id) = id(which)
+                    && !grown_rightly(&mut room, &mut oracle, id, *bytes, now_ms)
+                {
+                    return false;
+                }
+            }
+            Step::Shrink(which, bytes) => {
+                if let Some(id) = id(which) {
+                    room.shrink(id, *bytes, now_ms);
+                    if let Some(known) = oracle.get_mut(&id) {
+                        *known = (known.0, known.1.saturating_sub(*bytes), now_ms);
+                    }
+                }
+            }
+            Step::HandOut(which) => {
+                if let Some(id) = id(which) {
+                    room.hand_out(id, now_ms);
+                    let known = oracle.get_mut(&id);
+                    if let Some(known) = known {
+                        *known = (Purpose::Outgoing, known.1, now_ms);
+                    }
+                }
+            }
+            Step::Wait(time_ms) => now_ms += time_ms,
+        }
+        let held: u64 = oracle.values().map(|known| known.1).sum();
+        room.held() == held && held <= LIMIT
+    })
+}
+
+fn grown_rightly(room: &mut Room, oracle: &mut Oracle, id: Id, bytes: u64, now_ms: u64) -> bool {
+    let held: u64 = oracle.values().map(|known| known.1).sum();
+    let stalled = |known: &(Purpose, u64, u64)| {
+        known.0 == Purpose::Outgoing && known.1 > 0 && now_ms >= known.2 + STALLED_MS
+    };
+    let may_go: u64 = oracle
+        .iter()
+        .filter(|(other, known)| **other != id && stalled(known))
+        .map(|(_, known)| known.1)
+        .sum();
+    let fits = held + bytes <= LIMIT;
+    match room.grow(id, bytes, now_ms) {
+        Verdict::Refused => !oracle.contains_key(&id) || held + bytes > LIMIT + may_go,
+        Verdict::Granted => {
+            oracle.entry(id).and_modify(|known| known.1 += bytes);
+            fits
+        }
+        Verdict::GrantedFor(others) => {
+            let all_stalled = others.iter().all(|other| stalled(&oracle[other]));
+            for other in &others {
+                oracle.remove(other);
+            }
+            oracle.entry(id).and_modify(|known| known.1 += bytes);
+            !fits && all_stalled && !others.contains(&id)
+        }
+    }
+}
+
+#[test]
+fn the_bound_holds_whatever_comes() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 5))
+        .tests(2_000)
+        .quickcheck(holds as fn(Vec<Step>) -> bool);
+}
