Choice: what a request costs does not grow with the servers that exist

The directory keeps the servers of each service and zone in an order of hashes. Up to 256 servers of a service are weighed as before; of more, 32 of the own zone and 32 of all, drawn from a place that the key stands for, so that engines are found again by their beginnings and connections by their daemon. Groups of a large service are parts of that order, which nothing divides anew. The limit's mean is worked out once a turn, programs are swept as they double, and failures look at zones, not at servers.

Excluded: ranking all engines of a group by rendezvous, cached by beginning: it is worked out anew with each change of the group. Tests count servers looked at: 100 of 100, and the same bounded number at 1,000 and 10,000; a fuzz test holds the order against the entries.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -3,7 +3,7 @@
 use crate::places::Places;
 use fieldhook_traffic::cold::{Cause, Denials, Servers};
 use fieldhook_traffic::config::{Cold, TrafficConfig};
-use fieldhook_traffic::directory::ServerEntry;
+use fieldhook_traffic::directory::{Directory, ServerEntry};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -77,6 +77,14 @@
         self.denials.borrow().wait_ms(id, self.now_ms())
     }
 
+    /// Cold servers that have no place now, and the time until they may have one, in
+    /// milliseconds.
+    pub fn denied(&self) -> Vec<(Rc<str>, u64)> {
+        let now_ms = self.now_ms();
+        let denials = self.denials.borrow();
+        denials.all(now_ms).collect()
+    }
+
     /// A cold server has no place for so long.
     pub fn deny(&self, id: &str, retry_after_ms: u64) {
         let now_ms = self.now_ms();
@@ -124,12 +132,15 @@
         self.say(server);
     }
 
-    /// How many of these servers are cold now. Those that are not any more are said again
+    /// How many servers are cold now. Those that are not any more are said again
     /// when they become so.
-    pub fn count<'a>(&self, servers: impl Iterator<Item = &'a ServerEntry>) -> usize {
+    pub fn count(&self, directory: &Directory) -> usize {
+        if self.services.borrow().is_empty() {
+            return 0;
+        }
         let mut said = self.said.borrow_mut();
         let mut count = 0;
-        for server in servers {
+        for server in directory.entries() {
             match self.cold(server) {
                 Some(_) => count += 1,
                 None => {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -268,7 +268,7 @@
         daemon
             .pools
             .sweep(&|id| directory.takes_work(id), daemon.now_ms());
-        let cold = daemon.cold.count(directory.entries());
+        let cold = daemon.cold.count(&directory);
         daemon.metrics.cold_servers.set(cold as i64);
     }
 }
--- a/crates/gateway/src/ledger/assigner.rs
+++ b/crates/gateway/src/ledger/assigner.rs
@@ -8,15 +8,21 @@
 use fieldhook_topology::region::Set;
 use fieldhook_topology::zone::Distance;
 use fieldhook_traffic::assignment::{Engine, Settings, Table, Turn};
+use fieldhook_traffic::candidates::{Draw, WEIGHED_WHOLE, draw};
 use fieldhook_traffic::cold;
-use fieldhook_traffic::directory::Directory;
-use fieldhook_traffic::groups::Groups;
+use fieldhook_traffic::directory::{Directory, ServerEntry, Serving};
+use fieldhook_traffic::groups::{Groups, group_count};
+use fieldhook_traffic::ring::{Arc, place};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Groups of a service's engines, as of a version of the directory.
+/// Engines drawn from a group that are enough to choose from: fewer are left where zones are
+/// evacuated or regions not allowed, and the turn goes to any group then.
+const FEWEST_DRAWN: usize = 8;
+
+/// Groups of a service's engines, as of a version of these.
 struct Division {
     version: u64,
     groups: Rc<Groups>,
@@ -68,21 +74,20 @@
         let placement = open.placement.as_ref()?;
         let now_ms = self.started.elapsed().as_millis() as u64;
         let directory = self.directory.borrow();
-        let groups = self.groups(&placement.service, &directory);
-        let home = groups.of_partition(partition_of(&open.program, self.partitions));
-        let mut engines = engines(&directory, &placement.service);
+        let serving = directory.serving(&placement.service)?;
+        let partition = partition_of(&open.program, self.partitions);
+        let (mut engines, share) = match serving.all.len() <= WEIGHED_WHOLE {
+            true => self.engines_of_few(&placement.service, serving, partition),
+            false => self.engines_of_many(&directory, serving, open, placement, partition),
+        };
         engines.retain(|engine| !self.pools.view(engine.id, engine.zone, now_ms).avoided);
         self.keep_allowed(&mut engines, placement);
         self.limit_cold(&mut engines, &directory);
-        for engine in &mut engines {
-            engine.is_home = groups.of_engine(engine.id) == Some(home);
-        }
         let turn = Turn {
             id: &open.turn,
             program: &open.program,
             prefix: placement.prefix,
         };
-        let share = self.share(&groups, home);
         let engine = self
             .table
             .borrow_mut()
@@ -90,6 +95,67 @@
         Some(engine.to_string())
     }
 
+    /// All engines of a small service, and the part of its group's programs that this daemon
+    /// sees.
+    fn engines_of_few<'a>(
+        &self,
+        service: &str,
+        serving: &'a Serving,
+        partition: u32,
+    ) -> (Vec<Engine<'a>>, f64) {
+        let groups = self.groups(service, serving);
+        let home = groups.of_partition(partition);
+        let mut engines = engines(serving);
+        for engine in &mut engines {
+            engine.is_home = groups.of_engine(engine.id) == Some(home);
+        }
+        (engines, self.share(groups.count(), home))
+    }
+
+    /// Engines of a large service to weigh for a turn: some of the group, drawn by the beginning
+    /// of the prompt so that all who share it draw the same, and the one that the program is
+    /// at. A group is a part of the order of engines: nothing is divided anew where one comes
+    /// or goes.
+    fn engines_of_many<'a>(
+        &self,
+        directory: &'a Directory,
+        serving: &'a Serving,
+        open: &OpenTurn,
+        placement: &Placement,
+        partition: u32,
+    ) -> (Vec<Engine<'a>>, f64) {
+        let count = group_count(serving.all.len(), self.partitions);
+        let home = partition % count;
+        let arc = Arc::of(home, count);
+        let homes = homes(placement);
+        let servers = self.places.with_rule(&homes, &placement.zone, |rule| {
+            let is_usable = |server: &ServerEntry| rule.serve(&server.zone).is_ok();
+            let from = |arc| Draw {
+                zone: &placement.zone,
+                arc,
+                number: placement.prefix,
+            };
+            let drawn = draw(serving, &from(arc), &is_usable).servers;
+            match drawn.len() >= FEWEST_DRAWN {
+                true => drawn,
+                false => draw(serving, &from(Arc::WHOLE), &is_usable).servers,
+            }
+        });
+        let mut servers: Vec<&ServerEntry> = servers.into_iter().map(|server| &**server).collect();
+        let table = self.table.borrow();
+        let former = table.engine_of(&open.program);
+        let former = former.and_then(|id| directory.entry(id)).filter(|server| {
+            let is_drawn = servers.iter().any(|drawn| drawn.id == server.id);
+            !is_drawn && !server.draining && server.service == placement.service
+        });
+        servers.extend(former);
+        let engines = servers.into_iter().map(|server| Engine {
+            is_home: arc.contains(place(&server.id)),
+            ..engine(server)
+        });
+        (engines.collect(), self.share(count, home))
+    }
+
     /// Keeps engines whose places may serve the turn, and tells how far they are from it.
     fn keep_allowed(&self, engines: &mut Vec<Engine<'_>>, placement: &Placement) {
         let homes = homes(placement);
@@ -126,18 +192,15 @@
     }
 
     /// The groups of a service's engines, divided anew where these have changed.
-    fn groups(&self, service: &str, directory: &Directory) -> Rc<Groups> {
-        let version = directory.version();
+    fn groups(&self, service: &str, serving: &Serving) -> Rc<Groups> {
+        let version = serving.version;
         let mut divisions = self.divisions.borrow_mut();
         if let Some(known) = divisions.get(service)
             && known.version == version
         {
             return known.groups.clone();
         }
-        let groups = Rc::new(Groups::divide(
-            &engines(directory, service),
-            self.partitions,
-        ));
+        let groups = Rc::new(Groups::divide(&engines(serving), self.partitions));
         let current = Division {
             version,
             groups: groups.clone(),
@@ -146,13 +209,13 @@
         groups
     }
 
-    /// The part of a group's programs that this daemon sees as an owner.
-    fn share(&self, groups: &Groups, group: u32) -> f64 {
+    /// The part of the programs of one of so many groups that this daemon sees as an owner.
+    fn share(&self, groups: u32, group: u32) -> f64 {
         let owned = self.owned.borrow();
         let of_group = owned
             .iter()
-            .filter(|partition| groups.of_partition(**partition) == group);
-        let partitions_of_group = f64::from(self.partitions) / f64::from(groups.count());
+            .filter(|partition| **partition % groups.max(1) == group);
+        let partitions_of_group = f64::from(self.partitions) / f64::from(groups.max(1));
         of_group.count() as f64 / partitions_of_group
     }
 }
@@ -165,18 +228,20 @@
 }
 
 /// Engines of a service that take new work, in an order of their own.
-fn engines<'a>(directory: &'a Directory, service: &'a str) -> Vec<Engine<'a>> {
-    let mut engines: Vec<Engine<'a>> = directory
-        .serving(service)
-        .map(|server| Engine {
-            id: &server.id,
-            zone: &server.zone,
-            distance: Distance::SameRegion,
-            slots: server.slots,
-            is_home: false,
-            is_cold: false,
-        })
-        .collect();
+fn engines(serving: &Serving) -> Vec<Engine<'_>> {
+    let all = serving.all.from(Arc::WHOLE, 0);
+    let mut engines: Vec<Engine<'_>> = all.map(|server| engine(server)).collect();
     engines.sort_by(|left, right| left.id.cmp(right.id));
     engines
 }
+
+fn engine(server: &ServerEntry) -> Engine<'_> {
+    Engine {
+        id: &server.id,
+        zone: &server.zone,
+        distance: Distance::SameRegion,
+        slots: server.slots,
+        is_home: false,
+        is_cold: false,
+    }
+}
--- a/crates/gateway/src/ledger/reach.rs
+++ b/crates/gateway/src/ledger/reach.rs
@@ -75,11 +75,14 @@
 
 async fn look_at_zones(daemon: &Daemon) -> Look {
     let own = daemon.places.zone.to_string();
-    let mut by_zone: BTreeMap<String, Vec<ServerEntry>> = BTreeMap::new();
-    for server in daemon.directory.borrow().entries() {
-        let servers = by_zone.entry(server.zone.clone()).or_default();
-        servers.push(server.clone());
-    }
+    let mut by_zone: BTreeMap<String, Vec<ServerEntry>> = {
+        let directory = daemon.directory.borrow();
+        let some = directory.some_of_each_zone(TRIED_IN_ZONE, fastrand::u64(..));
+        let owned = |servers: Vec<&ServerEntry>| servers.into_iter().cloned().collect();
+        some.into_iter()
+            .map(|(zone, servers)| (zone.to_owned(), owned(servers)))
+            .collect()
+    };
     by_zone.entry(own.clone()).or_default();
     let first = by_zone.keys().next().cloned();
     let zones = by_zone.len();
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -3,45 +3,81 @@
 use super::attempt::Tried;
 use super::request::RequestContext;
 use fieldhook_topology::region::Set;
+use fieldhook_traffic::assignment::prefix_hash;
 use fieldhook_traffic::balance::{self, Candidate, Request};
+use fieldhook_traffic::candidates::{Draw, draw};
 use fieldhook_traffic::directory::ServerEntry;
+use fieldhook_traffic::ring::Arc;
 
 /// Chooses among servers that the request was not sent to, and that its places allow. Cold
 /// ones that have no place now are passed over.
 pub fn choose(context: &RequestContext, homes: &Set, tried: &Tried) -> Option<ServerEntry> {
     let daemon = &context.daemon;
-    let service = context.service()?;
     let directory = daemon.directory.borrow();
+    let serving = directory.serving(context.service()?)?;
     let now_ms = daemon.now_ms();
     let zone = &daemon.settings.zone;
-    let mut candidates: Vec<Candidate<'_>> = daemon.places.with_rule(homes, zone, |rule| {
-        let allowed = directory.serving(service).filter_map(|server| {
-            let distance = rule.serve(&server.zone).ok()?;
-            let is_cold = daemon.cold.cold(server).is_some();
-            if is_cold && daemon.cold.denied_ms(&server.id).is_some() {
-                return None;
-            }
-            let view = daemon.pools.view(&server.id, &server.zone, now_ms);
-            Some(Candidate {
-                server,
-                distance,
-                in_flight: view.in_flight,
-                avoided: view.avoided,
-                unsound: view.unsound,
-                is_cold,
-                has_idle_connection: view.has_idle_connection,
-            })
-        });
-        allowed.collect()
-    });
-    candidates.sort_by(|left, right| left.server.id.cmp(&right.server.id));
     let is_stream = context.entry.route.kind.is_stream();
     let affinity = context.meta.program.as_deref().filter(|_| is_stream);
+    let preferred = context.engine.as_deref();
+    // Requests of a program find its engine again, and all others the servers that this
+    // daemon has connections to.
+    let drawn_by = affinity.unwrap_or(&daemon.settings.name);
+    let servers = Draw {
+        zone,
+        arc: Arc::WHOLE,
+        number: prefix_hash(drawn_by),
+    };
+    let servers = daemon.places.with_rule(homes, zone, |rule| {
+        let may_serve = |server: &ServerEntry| rule.serve(&server.zone).is_ok();
+        let is_usable =
+            |server: &ServerEntry| may_serve(server) && !tried.servers.contains(&server.id);
+        let drawn = draw(serving, &servers, &is_usable).servers;
+        let mut servers: Vec<&ServerEntry> = drawn.into_iter().map(|server| &**server).collect();
+        let assigned = preferred.and_then(|id| directory.entry(id));
+        let assigned = assigned.filter(|server| {
+            let is_drawn = servers.iter().any(|drawn| drawn.id == server.id);
+            let takes_work = !server.draining && Some(server.service.as_str()) == context.service();
+            !is_drawn && takes_work && may_serve(server)
+        });
+        servers.extend(assigned);
+        servers
+    });
+    let candidates: Vec<Candidate<'_>> = servers
+        .into_iter()
+        .filter_map(|server| candidate(context, server, now_ms))
+        .collect();
     let request = Request {
         affinity,
-        preferred: context.engine.as_deref(),
+        preferred,
         tried: &tried.servers,
     };
     let index = balance::choose(&candidates, &request, fastrand::u64(..))?;
     Some(candidates[index].server.clone())
 }
+
+/// A server as this daemon sees it now; none where it is cold and has no place.
+fn candidate<'a>(
+    context: &RequestContext,
+    server: &'a ServerEntry,
+    now_ms: u64,
+) -> Option<Candidate<'a>> {
+    let daemon = &context.daemon;
+    let is_cold = daemon.cold.cold(server).is_some();
+    if is_cold && daemon.cold.denied_ms(&server.id).is_some() {
+        return None;
+    }
+    let view = daemon.pools.view(&server.id, &server.zone, now_ms);
+    Some(Candidate {
+        server,
+        distance: daemon
+            .places
+            .map
+            .distance(&daemon.settings.zone, &server.zone),
+        in_flight: view.in_flight,
+        avoided: view.avoided,
+        unsound: view.unsound,
+        is_cold,
+        has_idle_connection: view.has_idle_connection,
+    })
+}
--- a/crates/gateway/src/serve/cold.rs
+++ b/crates/gateway/src/serve/cold.rs
@@ -67,14 +67,21 @@
     let daemon = &context.daemon;
     let service = context.service()?;
     let directory = daemon.directory.borrow();
+    let denied = daemon.cold.denied();
     daemon
         .places
         .with_rule(&context.homes, &daemon.places.zone, |rule| {
-            let waits = directory
-                .serving(service)
-                .filter(|server| !tried.servers.contains(&server.id))
-                .filter(|server| rule.serve(&server.zone).is_ok())
-                .filter_map(|server| daemon.cold.denied_ms(&server.id));
+            let may_serve = |id: &str| {
+                let server = directory.entry(id).filter(|server| !server.draining);
+                server.is_some_and(|server| {
+                    server.service == service && rule.serve(&server.zone).is_ok()
+                })
+            };
+            let waits = denied
+                .iter()
+                .filter(|(id, _)| !tried.servers.iter().any(|tried| **tried == **id))
+                .filter(|(id, _)| may_serve(id))
+                .map(|(_, wait_ms)| *wait_ms);
             waits.min()
         })
 }
--- a/crates/gateway/src/serve/homes.rs
+++ b/crates/gateway/src/serve/homes.rs
@@ -85,10 +85,8 @@
     let directory = daemon.directory.borrow();
     let zone = &daemon.settings.zone;
     let denials: Vec<Denial> = daemon.places.with_rule(&homes, zone, |rule| {
-        let servers = directory.serving(service);
-        servers
-            .filter_map(|server| rule.serve(&server.zone).err())
-            .collect()
+        let zones = directory.zones_of(service);
+        zones.filter_map(|zone| rule.serve(zone).err()).collect()
     });
     let not_home = denials.iter().filter(|denial| **denial == Denial::NotHome);
     let not_home = not_home.count();
--- a/crates/gateway/src/serve/open.rs
+++ b/crates/gateway/src/serve/open.rs
@@ -86,10 +86,8 @@
     let zone = &daemon.settings.zone;
     let homes = homes::now(context);
     let denials: Result<Vec<Denial>, ()> = daemon.places.with_rule(&homes, zone, |rule| {
-        let servers = directory.serving(service);
-        servers
-            .map(|server| rule.serve(&server.zone).err().ok_or(()))
-            .collect()
+        let zones = directory.zones_of(service);
+        zones.map(|zone| rule.serve(zone).err().ok_or(())).collect()
     });
     match denials {
         Ok(denials) if denials.contains(&Denial::Evacuated) => DispatchFailure::Evacuated,
--- a/crates/traffic/src/assignment.rs
+++ b/crates/traffic/src/assignment.rs
@@ -100,6 +100,17 @@
     /// When turns began, the oldest first; also of those that have ended since.
     begun: VecDeque<(u64, Rc<str>)>,
     open: HashMap<Rc<str>, u32>,
+    /// Programs remembered from which on forgotten ones are looked for again.
+    sweep_from: usize,
+}
+
+/// The engines that a turn may be assigned to.
+struct Choice<'a, 'b> {
+    engines: &'b [Engine<'a>],
+    /// Mean of the turns under way at the engines of the turn's group, this one included.
+    mean: f64,
+    /// Part of the programs of its group that the owner sees.
+    share: f64,
 }
 
 impl Table {
@@ -122,9 +133,15 @@
     ) -> Option<Rc<str>> {
         self.forget(now_ms);
         self.end(turn.id);
-        let engine = match self.kept(turn.program, engines, share) {
+        let under_way: u32 = home(engines).map(|engine| self.open(engine.id)).sum();
+        let choice = Choice {
+            engines,
+            mean: f64::from(under_way + 1) / home(engines).count().max(1) as f64,
+            share,
+        };
+        let engine = match self.kept(turn.program, &choice) {
             Some(engine) => engine,
-            None => Rc::from(self.choose(turn, engines, share)?),
+            None => Rc::from(self.choose(turn, &choice)?),
         };
         let program = Program {
             engine: engine.clone(),
@@ -169,20 +186,25 @@
         self.open.get(engine).copied().unwrap_or(0)
     }
 
-    fn kept(&self, program: &str, engines: &[Engine<'_>], share: f64) -> Option<Rc<str>> {
+    /// The engine that a program was assigned to last.
+    pub fn engine_of(&self, program: &str) -> Option<&str> {
+        self.programs.get(program).map(|program| &*program.engine)
+    }
+
+    fn kept(&self, program: &str, choice: &Choice<'_, '_>) -> Option<Rc<str>> {
         let program = self.programs.get(program)?;
-        let engine = engines
-            .iter()
-            .find(|engine| *engine.id == *program.engine)?;
-        let limit = self.limit(engine, engines, share, self.settings.keep);
-        let has_room = !engine.is_cold || !self.is_cold_full(engine, share);
+        let engines = &mut choice.engines.iter();
+        let engine = engines.find(|engine| *engine.id == *program.engine)?;
+        let limit = self.limit(engine, choice, self.settings.keep);
+        let has_room = !engine.is_cold || !self.is_cold_full(engine, choice.share);
         (has_room && f64::from(self.open(engine.id)) < limit).then(|| program.engine.clone())
     }
 
-    fn choose<'a>(&self, turn: &Turn<'_>, engines: &[Engine<'a>], share: f64) -> Option<&'a str> {
+    fn choose<'a>(&self, turn: &Turn<'_>, choice: &Choice<'a, '_>) -> Option<&'a str> {
+        let (engines, share) = (choice.engines, choice.share);
         let rank = |engine: &&Engine<'_>| xxh3_64_with_seed(engine.id.as_bytes(), turn.prefix);
         let has_room = |engine: &&Engine<'_>| {
-            let limit = self.limit(engine, engines, share, self.settings.balance);
+            let limit = self.limit(engine, choice, self.settings.balance);
             f64::from(self.open(engine.id)) < limit && !self.is_full(engine, share)
         };
         let roomy = || home(engines).filter(has_room);
@@ -228,11 +250,9 @@
         f64::from(self.open(engine.id)) >= f64::from(engine.slots) * share * GROUP_FULL
     }
 
-    fn limit(&self, engine: &Engine<'_>, engines: &[Engine<'_>], share: f64, factor: f64) -> f64 {
-        let under_way: u32 = home(engines).map(|engine| self.open(engine.id)).sum();
-        let mean = f64::from(under_way + 1) / home(engines).count().max(1) as f64;
-        let light = f64::from(engine.slots) * share * self.settings.light_load;
-        factor * light.max(mean)
+    fn limit(&self, engine: &Engine<'_>, choice: &Choice<'_, '_>, factor: f64) -> f64 {
+        let light = f64::from(engine.slots) * choice.share * self.settings.light_load;
+        factor * light.max(choice.mean)
     }
 
     fn forget(&mut self, now_ms: u64) {
@@ -242,9 +262,11 @@
                 self.end_begun_at(&turn, since_ms);
             }
         }
-        if self.programs.len() >= SWEEP_FROM {
+        if self.programs.len() >= self.sweep_from.max(SWEEP_FROM) {
             self.programs
                 .retain(|_, program| now_ms < program.seen_ms + REMEMBERED_MS);
+            // What is remembered is not gone through again with each turn.
+            self.sweep_from = 2 * self.programs.len();
         }
     }
 
--- /dev/null
+++ b/crates/traffic/src/candidates.rs
@@ -0,0 +1,79 @@
+//! Which servers are weighed for a request: all of a small service, and of a large one some near
+//! ones and some from anywhere.
+//!
+//! What one request costs must not grow with the servers that exist. A part of them, drawn from
+//! a place that a key stands for, serves as well: requests of one key are always drawn the same
+//! part, so what an engine keeps is found again, and a daemon's connections are used again.
+
+use crate::directory::{ServerEntry, Serving};
+use crate::ring::Arc;
+use std::rc::Rc;
+
+/// Servers of a service up to which all are weighed.
+pub const WEIGHED_WHOLE: usize = 256;
+/// Servers of the own zone that are weighed of a large service: several times those that are
+/// ever full or resting of one daemon's requests.
+const MOST_NEAR: usize = 32;
+/// The same of all zones.
+const MOST_ANYWHERE: usize = 32;
+/// Servers that are looked at for each that is weighed: half of the zones may be evacuated.
+const LOOKED_AT_EACH: usize = 4;
+
+/// Where the servers for a request are drawn.
+#[derive(Clone, Copy, Debug)]
+pub struct Draw<'a> {
+    /// Zone that the request comes through.
+    pub zone: &'a str,
+    /// Part of the order of servers that they stand in.
+    pub arc: Arc,
+    /// Number that the key of the request stands for.
+    pub number: u64,
+}
+
+/// What was drawn.
+#[derive(Debug, Default)]
+pub struct Drawn<'a> {
+    /// Servers to weigh, each once, by their identities.
+    pub servers: Vec<&'a Rc<ServerEntry>>,
+    /// Servers that were looked at for that.
+    pub looked_at: usize,
+}
+
+impl<'a> Drawn<'a> {
+    fn take(
+        &mut self,
+        servers: impl Iterator<Item = &'a Rc<ServerEntry>>,
+        most: usize,
+        is_usable: &dyn Fn(&ServerEntry) -> bool,
+    ) {
+        let looked_at = &mut self.looked_at;
+        let usable = servers
+            .take(most * LOOKED_AT_EACH)
+            .inspect(|_| *looked_at += 1)
+            .filter(|server| is_usable(server))
+            .take(most);
+        self.servers.extend(usable);
+    }
+}
+
+/// Draws servers that are usable from a service.
+pub fn draw<'a>(
+    serving: &'a Serving,
+    draw: &Draw<'_>,
+    is_usable: &dyn Fn(&ServerEntry) -> bool,
+) -> Drawn<'a> {
+    let mut drawn = Drawn::default();
+    if serving.all.len() <= WEIGHED_WHOLE {
+        let all = serving.all.from(draw.arc, draw.number);
+        drawn.take(all, WEIGHED_WHOLE, is_usable);
+    } else {
+        if let Some(zone) = serving.zones.get(draw.zone) {
+            drawn.take(zone.from(draw.arc, draw.number), MOST_NEAR, is_usable);
+        }
+        let all = serving.all.from(draw.arc, draw.number);
+        drawn.take(all, MOST_ANYWHERE, is_usable);
+    }
+    drawn.servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+    drawn.servers.dedup_by(|a, b| a.id == b.id);
+    drawn
+}
--- a/crates/traffic/src/cold.rs
+++ b/crates/traffic/src/cold.rs
@@ -194,6 +194,13 @@
         self.until_ms.insert(Rc::from(id), now_ms + retry_after_ms);
     }
 
+    /// All of them, with the time until a place may be free, in milliseconds.
+    pub fn all(&self, now_ms: u64) -> impl Iterator<Item = (Rc<str>, u64)> {
+        let left = move |until_ms: u64| until_ms.checked_sub(now_ms).filter(|left| *left > 0);
+        let denials = self.until_ms.iter();
+        denials.filter_map(move |(id, until_ms)| Some((id.clone(), left(*until_ms)?)))
+    }
+
     /// Time until a place may be free, in milliseconds, if that is known to be later.
     pub fn wait_ms(&self, id: &str, now_ms: u64) -> Option<u64> {
         let until_ms = self.until_ms.get(id)?;
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -1,7 +1,9 @@
 //! The servers that exist, as their service discovery tells them.
 
-use std::collections::HashMap;
+use crate::ring::{Arc, Ring};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// One incarnation of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,9 +50,9 @@
     Unchanged,
 }
 
-/// Names without a server that are remembered for the place of their last record: entries
-/// come and go with each restart of a fleet, a few hundred a day.
-const MOST_GONE: usize = 10_000;
+/// Names without a server that are remembered for the place of their last record, at least. A
+/// fleet remembers as many as it has servers: they may all be replaced in one release.
+const LEAST_GONE: usize = 10_000;
 
 /// The newest record of a name.
 struct Known {
@@ -60,17 +62,46 @@
     revision: u64,
 }
 
+/// Servers of a service that take new work.
+#[derive(Debug, Default)]
+pub struct Serving {
+    /// All of them.
+    pub all: Ring,
+    /// Those of each zone.
+    pub zones: BTreeMap<String, Ring>,
+    /// Counts their changes: what was worked out from them holds as long as this stays the same.
+    pub version: u64,
+}
+
+impl Serving {
+    fn insert(&mut self, server: Rc<ServerEntry>) {
+        let zone = self.zones.entry(server.zone.clone()).or_default();
+        zone.insert(server.clone());
+        self.all.insert(server);
+        self.version += 1;
+    }
+
+    fn remove(&mut self, server: &ServerEntry) {
+        if let Some(zone) = self.zones.get_mut(&server.zone) {
+            zone.remove(&server.id);
+        }
+        self.all.remove(&server.id);
+        self.version += 1;
+    }
+}
+
 /// Known servers by identity. Leaving is final for an identity: an older entry
 /// that is read again never makes a leaving server take work. Of two incarnations of one name
 /// the one whose entry was written later is in force; clocks of servers may step back. A
 /// record or a listing that is older than what is known of a name changes nothing.
 #[derive(Default)]
 pub struct Directory {
-    servers: HashMap<String, ServerEntry>,
+    servers: HashMap<String, Rc<ServerEntry>>,
+    /// Those that take new work, by service.
+    services: HashMap<String, Serving>,
     names: HashMap<String, Known>,
     /// Names that are known to have no server.
     gone: usize,
-    version: u64,
 }
 
 impl Directory {
@@ -84,7 +115,7 @@
             .and_then(|known| known.id.clone())
             .filter(|id| *id != entry.id);
         if let Some(id) = &former {
-            self.servers.remove(id);
+            self.drop_server(id);
         }
         let known = self.servers.get(&entry.id);
         let was_draining = known.is_some_and(|server| server.draining);
@@ -95,15 +126,39 @@
             _ => DirectoryChange::Unchanged,
         };
         entry.draining |= was_draining;
-        if change != DirectoryChange::Unchanged {
-            self.version += 1;
-        }
         let id = Some(entry.id.clone());
         self.know(&entry.name, Known { id, revision });
-        self.servers.insert(entry.id.clone(), entry);
+        self.put_server(entry);
         change
     }
 
+    /// Puts a server in place of what was known of its identity.
+    fn put_server(&mut self, entry: ServerEntry) {
+        if self
+            .servers
+            .get(&entry.id)
+            .is_some_and(|known| **known == entry)
+        {
+            return;
+        }
+        self.drop_server(&entry.id);
+        let server = Rc::new(entry);
+        if !server.draining {
+            let service = self.services.entry(server.service.clone()).or_default();
+            service.insert(server.clone());
+        }
+        self.servers.insert(server.id.clone(), server);
+    }
+
+    fn drop_server(&mut self, id: &str) {
+        let Some(server) = self.servers.remove(id) else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(&server.service) {
+            service.remove(&server);
+        }
+    }
+
     /// Whether a record of this place in the topic is newer than what is known of its name.
     pub fn is_news(&self, name: &str, revision: u64) -> bool {
         let known = self.names.get(name);
@@ -118,7 +173,7 @@
             return None;
         }
         let former = self.know(name, Known { id: None, revision });
-        if self.gone > MOST_GONE {
+        if self.gone > LEAST_GONE.max(self.servers.len()) {
             self.names.retain(|_, known| known.id.is_some());
             self.gone = 0;
         }
@@ -136,8 +191,7 @@
     /// Drops the server of a name; its identity.
     fn end(&mut self, former: Known) -> Option<String> {
         let id = former.id?;
-        self.servers.remove(&id);
-        self.version += 1;
+        self.drop_server(&id);
         Some(id)
     }
 
@@ -146,12 +200,6 @@
         self.names.get(name)?.id.as_deref()
     }
 
-    /// Counts the changes of which servers take work: what was worked out from them holds
-    /// as long as this stays the same.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Keeps only the names that a complete listing holds, read where the topic ended at
     /// `end`, and those whose records are later: the identities that are gone.
     pub fn retain(&mut self, listed: &dyn Fn(&str) -> bool, end: u64) -> Vec<String> {
@@ -168,10 +216,31 @@
     }
 
     /// Servers of a service that take new work.
-    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerEntry> + 'a {
-        self.servers
-            .values()
-            .filter(move |server| server.service == service && !server.draining)
+    pub fn serving(&self, service: &str) -> Option<&Serving> {
+        self.services.get(service)
+    }
+
+    /// Zones in which a service has servers that take new work.
+    pub fn zones_of(&self, service: &str) -> impl Iterator<Item = &str> {
+        let zones = self.serving(service).map(|serving| serving.zones.iter());
+        let zones = zones.into_iter().flatten();
+        zones
+            .filter(|(_, ring)| !ring.is_empty())
+            .map(|(zone, _)| zone.as_str())
+    }
+
+    /// Some servers of each zone that take new work, from the place on that a number stands for.
+    pub fn some_of_each_zone(&self, most: usize, number: u64) -> BTreeMap<&str, Vec<&ServerEntry>> {
+        let mut some: BTreeMap<&str, Vec<&ServerEntry>> = BTreeMap::new();
+        let rings = self.services.values().flat_map(|serving| &serving.zones);
+        for (zone, ring) in rings {
+            let servers = ring.from(Arc::WHOLE, number).take(most);
+            some.entry(zone)
+                .or_default()
+                .extend(servers.map(|server| &**server));
+        }
+        some.retain(|_, servers| !servers.is_empty());
+        some
     }
 
     /// Whether this server may still get new work.
@@ -181,7 +250,7 @@
 
     /// The entry of a server.
     pub fn entry(&self, id: &str) -> Option<&ServerEntry> {
-        self.servers.get(id)
+        self.servers.get(id).map(|server| &**server)
     }
 
     /// Known servers, leaving ones included.
@@ -201,6 +270,6 @@
 
     /// All entries.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
-        self.servers.values()
+        self.servers.values().map(|server| &**server)
     }
 }
--- a/crates/traffic/src/groups.rs
+++ b/crates/traffic/src/groups.rs
@@ -110,7 +110,7 @@
 
 /// The most groups that leave each large enough, of those that belong to equally many
 /// partitions each.
-fn group_count(engines: usize, partitions: u32) -> u32 {
+pub fn group_count(engines: usize, partitions: u32) -> u32 {
     let partitions = partitions.max(1);
     (1..=partitions)
         .rev()
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -16,6 +16,8 @@
 //! - [`rest`]: how long an idle connection may rest.
 //! - [`groups`]: which engines the owner of a partition assigns.
 //! - [`assignment`]: the engine at which a program's turns run.
+//! - [`ring`]: servers in an order that all daemons know alike.
+//! - [`candidates`]: which servers are weighed for a request.
 //! - [`balance`]: choosing a server for one attempt.
 //! - [`wait`]: waiting for a place that comes free at a known time.
 //! - [`overdue`]: how long an attempt is waited for.
@@ -25,6 +27,7 @@
 pub mod assignment;
 pub mod attempt;
 pub mod balance;
+pub mod candidates;
 pub mod cold;
 pub mod config;
 pub mod directory;
@@ -35,6 +38,7 @@
 pub mod quota;
 pub mod rest;
 pub mod retry_budget;
+pub mod ring;
 pub mod room;
 pub mod share;
 pub mod silence;
--- /dev/null
+++ b/crates/traffic/tests/candidates.rs
@@ -0,0 +1,190 @@
+//! Servers in one order for all, and what is weighed of them: right, and no more with a fleet of
+//! thousands than with one of hundreds.
+
+use fieldhook_traffic::candidates::{Draw, WEIGHED_WHOLE, draw};
+use fieldhook_traffic::directory::{Directory, ServerEntry};
+use fieldhook_traffic::ring::{Arc, place};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::{BTreeMap, BTreeSet};
+
+const ZONES: usize = 6;
+
+fn server(number: usize, draining: bool) -> ServerEntry {
+    ServerEntry {
+        id: format!("s{number}"),
+        name: format!("s{number}"),
+        service: format!("service{}", number % 2),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: format!("z{}", (number / 2) % ZONES),
+        slots: 4,
+        draining,
+        cold_ms: 0,
+    }
+}
+
+/// So many servers of each of two services.
+fn fleet(each: usize) -> Directory {
+    let mut directory = Directory::default();
+    for number in 0..2 * each {
+        directory.insert(server(number, false), number as u64);
+    }
+    directory
+}
+
+fn drawn(
+    directory: &Directory,
+    number: u64,
+    usable: &dyn Fn(&ServerEntry) -> bool,
+) -> (usize, Vec<String>) {
+    let place = Draw {
+        zone: "z1",
+        arc: Arc::WHOLE,
+        number,
+    };
+    let serving = directory.serving("service0").expect("servers");
+    let drawn = draw(serving, &place, usable);
+    let ids = drawn.servers.iter().map(|server| server.id.clone());
+    (drawn.looked_at, ids.collect())
+}
+
+/// Each of ten thousand servers was looked at for each request.
+#[test]
+fn what_is_looked_at_for_a_request_does_not_grow_with_the_fleet() {
+    let most = [100, 1_000, 10_000].map(|each| {
+        let directory = fleet(each);
+        let looked = (0..50).map(|number| drawn(&directory, number << 58, &|_| true).0);
+        looked.max().expect("draws")
+    });
+    assert_eq!(most[0], 100, "all of a small service");
+    assert!(most[1] <= WEIGHED_WHOLE, "{most:?}");
+    assert_eq!(most[1], most[2]);
+}
+
+/// Half of the zones are evacuated, the own one among them.
+#[test]
+fn servers_are_found_beside_those_that_may_not_be_used() {
+    let directory = fleet(5_000);
+    let usable = |server: &ServerEntry| !["z1", "z2", "z3"].contains(&&*server.zone);
+    for number in 0..50 {
+        let (looked_at, ids) = drawn(&directory, number << 58, &usable);
+        assert!(ids.len() >= 16, "{} drawn", ids.len());
+        assert!(looked_at <= WEIGHED_WHOLE, "{looked_at}");
+    }
+}
+
+#[test]
+fn a_key_draws_nearly_the_same_while_servers_come_and_go() {
+    let mut directory = fleet(2_000);
+    let before: BTreeSet<String> = drawn(&directory, 7 << 60, &|_| true)
+        .1
+        .into_iter()
+        .collect();
+    for number in 0..400 {
+        directory.insert(server(number * 10, true), 100_000 + number as u64);
+        directory.insert(server(10_000 + number, false), 200_000 + number as u64);
+    }
+    let after: BTreeSet<String> = drawn(&directory, 7 << 60, &|_| true)
+        .1
+        .into_iter()
+        .collect();
+    let same = before.intersection(&after).count();
+    assert!(same * 2 > before.len(), "{same} of {}", before.len());
+}
+
+#[test]
+fn arcs_divide_the_order_and_each_is_gone_through_once() {
+    let directory = fleet(1_000);
+    let all = &directory.serving("service0").expect("servers").all;
+    for count in [1, 3, 16, 100] {
+        let mut seen = BTreeSet::new();
+        for index in 0..count {
+            let arc = Arc::of(index, count);
+            let ids: Vec<&str> = all.from(arc, u64::MAX / 3).map(|s| &*s.id).collect();
+            assert!(ids.iter().all(|id| arc.contains(place(id))));
+            let size = ids.len();
+            seen.extend(ids);
+            let even = 1_000 / count as usize;
+            assert!(
+                count > 16 || size > even / 2 && size < even * 2,
+                "{size} of {even}"
+            );
+        }
+        assert_eq!(seen.len(), 1_000, "{count} arcs");
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(usize, bool),
+    Remove(usize),
+    Retain(usize),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let which = usize::arbitrary(g) % 24;
+        match u8::arbitrary(g) % 8 {
+            0 => Self::Retain(which),
+            1 | 2 => Self::Remove(which),
+            _ => Self::Put(which, u8::arbitrary(g) % 4 == 0),
+        }
+    }
+}
+
+/// The servers of a service are those that take work, whatever came in which order.
+fn is_whole(steps: Vec<Step>) -> bool {
+    let mut directory = Directory::default();
+    let mut oracle: BTreeMap<usize, bool> = BTreeMap::new();
+    steps.into_iter().enumerate().all(|(at, step)| {
+        let revision = at as u64 + 1;
+        match step {
+            Step::Put(which, draining) => {
+                directory.insert(server(which, draining), revision);
+                // Leaving is final while the name is known.
+                let known = oracle.entry(which).or_insert(draining);
+                *known |= draining;
+            }
+            Step::Remove(which) => {
+                directory.remove(&format!("s{which}"), revision);
+                oracle.remove(&which);
+            }
+            Step::Retain(below) => {
+                let is_listed = |name: &str| name[1..].parse::<usize>().is_ok_and(|n| n < below);
+                directory.retain(&is_listed, revision);
+                oracle.retain(|which, _| *which < below);
+            }
+        }
+        ["service0", "service1"].iter().all(|service| {
+            let wanted: BTreeSet<String> = oracle
+                .iter()
+                .filter(|(which, draining)| {
+                    !**draining && server(**which, false).service == *service
+                })
+                .map(|(which, _)| format!("s{which}"))
+                .collect();
+            let Some(serving) = directory.serving(service) else {
+                return wanted.is_empty();
+            };
+            let all: BTreeSet<String> = serving
+                .all
+                .from(Arc::WHOLE, 9)
+                .map(|s| s.id.clone())
+                .collect();
+            let by_zone: BTreeSet<String> = serving
+                .zones
+                .iter()
+                .flat_map(|(zone, ring)| ring.from(Arc::WHOLE, 9).filter(move |s| s.zone == *zone))
+                .map(|s| s.id.clone())
+                .collect();
+            all == wanted && by_zone == wanted
+        })
+    })
+}
+
+#[test]
+fn servers_of_a_service_are_those_that_take_work() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 3))
+        .tests(500)
+        .quickcheck(is_whole as fn(Vec<Step>) -> bool);
+}
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -111,7 +111,8 @@
     directory.insert(server("a", "z1"), 1);
     directory.insert(server("a", "z1"), 3);
     assert!(!directory.takes_work("a"));
-    assert_eq!(directory.serving("chat").count(), 0);
+    let serving = directory.serving("chat");
+    assert!(serving.is_none_or(|serving| serving.all.is_empty()));
 }
 
 /// An incarnation of server `a`.
