Readers: a few daemons of each zone read the followed topics for the others

Cause: servers' entries are some 240 bytes; ten thousand of them, 390 changes a second and a configuration of 60 KB, read by each of 985 daemons, are more than the log's 80 MB a second.

Once servers are many (400), two daemons of each zone take places in the topic of claims and read; the others ask them for records and listings, compressed, with the age of what they know, and turn to the reader of another zone or to the log where none answers; a whole listing is asked of the log only after 3 to 5 s without a reader, spread. Places outlive their holders: after the loss of all power the same addresses read again. A listing is read on from the page that failed, and lines of an update are bounded. A daemon is ready once it has listed the servers.

Tests: fuzz of mirror and asker against the topic; gateways whose readers fall silent, are refused, stop, are lost; calls of askers counted.

--- a/crates/emulator/src/log/core.rs
+++ b/crates/emulator/src/log/core.rs
@@ -201,6 +201,7 @@
             end: self.end(),
             next: from + records.len() as u64,
             records,
+            age_ms: 0,
         })
     }
 
@@ -226,6 +227,7 @@
             more_after: last.filter(|_| more),
             records,
             end: self.end(),
+            age_ms: 0,
         }
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::places::Places;
+use crate::relay::{self, Relay};
 use crate::serve::answer_times::AnswerTimes;
 use crate::settings::GatewaySettings;
 use crate::upstream::pool::Pools;
@@ -48,8 +49,8 @@
     pub settings: GatewaySettings,
     /// Spelling of requests.
     pub dialect: Rc<dyn Dialect>,
-    /// The log service.
-    pub store: Rc<dyn LogStore>,
+    /// The log service, as it is followed.
+    pub relay: Rc<Relay>,
     /// Topics of the platform.
     pub topics: Topics,
     /// Contact with the log service.
@@ -62,6 +63,8 @@
     pub places: Rc<Places>,
     /// Servers that are cold.
     pub cold: Rc<ColdServers>,
+    /// Whether all servers were read once: before that most requests would find none.
+    pub servers_listed: Cell<bool>,
     /// Known servers.
     pub directory: Rc<RefCell<Directory>>,
     /// How long answers take.
@@ -126,8 +129,14 @@
             cold.clone(),
             settings.partitions,
         );
+        let relay = Rc::new(Relay::new(
+            adapter.store,
+            &settings,
+            &adapter.topics,
+            adapter.metrics.clone(),
+        ));
         let owner = Owner::new(
-            adapter.store.clone(),
+            relay.clone(),
             adapter.contact.clone(),
             adapter.metrics.clone(),
             &settings,
@@ -140,13 +149,14 @@
         Rc::new(Self {
             settings,
             dialect: adapter.dialect,
-            store: adapter.store,
+            relay,
             topics: adapter.topics,
             contact: adapter.contact,
             routes: RefCell::new(None),
             routes_changed: Notify::new(),
             places,
             cold,
+            servers_listed: Cell::new(false),
             directory,
             answer_times: AnswerTimes::default(),
             pauses: AnswerTimes::default(),
@@ -201,7 +211,8 @@
     /// Whether new clients should come here.
     pub fn is_ready(&self) -> bool {
         let better_elsewhere = self.ledger.reach.get().others_are_better_off();
-        self.routes.borrow().is_some() && !self.is_stopping() && !better_elsewhere
+        let knows_all = self.routes.borrow().is_some() && self.servers_listed.get();
+        knows_all && !self.is_stopping() && !better_elsewhere
     }
 
     /// Whether a planned stop is under way.
@@ -241,6 +252,7 @@
         ntex::rt::spawn(crate::follow::config::run_peers(self.clone()));
         ntex::rt::spawn(crate::follow::servers::run(self.clone()));
         ntex::rt::spawn(self.owner.claims.clone().run_follow());
+        ntex::rt::spawn(relay::places::run(self.clone()));
         let patience = self.owner.patience();
         ntex::rt::spawn(self.owner.claims.clone().run_unowned(patience));
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -42,12 +42,12 @@
     };
     let known = daemon.owner.config.clone();
     let mut follower = Follower::new(
-        daemon.store.clone(),
+        daemon.relay.clone(),
         daemon.contact.clone(),
         partition,
         super::wait::of_config(&daemon.settings),
     )
-    .on_answer(Box::new(move || known.confirm(0)));
+    .on_answer(Box::new(move |age_ms| known.confirm(age_ms)));
     loop {
         let (records, is_listing) = match follower.next_update().await {
             Update::Listing(records) => (records, true),
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -30,7 +30,7 @@
         number: 0,
     };
     let mut follower = Follower::new(
-        daemon.store.clone(),
+        daemon.relay.clone(),
         daemon.contact.clone(),
         partition,
         super::wait::of_servers(&daemon.settings, PAUSE),
@@ -38,8 +38,10 @@
     loop {
         match follower.next_update().await {
             Update::Listing(records) => take_listing(&daemon, &records, follower.position()),
-            Update::Records(records) => take_all(&daemon, &records),
+            Update::Records(records) => Changes::new(&daemon).take_all(&records),
         }
+        let known = daemon.directory.borrow().len();
+        daemon.relay.note_servers(known);
         sleep(PAUSE).await;
     }
 }
@@ -47,40 +49,138 @@
 /// Takes in all entries that there are, read where the topic ended at `end`.
 fn take_listing(daemon: &Daemon, records: &[(u64, KeyedRecord)], end: u64) {
     let listed: HashSet<Cow<'_, str>> = records.iter().map(|(_, record)| name_of(record)).collect();
+    let mut changes = Changes::new(daemon);
     let gone = daemon
         .directory
         .borrow_mut()
         .retain(&|name| listed.contains(name), end);
     for id in gone {
         daemon.cold.forget(&id);
-        tracing::info!(event = "server_gone", server = id, cause = "not listed");
+        changes.gone(&id, "not listed", end);
     }
-    take_all(daemon, records);
+    changes.take_all(records);
     daemon.cold.listed();
+    daemon.servers_listed.set(true);
+    tracing::info!(event = "servers_listed", listed = records.len(), end);
 }
 
-fn take_all(daemon: &Daemon, records: &[(u64, KeyedRecord)]) {
-    let mut foreign = Report::new(FOREIGN, &daemon.metrics);
-    for (offset, record) in records {
-        take(daemon, *offset, record, &mut foreign);
-    }
+/// Changes that are named of one update, a line each; of the rest their numbers are said. A
+/// listing of a fleet brings thousands.
+const MOST_NAMED: u32 = 20;
+
+/// What one update changes, and says.
+struct Changes<'a> {
+    daemon: &'a Daemon,
+    foreign: Report<'a>,
+    known: u32,
+    gone: u32,
 }
 
-fn take(daemon: &Daemon, offset: u64, record: &KeyedRecord, foreign: &mut Report<'_>) {
-    let name = name_of(record);
-    if record.value.is_empty() {
-        remove(daemon, &name, offset, "removed");
-        return;
+impl<'a> Changes<'a> {
+    fn new(daemon: &'a Daemon) -> Self {
+        Self {
+            daemon,
+            foreign: Report::new(FOREIGN, &daemon.metrics),
+            known: 0,
+            gone: 0,
+        }
+    }
+
+    fn take_all(&mut self, records: &[(u64, KeyedRecord)]) {
+        for (offset, record) in records {
+            self.take(*offset, record);
+        }
+    }
+
+    fn take(&mut self, offset: u64, record: &KeyedRecord) {
+        let name = name_of(record);
+        if record.value.is_empty() {
+            self.remove(&name, offset, "removed");
+            return;
+        }
+        let is_news = self.daemon.directory.borrow().is_news(&name, offset);
+        match read(self.daemon, record) {
+            Ok(entry) => self.take_entry(&name, entry, offset),
+            Err(problem) if is_news => {
+                self.foreign.add(&record.key, Some(offset), &problem);
+                self.remove(&name, offset, "unreadable");
+            }
+            // It was said when it was new.
+            Err(_) => {}
+        }
+    }
+
+    fn take_entry(&mut self, name: &str, entry: ServerEntry, offset: u64) {
+        let daemon = self.daemon;
+        let former = daemon
+            .directory
+            .borrow()
+            .identity_of(name)
+            .map(str::to_owned);
+        let id = entry.id.clone();
+        let told = entry.clone();
+        let change = daemon.directory.borrow_mut().insert(entry, offset);
+        let is_in_force = daemon.directory.borrow().identity_of(name) == Some(&id);
+        if !is_in_force {
+            return;
+        }
+        daemon.cold.told(&told);
+        if let Some(former) = former.filter(|_| change == DirectoryChange::Restarted) {
+            daemon.cold.forget(&former);
+            tracing::info!(event = "server_restarted", server = id, former, offset);
+        }
+        if change != DirectoryChange::Unchanged {
+            self.known(&told, offset);
+        }
     }
-    let is_news = daemon.directory.borrow().is_news(&name, offset);
-    match read(daemon, record) {
-        Ok(entry) => take_entry(daemon, &name, entry, offset),
-        Err(problem) if is_news => {
-            foreign.add(&record.key, Some(offset), &problem);
-            remove(daemon, &name, offset, "unreadable");
+
+    /// Says a server that is new, or has begun to leave.
+    fn known(&mut self, server: &ServerEntry, offset: u64) {
+        self.known += 1;
+        if self.known > MOST_NAMED {
+            return;
+        }
+        tracing::info!(
+            event = "server_known",
+            server = server.id,
+            service = server.service,
+            address = %server.address,
+            zone = server.zone,
+            draining = server.draining,
+            cold_ms = server.cold_ms,
+            offset,
+        );
+    }
+
+    /// A name has no server any more.
+    fn remove(&mut self, name: &str, offset: u64, cause: &'static str) {
+        let removed = self.daemon.directory.borrow_mut().remove(name, offset);
+        if let Some(id) = removed {
+            self.daemon.cold.forget(&id);
+            self.gone(&id, cause, offset);
+        }
+    }
+
+    /// Says a server that is gone.
+    fn gone(&mut self, id: &str, cause: &'static str, offset: u64) {
+        self.gone += 1;
+        if self.gone <= MOST_NAMED {
+            tracing::info!(event = "server_gone", server = id, cause, offset);
+        }
+    }
+}
+
+impl Drop for Changes<'_> {
+    fn drop(&mut self) {
+        let known = self.known.saturating_sub(MOST_NAMED);
+        let gone = self.gone.saturating_sub(MOST_NAMED);
+        if known + gone > 0 {
+            tracing::info!(
+                event = "servers_changed",
+                unnamed_known = known,
+                unnamed_gone = gone
+            );
         }
-        // It was said when it was new.
-        Err(_) => {}
     }
 }
 
@@ -94,47 +194,3 @@
     let name = std::str::from_utf8(&record.key).map_err(|_| "its name is no text".to_owned())?;
     daemon.dialect.server_entry(name, &record.value)
 }
-
-fn take_entry(daemon: &Daemon, name: &str, entry: ServerEntry, offset: u64) {
-    let former = daemon
-        .directory
-        .borrow()
-        .identity_of(name)
-        .map(str::to_owned);
-    let id = entry.id.clone();
-    let (service, address) = (entry.service.clone(), entry.address);
-    let (zone, cold_ms) = (entry.zone.clone(), entry.cold_ms);
-    let draining = entry.draining;
-    let told = entry.clone();
-    let change = daemon.directory.borrow_mut().insert(entry, offset);
-    let is_in_force = daemon.directory.borrow().identity_of(name) == Some(&id);
-    if !is_in_force {
-        return;
-    }
-    daemon.cold.told(&told);
-    if let Some(former) = former.filter(|_| change == DirectoryChange::Restarted) {
-        daemon.cold.forget(&former);
-        tracing::info!(event = "server_restarted", server = id, former, offset);
-    }
-    if change != DirectoryChange::Unchanged {
-        tracing::info!(
-            event = "server_known",
-            server = id,
-            service,
-            %address,
-            zone,
-            draining,
-            cold_ms,
-            offset,
-        );
-    }
-}
-
-/// A name has no server any more.
-fn remove(daemon: &Daemon, name: &str, offset: u64, cause: &'static str) {
-    let Some(id) = daemon.directory.borrow_mut().remove(name, offset) else {
-        return;
-    };
-    daemon.cold.forget(&id);
-    tracing::info!(event = "server_gone", server = id, cause, offset);
-}
--- a/crates/gateway/src/ledger/owned.rs
+++ b/crates/gateway/src/ledger/owned.rs
@@ -44,7 +44,9 @@
             | LedgerRequest::Config(_)
             | LedgerRequest::Quota(_)
             | LedgerRequest::Cold(_)
-            | LedgerRequest::Claim(_) => {}
+            | LedgerRequest::Claim(_)
+            | LedgerRequest::Follow(_)
+            | LedgerRequest::List(_) => {}
         }
     }
 
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -8,6 +8,7 @@
 use crate::follow::known::Known;
 use crate::metrics::Metrics;
 use crate::places::Places;
+use crate::relay::Relay;
 use crate::settings::{GatewaySettings, Quota};
 use fieldhook_ledger::message::{
     ClaimPartition, KnownOwner, LedgerReply, LedgerRequest, QuotaMatter, QuotaQuestion,
@@ -43,6 +44,7 @@
 pub struct Owner {
     /// Who owns what.
     pub claims: Rc<Claims>,
+    relay: Rc<Relay>,
     pub(super) store: Rc<dyn LogStore>,
     pub(super) contact: Rc<Contact>,
     pub(super) metrics: Rc<Metrics>,
@@ -67,7 +69,7 @@
 impl Owner {
     /// An owner of nothing.
     pub fn new(
-        store: Rc<dyn LogStore>,
+        relay: Rc<Relay>,
         contact: Rc<Contact>,
         metrics: Rc<Metrics>,
         settings: &GatewaySettings,
@@ -75,6 +77,7 @@
         incarnation: u64,
     ) -> Rc<Self> {
         let places = assigner.places.clone();
+        let store: Rc<dyn LogStore> = relay.clone();
         let claims = Claims::new(
             store.clone(),
             contact.clone(),
@@ -86,6 +89,7 @@
         claims.eligibility.set(eligibility(places.clone()));
         let owner = Rc::new(Self {
             claims: Rc::new(claims),
+            relay,
             store,
             contact,
             metrics,
@@ -156,6 +160,18 @@
             LedgerRequest::Claim(claim) => {
                 ntex::rt::spawn(claim_for_another(self.clone(), claim, sender));
             }
+            LedgerRequest::Follow(question) => {
+                let relay = self.relay.clone();
+                ntex::rt::spawn(async move {
+                    let _ = sender.send(relay.answer_follow(&question).await);
+                });
+            }
+            LedgerRequest::List(question) => {
+                let relay = self.relay.clone();
+                ntex::rt::spawn(async move {
+                    let _ = sender.send(relay.answer_list(&question).await);
+                });
+            }
             LedgerRequest::Quota(question) => self.handle_quota(partition, &question, &sender),
             LedgerRequest::Cold(question) => {
                 ntex::rt::spawn(cold::answer(self.clone(), partition, question, sender));
--- a/crates/gateway/src/ledger/peer.rs
+++ b/crates/gateway/src/ledger/peer.rs
@@ -239,6 +239,20 @@
         Ok(connection)
     }
 
+    /// Asks a daemon and waits for its first answer; `None` where none comes in time.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        question: &LedgerRequest,
+        limit: Duration,
+    ) -> Option<LedgerReply> {
+        let exchange = async {
+            let connection = self.connection(address).await.ok()?;
+            connection.call(question.clone()).recv().await
+        };
+        timeout(limit, exchange).await.ok().flatten()
+    }
+
     fn known(&self, address: SocketAddr) -> Option<Rc<PeerConnection>> {
         let known = self.connections.borrow().get(&address).cloned();
         known.filter(|connection| !connection.closed.get())
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -117,11 +117,7 @@
         question: &LedgerRequest,
         limit: Duration,
     ) -> Option<LedgerReply> {
-        let exchange = async {
-            let connection = self.peers.connection(address).await.ok()?;
-            connection.call(question.clone()).recv().await
-        };
-        timeout(limit, exchange).await.ok().flatten()
+        self.peers.ask(address, question, limit).await
     }
 
     /// Asks some daemons whether the log answers them.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`places`]: zones, and which are evacuated.
 //! - [`cold`]: servers that bear only a few requests for now.
 //! - [`memory`]: what is held for peers that are slow to read.
+//! - [`relay`]: the log, read through a few daemons of each zone where its topics are long.
 //! - [`ledger`]: owners of partitions and the gateways that ask them.
 //! - [`upstream`]: connections to servers.
 //! - [`serve`]: clients' connections and requests.
@@ -31,6 +32,7 @@
 pub mod metrics;
 pub mod places;
 pub mod probes;
+pub mod relay;
 pub mod serve;
 pub mod settings;
 pub mod store_exchange;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub connections: IntCounter,
     /// Calls to the log service by kind.
     pub store_calls: IntCounterVec,
+    /// Questions to readers of followed topics, by outcome.
+    pub relayed: IntCounterVec,
     /// Partitions owned.
     pub partitions_owned: IntGauge,
     /// Version of the configuration in force.
@@ -157,6 +159,11 @@
             ),
             connections: b.counter("fieldhook_server_connections_total", "Connections opened"),
             store_calls: b.counters("fieldhook_store_calls_total", "Log service calls", "kind"),
+            relayed: b.counters(
+                "fieldhook_relayed_reads_total",
+                "Questions to readers of followed topics",
+                "outcome",
+            ),
             partitions_owned: b.gauge("fieldhook_partitions_owned", "Partitions owned"),
             config_version: b.gauge("fieldhook_config_version", "Configuration in force"),
             lines_dropped: b.gauge("fieldhook_log_lines_dropped", "Log lines dropped"),
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,475 @@
+//! The followed topics, read through a few daemons of each zone where they are long.
+//!
+//! [`Relay`] is the log service as the rest of a daemon sees it. Where servers are so many that
+//! all daemons together would read more than the log sends, it asks the readers of its zone for
+//! what it would read itself; where it is a reader, it reads the log and answers the others
+//! ([`reading`]). Nothing that is appended goes another way, nor the claims that an append depends
+//! on. docs/design/fleet.md tells what was weighed, and how late anything may be.
+//!
+//! - [`packed`]: records as they go from daemon to daemon.
+//! - [`places`]: becoming a reader.
+//! - [`reading`]: answering those who ask.
+
+pub mod packed;
+pub mod places;
+pub mod reading;
+
+use crate::dialect::Topics;
+use crate::ledger::owner::OWNERS_TOPIC;
+use crate::ledger::peer::Peers;
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+use fieldhook_ledger::message::{FollowTopic, LedgerReply, LedgerRequest, ListTopic, TopicRecords};
+use fieldhook_log::api::{
+    Append, Appended, KeyedRecord, LogStore, NewestPage, Partition, ReadBatch, StoreError, Trim,
+};
+use fieldhook_log::asker::Asker;
+use fieldhook_log::readers::Readers;
+use fieldhook_traffic::assignment::prefix_hash;
+use futures_util::future::LocalBoxFuture;
+use reading::{Reading, Topic};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+
+/// Servers from which on daemons read through readers. They nearly fill a page of a listing, so
+/// that below it asking saves nothing, and a fleet that has so many has hundreds of daemons.
+const MANY_SERVERS: usize = 400;
+/// Records that the topic of servers has had, which stand for so many servers where a daemon
+/// that starts has none listed yet: each is written a few times in its life.
+const LONG_TOPIC: u64 = 2_000;
+/// Behind this key no server stands: a listing from there tells the end of its topic alone.
+const LAST_KEY: &[u8] = b"~~~~";
+/// How long the first listing waits for the claims, which say whether there are readers.
+const CLAIMS_PATIENCE: Duration = Duration::from_millis(30);
+/// Longest time that a reader holds a question. What it tells is confirmed by each answer, so
+/// this is well within the time in which a change has to be in force (2 s on the smallest sheet).
+const HOLD: Duration = Duration::from_millis(800);
+/// An answer that comes later than its hold and this is not waited for.
+const ANSWER_SLACK: Duration = Duration::from_millis(300);
+/// How long a page of a listing is waited for. A reader that has just started reads the topic
+/// itself first.
+const PAGE_LIMIT: Duration = Duration::from_millis(900);
+/// What a reader knows is older than this where the log does not answer it: one read and its
+/// slack.
+pub const MOST_AGE_MS: u64 = 1_600;
+
+/// How a daemon reads followed topics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    /// From the log: nobody needs another to read for it.
+    Alone,
+    /// From the log, and answers the others of its zone.
+    Reader,
+    /// From readers.
+    Asker,
+}
+
+/// The log service, read through readers where its topics are long.
+pub struct Relay {
+    log: Rc<dyn LogStore>,
+    zone: String,
+    address: SocketAddr,
+    /// Topic of servers, whose length decides.
+    servers: String,
+    /// Topic of the configuration.
+    config: String,
+    peers: Peers,
+    readers: RefCell<Readers>,
+    asker: RefCell<Asker>,
+    reading: Reading,
+    /// Whether servers are many.
+    is_long: Cell<bool>,
+    /// It answers nobody any more: the process is about to end.
+    is_mute: Cell<bool>,
+    claims_listed: Cell<bool>,
+    claims_were_listed: Notify,
+    metrics: Rc<Metrics>,
+    started: Instant,
+}
+
+impl Relay {
+    /// A relay in front of the log service.
+    pub fn new(
+        log: Rc<dyn LogStore>,
+        settings: &GatewaySettings,
+        topics: &Topics,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        Self {
+            log,
+            zone: settings.zone.clone(),
+            address: settings.peers,
+            servers: topics.servers.clone(),
+            config: topics.config.clone(),
+            peers: Peers::default(),
+            readers: RefCell::default(),
+            asker: RefCell::new(Asker::new(fastrand::u64(..))),
+            reading: Reading::default(),
+            is_long: Cell::new(false),
+            is_mute: Cell::new(false),
+            claims_listed: Cell::new(false),
+            claims_were_listed: Notify::new(),
+            metrics,
+            started: Instant::now(),
+        }
+    }
+
+    /// So many servers are known.
+    pub fn note_servers(&self, count: usize) {
+        if count >= MANY_SERVERS && !self.is_long.replace(true) {
+            tracing::info!(event = "servers_are_many", count);
+        }
+    }
+
+    /// Whether daemons read through readers.
+    pub fn is_shared(&self) -> bool {
+        self.is_long.get() || !self.readers.borrow().is_empty()
+    }
+
+    /// Whether this daemon reads for others.
+    pub fn is_reader(&self) -> bool {
+        self.readers.borrow().is_reader(&self.zone, self.address)
+    }
+
+    /// Answers nobody from now on: those who ask turn to the other reader of their zone, and not
+    /// only once this process is gone.
+    pub fn stop_answering(&self) {
+        self.is_mute.set(true);
+    }
+
+    fn role(&self) -> Role {
+        match self.is_shared() {
+            false => Role::Alone,
+            true if self.is_reader() => Role::Reader,
+            true => Role::Asker,
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn is_followed(&self, topic: &str) -> bool {
+        topic == self.servers || topic == self.config || topic == OWNERS_TOPIC
+    }
+
+    /// Takes in who reads for others, from records of the topic of claims.
+    fn note_readers<'a>(&self, records: impl Iterator<Item = (u64, &'a KeyedRecord)>) {
+        for (offset, record) in records {
+            if self.readers.borrow_mut().take(offset, record) {
+                let key = String::from_utf8_lossy(&record.key);
+                let reader = String::from_utf8_lossy(&record.value);
+                tracing::info!(event = "reader_known", place = %key.escape_debug(), %reader, offset);
+            }
+        }
+    }
+
+    async fn append_call(&self, append: Append) -> Result<Appended, StoreError> {
+        let is_claim = append.partition.topic == OWNERS_TOPIC;
+        let records = match is_claim {
+            true => append.records.clone(),
+            false => Vec::new(),
+        };
+        let appended = self.log.append(append).await?;
+        self.note_readers((appended.offset..).zip(&records));
+        Ok(appended)
+    }
+
+    async fn newest_call(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        if partition.topic == OWNERS_TOPIC {
+            return self.list_claims(partition, after, limit).await;
+        }
+        if !self.is_followed(&partition.topic) {
+            return self.log.newest(partition, after, limit).await;
+        }
+        if after.is_none() {
+            self.learn_role(&partition.topic, limit).await?;
+        }
+        match self.role() {
+            Role::Alone => self.log.newest(partition, after, limit).await,
+            Role::Reader => self.list_for_others(partition, after, limit).await,
+            Role::Asker => self.ask_for_page(partition, after, limit).await,
+        }
+    }
+
+    /// Lists the claims. Whoever makes one has to know what the log itself holds.
+    async fn list_claims(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        let page = self.log.newest(partition, after.clone(), limit).await?;
+        self.note_readers(
+            page.records
+                .iter()
+                .map(|(offset, record)| (*offset, record)),
+        );
+        self.reading
+            .topic(OWNERS_TOPIC)
+            .take_page(after.as_deref(), &page);
+        if page.more_after.is_none() {
+            self.claims_listed.set(true);
+            self.claims_were_listed.notify_waiters();
+        }
+        Ok(page)
+    }
+
+    /// Learns whether this daemon reads by itself: the claims name readers where any read for
+    /// others, and where none do yet, the length of the topic of servers decides.
+    async fn learn_role(&self, topic: &str, limit: Duration) -> Result<(), StoreError> {
+        if !self.claims_listed.get() {
+            let listed = self.claims_were_listed.notified();
+            let _ = timeout(CLAIMS_PATIENCE, listed).await;
+        }
+        if self.is_shared() || topic != self.servers {
+            return Ok(());
+        }
+        let place = Partition {
+            topic: self.servers.clone(),
+            number: 0,
+        };
+        let end = self.log.newest(place, Some(LAST_KEY.to_vec()), limit);
+        let end = end.await?.end;
+        if end >= LONG_TOPIC && !self.is_long.replace(true) {
+            tracing::info!(event = "servers_are_many", end);
+        }
+        Ok(())
+    }
+
+    async fn list_for_others(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        let topic = self.reading.topic(&partition.topic);
+        let page = self.log.newest(partition, after.clone(), limit).await?;
+        topic.take_page(after.as_deref(), &page);
+        Ok(page)
+    }
+
+    async fn ask_for_page(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<NewestPage, StoreError> {
+        let question = LedgerRequest::List(ListTopic {
+            topic: partition.topic.clone(),
+            after: after.clone(),
+        });
+        match self.ask(&question, PAGE_LIMIT).await {
+            Some(Told::Records(told, records)) => Ok(NewestPage {
+                records,
+                more_after: told.more_after,
+                end: told.end,
+                age_ms: told.age_ms,
+            }),
+            Some(Told::Gone(first)) => Err(StoreError::Gone(first)),
+            None if self.asker.borrow().may_list(self.now_ms()) => {
+                self.log.newest(partition, after, limit).await
+            }
+            None => Err(StoreError::NotDone),
+        }
+    }
+
+    async fn read_call(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        let is_claims = partition.topic == OWNERS_TOPIC;
+        let catches_up = is_claims && wait.is_zero();
+        let role = match self.is_followed(&partition.topic) && !catches_up {
+            true => self.role(),
+            false => Role::Alone,
+        };
+        let batch = match role {
+            Role::Alone => self.log.read(partition, from, wait, limit).await?,
+            Role::Reader => self.read_for_others(partition, from, wait, limit).await?,
+            Role::Asker => match self.ask_behind(&partition.topic, from, wait).await? {
+                Some(batch) => batch,
+                None => self.log.read(partition, from, wait, limit).await?,
+            },
+        };
+        if is_claims {
+            self.note_readers(
+                batch
+                    .records
+                    .iter()
+                    .map(|(offset, record)| (*offset, record)),
+            );
+        }
+        Ok(batch)
+    }
+
+    /// Reads the log, for the others as well. While it does not answer, another reader may have
+    /// heard from it; nothing that one tells is told on.
+    async fn read_for_others(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        let topic = self.reading.topic(&partition.topic);
+        if !topic.is_whole() {
+            return Err(StoreError::Gone(from));
+        }
+        let asked = Instant::now();
+        let wait = wait.min(HOLD);
+        match self.log.read(partition.clone(), from, wait, limit).await {
+            Ok(batch) => {
+                topic.take_batch(from, &batch, asked, wait);
+                Ok(batch)
+            }
+            Err(StoreError::Gone(first)) => {
+                topic.forget();
+                Err(StoreError::Gone(first))
+            }
+            Err(error) => {
+                let told = self.ask_behind(&partition.topic, from, Duration::ZERO);
+                told.await?.ok_or(error)
+            }
+        }
+    }
+
+    /// What readers know behind an offset; `None` where none answers.
+    async fn ask_behind(
+        &self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Option<ReadBatch>, StoreError> {
+        let wait = wait.min(HOLD);
+        let question = LedgerRequest::Follow(FollowTopic {
+            topic: topic.to_owned(),
+            from,
+            wait_ms: wait.as_millis() as u64,
+        });
+        match self.ask(&question, wait + ANSWER_SLACK).await {
+            Some(Told::Records(told, records)) => Ok(Some(ReadBatch {
+                end: told.end,
+                records,
+                next: told.next,
+                age_ms: told.age_ms,
+            })),
+            Some(Told::Gone(first)) => Err(StoreError::Gone(first)),
+            None => Ok(None),
+        }
+    }
+
+    /// Asks readers one after another until one knows.
+    async fn ask(&self, question: &LedgerRequest, limit: Duration) -> Option<Told> {
+        for reader in self.candidates() {
+            let reply = self.peers.ask(reader, question, limit).await;
+            match told(reply) {
+                Ok(told) => {
+                    self.asker.borrow_mut().answered(reader);
+                    self.count("answered");
+                    return Some(told);
+                }
+                Err(cause) => {
+                    if cause == SILENT {
+                        self.peers.forget(reader);
+                    }
+                    self.count(cause);
+                    tracing::info!(event = "reader_passed_over", %reader, cause);
+                    self.asker.borrow_mut().failed(reader, self.now_ms());
+                }
+            }
+        }
+        self.count("alone");
+        self.asker.borrow_mut().is_alone(self.now_ms());
+        None
+    }
+
+    /// Readers in the order in which this daemon asks them: each asks another one first.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let readers = self.readers.borrow();
+        let rank = |reader: &SocketAddr| prefix_hash(&format!("{} {reader}", self.address));
+        let in_order = |mut of: Vec<SocketAddr>| {
+            of.retain(|reader| *reader != self.address);
+            of.sort_by_key(rank);
+            of
+        };
+        let near = in_order(readers.of_zone(&self.zone).map(|(_, at)| at).collect());
+        let far = in_order(readers.elsewhere(&self.zone).collect());
+        let asker = self.asker.borrow();
+        asker.candidates(&near, &far, self.now_ms())
+    }
+
+    fn count(&self, outcome: &str) {
+        self.metrics.relayed.with_label_values(&[outcome]).inc();
+    }
+}
+
+/// Why an answer is of no use that did not come.
+const SILENT: &str = "silent";
+
+/// What a reader told.
+enum Told {
+    Records(TopicRecords, Vec<(u64, KeyedRecord)>),
+    Gone(u64),
+}
+
+/// What an answer tells, or why it is of no use.
+fn told(reply: Option<LedgerReply>) -> Result<Told, &'static str> {
+    match reply {
+        Some(LedgerReply::Topic(told)) if told.age_ms > MOST_AGE_MS => Err("too_old"),
+        Some(LedgerReply::Topic(told)) => match packed::unpack(&told.packed) {
+            Some(records) => Ok(Told::Records(told, records)),
+            None => Err("unreadable"),
+        },
+        Some(LedgerReply::TopicGone(first)) => Ok(Told::Gone(first)),
+        Some(_) => Err("not_reader"),
+        None => Err(SILENT),
+    }
+}
+
+impl LogStore for Relay {
+    fn append(&self, append: Append) -> LocalBoxFuture<'_, Result<Appended, StoreError>> {
+        Box::pin(self.append_call(append))
+    }
+
+    fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>> {
+        Box::pin(self.read_call(partition, from, wait, timeout))
+    }
+
+    fn newest(
+        &self,
+        partition: Partition,
+        after: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'_, Result<NewestPage, StoreError>> {
+        Box::pin(self.newest_call(partition, after, timeout))
+    }
+
+    fn trim(&self, trim: Trim) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        self.log.trim(trim)
+    }
+}
+
+impl Topic {
+    fn is_whole(&self) -> bool {
+        self.mirror.borrow().is_whole()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/reading.rs
@@ -0,0 +1,182 @@
+//! What a reader keeps of followed topics, and how it answers those who ask.
+
+use super::{HOLD, MOST_AGE_MS, Relay, packed};
+use fieldhook_ledger::message::{FollowTopic, LedgerReply, ListTopic, TopicRecords};
+use fieldhook_log::api::{KeyedRecord, NewestPage, ReadBatch};
+use fieldhook_log::follow::READ_SLACK;
+use fieldhook_log::mirror::{Behind, Mirror};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Pages that are kept packed: those of twenty times the servers of the largest sheet.
+const MOST_PAGES: usize = 400;
+/// How long a listing is held where this daemon has yet to read the topic itself.
+const LIST_HOLD: Duration = Duration::from_millis(600);
+
+/// Topics that are read for others.
+#[derive(Default)]
+pub struct Reading {
+    topics: RefCell<HashMap<String, Rc<Topic>>>,
+}
+
+impl Reading {
+    /// One of them.
+    pub fn topic(&self, name: &str) -> Rc<Topic> {
+        if let Some(topic) = self.topics.borrow().get(name) {
+            return topic.clone();
+        }
+        let mut topics = self.topics.borrow_mut();
+        topics.entry(name.to_owned()).or_default().clone()
+    }
+}
+
+/// A page of a listing, packed once for all who ask for it.
+struct Page {
+    packed: Vec<u8>,
+    end: u64,
+    more_after: Option<Vec<u8>>,
+}
+
+/// A topic as it was read.
+#[derive(Default)]
+pub struct Topic {
+    pub(super) mirror: RefCell<Mirror>,
+    pages: RefCell<HashMap<Option<Vec<u8>>, Rc<Page>>>,
+    /// When the log confirmed last that this is all.
+    confirmed: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl Topic {
+    /// Takes in a page of a listing.
+    pub fn take_page(&self, after: Option<&[u8]>, page: &NewestPage) {
+        self.mirror.borrow_mut().take_page(after, page);
+        if page.more_after.is_none() {
+            self.confirmed.set(Some(Instant::now()));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes in an answer to a read that was asked then, to wait so long. One that lay there while
+    /// this process was stopped is as old as the question.
+    pub fn take_batch(&self, from: u64, batch: &ReadBatch, asked: Instant, wait: Duration) {
+        self.mirror.borrow_mut().take_batch(from, batch);
+        let is_late = asked.elapsed() > wait + READ_SLACK;
+        let confirmed = if is_late { asked } else { Instant::now() };
+        self.confirmed.set(Some(confirmed));
+        self.changed.notify_waiters();
+    }
+
+    /// Nothing of it is known any more.
+    pub fn forget(&self) {
+        self.mirror.replace(Mirror::default());
+    }
+
+    fn age_ms(&self) -> u64 {
+        let confirmed = self.confirmed.get();
+        confirmed.map_or(u64::MAX, |at| at.elapsed().as_millis() as u64)
+    }
+
+    /// When what is known becomes too old to be of use.
+    fn old_at(&self) -> Option<Instant> {
+        Some(self.confirmed.get()? + Duration::from_millis(MOST_AGE_MS))
+    }
+
+    /// A page, packed. It is packed anew once the records that came since are not kept.
+    fn page(&self, after: Option<Vec<u8>>) -> Option<Rc<Page>> {
+        let mirror = self.mirror.borrow();
+        let mut pages = self.pages.borrow_mut();
+        if let Some(page) = pages.get(&after)
+            && mirror.is_whole()
+            && page.end >= mirror.first()
+        {
+            return Some(page.clone());
+        }
+        let fresh = mirror.page(after.as_deref())?;
+        let page = Rc::new(Page {
+            packed: packed::pack(&fresh.records),
+            end: fresh.end,
+            more_after: fresh.more_after,
+        });
+        if pages.len() >= MOST_PAGES {
+            pages.clear();
+        }
+        pages.insert(after, page.clone());
+        Some(page)
+    }
+
+    fn reply(&self, records: &[(u64, KeyedRecord)], from: u64) -> LedgerReply {
+        LedgerReply::Topic(TopicRecords {
+            packed: packed::pack(records),
+            end: self.mirror.borrow().end(),
+            next: records.last().map_or(from, |(offset, _)| offset + 1),
+            more_after: None,
+            age_ms: self.age_ms(),
+        })
+    }
+}
+
+impl Relay {
+    fn answers(&self) -> bool {
+        self.is_reader() && !self.is_mute.get()
+    }
+
+    /// Answers a question for the records behind an offset, once there are some or the asker
+    /// has to hear that there are none.
+    pub async fn answer_follow(&self, question: &FollowTopic) -> LedgerReply {
+        if !self.answers() {
+            return LedgerReply::NotReader;
+        }
+        let topic = self.reading.topic(&question.topic);
+        let hold = Duration::from_millis(question.wait_ms).min(HOLD);
+        let until = Instant::now() + hold;
+        loop {
+            let changed = topic.changed.notified();
+            let behind = topic.mirror.borrow().behind(question.from);
+            let is_over = Instant::now() >= until;
+            match behind {
+                Behind::Records(records) => return topic.reply(&records, question.from),
+                Behind::Gone => return LedgerReply::TopicGone(topic.mirror.borrow().first()),
+                Behind::Nothing if is_over || topic.age_ms() > MOST_AGE_MS => {
+                    return topic.reply(&[], question.from);
+                }
+                Behind::Unread if is_over => return LedgerReply::NotReader,
+                Behind::Nothing | Behind::Unread => {}
+            }
+            let old_at = topic.old_at().filter(|at| *at > Instant::now());
+            let next = old_at.map_or(until, |at| at.min(until));
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(next) => {}
+            }
+        }
+    }
+
+    /// Answers a question for a page of a listing.
+    pub async fn answer_list(&self, question: &ListTopic) -> LedgerReply {
+        if !self.answers() {
+            return LedgerReply::NotReader;
+        }
+        let topic = self.reading.topic(&question.topic);
+        let until = Instant::now() + LIST_HOLD;
+        loop {
+            let changed = topic.changed.notified();
+            if let Some(page) = topic.page(question.after.clone()) {
+                return LedgerReply::Topic(TopicRecords {
+                    packed: page.packed.clone(),
+                    end: page.end,
+                    next: page.end,
+                    more_after: page.more_after.clone(),
+                    age_ms: topic.age_ms(),
+                });
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return LedgerReply::NotReader;
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod readers;
 mod reading;
+mod relay;
 mod reserved_at_home;
 mod room;
 mod slow_peers;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -287,6 +287,41 @@
     }
 }
 
+/// Asks a reader of a followed topic for what stands behind an offset.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FollowTopic {
+    /// Name of the topic.
+    pub topic: String,
+    /// Offset from which on records are wanted.
+    pub from: u64,
+    /// How long to wait for one, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Asks a reader of a followed topic for the newest record of each key.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ListTopic {
+    /// Name of the topic.
+    pub topic: String,
+    /// The page behind this key is wanted.
+    pub after: Option<Vec<u8>>,
+}
+
+/// Records of a followed topic, as a reader knows them.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct TopicRecords {
+    /// The records, packed.
+    pub packed: Vec<u8>,
+    /// Where the topic ends.
+    pub end: u64,
+    /// Where to read on, of records behind an offset.
+    pub next: u64,
+    /// Behind which key the next page begins, of a listing.
+    pub more_after: Option<Vec<u8>>,
+    /// Time since the log confirmed that this is all, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A request of a gateway to an owner.
 #[derive(Clone, Debug, PartialEq, SerBin, DeBin)]
 pub enum LedgerRequest {
@@ -312,6 +347,10 @@
     /// Claim a partition from the owner of this epoch: the sender is cut off the log,
     /// so that it can neither append nor claim, or is of another region.
     Claim(ClaimPartition),
+    /// Tell what stands behind an offset of a followed topic.
+    Follow(FollowTopic),
+    /// Tell the newest records of a followed topic.
+    List(ListTopic),
 }
 
 impl LedgerRequest {
@@ -330,7 +369,7 @@
             Self::Cold(question) => partition_of(&question.server, partitions),
             Self::WhoOwns(partition) => *partition,
             Self::Claim(claim) => claim.partition,
-            Self::HasLog | Self::KeepsLog | Self::Config(_) => 0,
+            Self::HasLog | Self::KeepsLog | Self::Config(_) | Self::Follow(_) | Self::List(_) => 0,
         }
     }
 }
@@ -411,6 +450,13 @@
     /// The owner has not read the partition, and the log does not answer it: nothing was done,
     /// and another owner could do it sooner.
     Unreadable,
+    /// Records of a followed topic.
+    Topic(TopicRecords),
+    /// Records of a followed topic from there on are not kept here any more; the first that are
+    /// have this offset.
+    TopicGone(u64),
+    /// This daemon does not read the topic for others, or not yet.
+    NotReader,
 }
 
 impl LedgerReply {
--- a/crates/log/src/api.rs
+++ b/crates/log/src/api.rs
@@ -77,6 +77,8 @@
     pub records: Vec<(u64, KeyedRecord)>,
     /// Where to read on.
     pub next: u64,
+    /// How old this is, in milliseconds: 0 from the log itself.
+    pub age_ms: u64,
 }
 
 /// Newest records of keys.
@@ -88,6 +90,8 @@
     pub more_after: Option<Vec<u8>>,
     /// End of the partition.
     pub end: u64,
+    /// How old this is, in milliseconds: 0 from the log itself.
+    pub age_ms: u64,
 }
 
 /// Why a call failed.
--- a/crates/log/src/claims.rs
+++ b/crates/log/src/claims.rs
@@ -210,6 +210,32 @@
         Err(ClaimError::NotAppended)
     }
 
+    /// Appends a record that is no claim to the topic, as a claim is: behind all that was read,
+    /// and while it is still wanted after that.
+    ///
+    /// # Errors
+    /// It is not wanted any more, or the log service did not append it.
+    pub async fn append_while(
+        &self,
+        record: KeyedRecord,
+        is_wanted: &dyn Fn() -> bool,
+    ) -> Result<(), ClaimError> {
+        for _ in 0..MOST_ROUNDS {
+            if self.released.get() || !self.is_known() {
+                return Err(ClaimError::NotNow);
+            }
+            if !is_wanted() {
+                return Err(ClaimError::Overtaken);
+            }
+            match self.append(record.clone()).await {
+                Ok(()) => return Ok(()),
+                Err(StoreError::Moved(end)) => self.catch_up(end).await?,
+                Err(_) => return Err(ClaimError::NotAppended),
+            }
+        }
+        Err(ClaimError::NotAppended)
+    }
+
     /// Appends a claim or a release if the topic ends where this daemon read it to: two
     /// claims never both succeed unseen.
     async fn append(&self, record: KeyedRecord) -> Result<(), StoreError> {
--- a/crates/log/src/follow.rs
+++ b/crates/log/src/follow.rs
@@ -1,13 +1,13 @@
 //! Following one compacted partition: the newest of each key, then what comes.
 
-use crate::api::{KeyedRecord, LogStore, Partition, StoreError};
+use crate::api::{KeyedRecord, LogStore, NewestPage, Partition, StoreError};
 use crate::contact::Contact;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Time for one page of a listing. A listing that took longer as a whole is followed by a
-/// read that does not wait.
+/// Time for one page of a listing. One that took longer is followed by a read that does not
+/// wait.
 const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much longer than the wait it asked for a read may take.
 pub const READ_SLACK: Duration = Duration::from_millis(700);
@@ -26,6 +26,34 @@
     Records(Vec<(u64, KeyedRecord)>),
 }
 
+/// A listing as far as it was read. A page that fails is asked for again, and nothing before it:
+/// thousands of keys take many pages, and daemons that begin anew with each failure keep the log
+/// from answering them all.
+#[derive(Default)]
+struct Listing {
+    records: Vec<(u64, KeyedRecord)>,
+    after: Option<Vec<u8>>,
+    /// Where the topic ended for the page that was read from the oldest state. Pages are not a
+    /// snapshot: what came since is read from there.
+    end: Option<u64>,
+    age_ms: u64,
+    /// A page took so long that there may be news by now.
+    is_slow: bool,
+}
+
+impl Listing {
+    fn take(&mut self, page: NewestPage) {
+        let end = self.end.map_or(page.end, |end| end.min(page.end));
+        self.end = Some(end);
+        self.age_ms = self.age_ms.max(page.age_ms);
+        self.records.extend(page.records);
+        self.after = page.more_after;
+    }
+}
+
+/// What is done when all that there is was told, as it was so many milliseconds ago.
+type OnAnswer = Box<dyn Fn(u64)>;
+
 /// Follows a partition.
 pub struct Follower {
     store: Rc<dyn LogStore>,
@@ -37,7 +65,10 @@
     /// A call failed or its answer is old: the next read does not wait, so that it tells soon whether there is
     /// anything new.
     is_behind: bool,
-    on_answer: Option<Box<dyn Fn()>>,
+    listing: Listing,
+    /// How old the last answer was, in milliseconds.
+    age_ms: u64,
+    on_answer: Option<OnAnswer>,
 }
 
 impl Follower {
@@ -56,12 +87,15 @@
             wait,
             pause: FIRST_PAUSE,
             is_behind: false,
+            listing: Listing::default(),
+            age_ms: 0,
             on_answer: None,
         }
     }
 
-    /// Calls this whenever what was told so far is all that there is.
-    pub fn on_answer(mut self, on_answer: Box<dyn Fn()>) -> Self {
+    /// Calls this whenever what was told so far is all that there is, with how old that is, in
+    /// milliseconds.
+    pub fn on_answer(mut self, on_answer: OnAnswer) -> Self {
         self.on_answer = Some(on_answer);
         self
     }
@@ -71,7 +105,7 @@
             return;
         }
         if let Some(on_answer) = &self.on_answer {
-            on_answer();
+            on_answer(self.age_ms);
         }
     }
 
@@ -129,23 +163,21 @@
     }
 
     async fn list(&mut self) -> Result<Vec<(u64, KeyedRecord)>, StoreError> {
-        let asked = Instant::now();
-        let mut all = Vec::new();
-        let mut after = None;
-        // Pages are not a snapshot: read on from where the first one ended.
-        let mut first_end = None;
         loop {
+            let after = self.listing.after.clone();
+            let asked = Instant::now();
             let page = self
                 .store
                 .newest(self.partition.clone(), after, LIST_TIMEOUT)
                 .await?;
-            first_end.get_or_insert(page.end);
-            all.extend(page.records);
-            after = page.more_after;
-            if after.is_none() {
-                self.is_behind = asked.elapsed() > LIST_TIMEOUT;
-                self.next = first_end;
-                return Ok(all);
+            self.listing.is_slow |= asked.elapsed() > LIST_TIMEOUT;
+            self.listing.take(page);
+            if self.listing.after.is_none() {
+                let listing = std::mem::take(&mut self.listing);
+                self.next = listing.end;
+                self.age_ms = listing.age_ms;
+                self.is_behind = listing.is_slow;
+                return Ok(listing.records);
             }
         }
     }
@@ -164,6 +196,7 @@
         // An answer that was taken after the time allowed lay there while this process was
         // stopped: it tells what was, and the next read what is.
         self.is_behind = asked.elapsed() > limit;
+        self.age_ms = batch.age_ms;
         self.next = Some(batch.next);
         Ok(batch.records)
     }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -3,6 +3,8 @@
 //! of the service at hand.
 //!
 //! - [`api`]: the calls and their outcomes.
+//! - [`readers`]: who reads the followed topics for others; [`asker`]: whom these ask;
+//!   [`mirror`]: what a reader keeps for them.
 //! - [`contact`]: when the service last answered.
 //! - [`follow`]: following one compacted partition.
 //! - [`ownership`]: the table of owners.
@@ -19,15 +21,18 @@
 
 pub mod api;
 pub mod appender;
+pub mod asker;
 pub mod claims;
 pub mod contact;
 pub mod eligibility;
 pub mod follow;
 pub mod hedge;
 pub mod lease;
+pub mod mirror;
 pub mod ownership;
 pub mod patience;
 pub mod reach;
+pub mod readers;
 pub mod round_trip;
 pub mod trimmer;
 pub mod wire;
--- a/crates/log/src/wire.rs
+++ b/crates/log/src/wire.rs
@@ -258,6 +258,7 @@
                 end,
                 records: records.into_iter().map(keyed).collect(),
                 next,
+                age_ms: 0,
             }),
             other => Err(other.failure()),
         }
@@ -284,6 +285,7 @@
                 records: records.into_iter().map(keyed).collect(),
                 more_after,
                 end,
+                age_ms: 0,
             }),
             other => Err(other.failure()),
         }
--- a/crates/log/tests/follow.rs
+++ b/crates/log/tests/follow.rs
@@ -43,6 +43,7 @@
                 end: from,
                 records: Vec::new(),
                 next: from,
+                age_ms: 0,
             })
         })
     }
@@ -75,7 +76,7 @@
         let confirmed = Rc::new(RefCell::new(Vec::new()));
         let (calls, seen) = (store.clone(), confirmed.clone());
         let mut follower =
-            Follower::new(store.clone(), contact, partition, WAIT).on_answer(Box::new(move || {
+            Follower::new(store.clone(), contact, partition, WAIT).on_answer(Box::new(move |_| {
                 seen.borrow_mut().push(calls.waits.borrow().len())
             }));
         let updates = Cell::new(0);
