--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -79,8 +79,8 @@
     pub stall_ms: u64,
 }
 
-/// Part of a machine's memory that is held for slow peers: one in this. The smallest machine
-/// has 88 MB, of which the rest of a daemon takes less than half.
+/// Part of a machine's memory that is held for slow peers: one in this. The smallest machine has
+/// 48 MB, of which the rest of a daemon takes about half.
 const HELD_DIVISOR: u64 = 4;
 
 impl SlowPeers {
