Log and count resumed streams with the software versions of their servers

- A server's entry keeps its software version, a text without an order.
- first_event names the version, the resumed attempt and its last event, and server_known the version. stream_continued is new: a stream that goes on at another server within one response. fieldhook_resumed_streams_total counts.

No decision changes.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,8 @@
     pub previous: Option<String>,
     /// Last event that the client received of the stream to resume.
     pub last_event: Option<u64>,
+    /// Attempt of the client that brought the first event of that stream.
+    pub resumes: Option<String>,
     /// API key of the client.
     pub key: Option<ApiKey>,
 }
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -153,6 +153,7 @@
             zone = server.zone,
             draining = server.draining,
             cold_ms = server.cold_ms,
+            software = server.software_version.as_deref(),
             offset,
         );
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub silence: IntCounterVec,
     /// Requests of tenants with a limit, by outcome.
     pub quota: IntCounterVec,
+    /// Requests that resume a stream, by outcome.
+    pub resumed_streams: IntCounterVec,
     /// Servers known to be cold.
     pub cold_servers: IntGauge,
     /// Requests for a permit to use a cold server, by outcome.
@@ -121,6 +123,11 @@
                 "Requests at tenants' limits",
                 "outcome",
             ),
+            resumed_streams: b.counters(
+                "fieldhook_resumed_streams_total",
+                "Requests that resume a stream",
+                "outcome",
+            ),
             cold_servers: b.gauge("fieldhook_cold_servers", "Servers known to be cold"),
             cold_permits: b.counters(
                 "fieldhook_cold_permits_total",
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -111,6 +111,9 @@
                 return forward_other(context, delivery, attempt, writer).await;
             }
             Ok(mut attempt) => {
+                if delivery.head_sent {
+                    log_continuation(context, delivery, &attempt);
+                }
                 let end = forward_events(context, &mut attempt, turn, delivery, writer).await;
                 match end {
                     StreamEnd::Complete => {
@@ -135,6 +138,20 @@
     }
 }
 
+/// Logs that a stream that broke off continues at another server within the same response.
+fn log_continuation(context: &RequestContext, delivery: &Delivery, attempt: &Attempt) {
+    tracing::info!(
+        event = "stream_continued",
+        request = context.meta.id,
+        program = context.meta.program,
+        server = attempt.server.id,
+        software = attempt.server.software_version.as_deref(),
+        last_event = delivery.last_event,
+        events = delivery.events,
+        age_ms = context.age_ms()
+    );
+}
+
 fn is_success(attempt: &Attempt) -> bool {
     (200..300).contains(&attempt.response.head.status)
 }
@@ -242,8 +259,15 @@
             request = context.meta.id,
             program = context.meta.program,
             server = attempt.server.id,
+            software = attempt.server.software_version.as_deref(),
+            resumes = context.meta.resumes,
+            last_event = context.meta.last_event,
             age_ms = context.age_ms()
         );
+        if context.meta.last_event.is_some() {
+            let resumed = &context.daemon.metrics.resumed_streams;
+            resumed.with_label_values(&["placed"]).inc();
+        }
     }
     for event in batch {
         // Counted before it is written, because the client may receive it even if the write fails.
--- a/crates/gateway/tests/gateway/support/dialect.rs
+++ b/crates/gateway/tests/gateway/support/dialect.rs
@@ -40,6 +40,7 @@
             max_tokens: number(headers, "most")?.unwrap_or(0),
             previous: owned("previous"),
             last_event: number(headers, "last-event")?,
+            resumes: owned("resumes"),
             key: headers.text("key").map(ApiKey::new),
             ..RequestMeta::default()
         })
@@ -106,6 +107,7 @@
         let address = words.next().unwrap_or_default();
         let more: Vec<&str> = words.collect();
         let zone = more.iter().find_map(|word| word.strip_prefix("zone="));
+        let version = more.iter().find_map(|word| word.strip_prefix("version="));
         let born = more.iter().find_map(|word| word.strip_prefix("born="));
         Ok(ServerEntry {
             id: identity(id, born.and_then(|born| born.parse().ok())),
@@ -116,6 +118,7 @@
             slots: 4,
             draining: more.contains(&"draining"),
             cold_ms: number_after(&more, "cold="),
+            software_version: version.map(Rc::from),
         })
     }
 }
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -26,6 +26,8 @@
     pub draining: bool,
     /// How much longer the server is cold, in milliseconds, at the time the entry was written.
     pub cold_ms: u64,
+    /// Version of the server's software. Versions have no order. `None` if the entry states none.
+    pub software_version: Option<Rc<str>>,
 }
 
 /// Returns the identity of an incarnation: the server's name, followed by the Unix time of its
--- a/crates/traffic/tests/candidates.rs
+++ b/crates/traffic/tests/candidates.rs
@@ -19,6 +19,7 @@
         slots: 4,
         draining,
         cold_ms: 0,
+        software_version: None,
     }
 }
 
--- a/crates/traffic/tests/servers.rs
+++ b/crates/traffic/tests/servers.rs
@@ -16,6 +16,7 @@
         slots: 4,
         draining: false,
         cold_ms: 0,
+        software_version: None,
     }
 }
 
