Failing tests: streams with events of two software versions

Both ways in which a stream goes on at another server ignore its version: when a client resumes it at another daemon, and when a daemon continues it within one response.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod slow_peers;
 mod store;
+mod stream_versions;
 mod support;
 mod tenants;
 mod turns;
--- a/crates/gateway/tests/gateway/support/client.rs
+++ b/crates/gateway/tests/gateway/support/client.rs
@@ -42,6 +42,25 @@
         self.stream.write_all(bytes).await.expect("sent");
     }
 
+    /// Reads until the body of a chunked response contains `text` and returns what was received of
+    /// the body.
+    pub async fn body_until(&mut self, text: &str) -> String {
+        let read = async {
+            loop {
+                let received = String::from_utf8_lossy(&self.buffer).into_owned();
+                let body = received
+                    .split_once("\r\n\r\n")
+                    .map(|(_, body)| body.to_owned());
+                if let Some(body) = body.filter(|body| body.contains(text)) {
+                    return body;
+                }
+                let read = self.stream.read_buf(&mut self.buffer).await;
+                assert!(read.is_ok_and(|read| read > 0), "closed: {received}");
+            }
+        };
+        timeout(LIMIT, read).await.expect("a body in time")
+    }
+
     /// Returns whether the gateway closes the connection without sending anything.
     pub async fn is_closed(&mut self) -> bool {
         let mut byte = [0; 1];
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -32,9 +32,13 @@
     /// Send a stream of events with these texts, starting after the event that the request names.
     /// Break off within the event with the given number.
     Events(Vec<String>, Option<usize>),
+    /// Send a stream of events with these texts. Break off within the event with the given number,
+    /// unless the request resumes a stream.
+    BreakUnlessResumed(Vec<String>, usize),
     /// Respond with these bytes as the complete body, which need not be valid events.
     RawStream(String),
-    /// Send events with these texts and a pause before each.
+    /// Send events with these texts and a pause before each, starting after the event that the
+    /// request names.
     Paced(Vec<String>, Duration),
     /// Reset the connection this long after reading the request.
     ResetAfter(Duration),
@@ -261,7 +265,7 @@
                 return reset(stream);
             }
             Act::Paced(events, pause) => {
-                if !send_paced(&mut stream, &id, &events, pause).await {
+                if !send_paced(&mut stream, &id, &events, last, pause).await {
                     return;
                 }
             }
@@ -284,6 +288,12 @@
                     return reset(stream);
                 }
             }
+            Act::BreakUnlessResumed(events, number) => {
+                let break_within = last.is_none().then_some(number);
+                if !send_events(&mut stream, &id, &events, last, break_within).await {
+                    return reset(stream);
+                }
+            }
             Act::RawStream(body) => {
                 let _ = stream.write_all(response(&id, 200, &body).as_bytes()).await;
             }
@@ -321,9 +331,16 @@
     true
 }
 
-async fn send_paced(stream: &mut TcpStream, id: &str, events: &[String], pause: Duration) -> bool {
+async fn send_paced(
+    stream: &mut TcpStream,
+    id: &str,
+    events: &[String],
+    last: Option<usize>,
+    pause: Duration,
+) -> bool {
     send_events_head(stream, id).await;
-    for (number, text) in events.iter().enumerate() {
+    let first = last.map_or(0, |last| last + 1);
+    for (number, text) in events.iter().enumerate().skip(first) {
         sleep(pause).await;
         let event = format!("id: {number}\ndata: {text}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
