A stream that a client resumes stays at the software that began it

Their first attempt had ended with the daemon that served it, or with the server; the daemon that got the next attempt knew nothing of the first and chose among all versions.

The class: state that the next attempt needs was known only to the process that died. So the origin of a resumable stream (service, server, software version) is recorded at the owner of its program's partition before its first event leaves, and in the log by an append that starts at that moment. A request that resumes a stream names the attempt that began it; its daemon finds the origin in its own memory, at the owner or, after the owner was lost, in what the next owner read from the log, and sends the request only to servers of that software and service. An origin that is not recorded is never guessed: the request is refused with 503, not run, and no time to come back, so that the client starts anew. If no owner answers, it gets a time to come back.

The first event waits for the owner's acceptance for at most 60 ms. Not for the append: losing the origin costs the stream, not its correctness.

Messages and records gain variants at their ends: daemons of the former build can't read them.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::settings::GatewaySettings;
 use crate::upstream::pool::Pools;
 use crate::zone_state::ZoneState;
+use fieldhook_ledger::streams::Streams;
 use fieldhook_log::api::LogStore;
 use fieldhook_log::log_health::LogHealth;
 use fieldhook_log::reach::Reach;
@@ -82,6 +83,8 @@
     pub ledger: Rc<LedgerClient>,
     /// Shares of tenants' limits granted to this daemon.
     pub quota: LocalShares,
+    /// Origins of the streams that this daemon has served.
+    pub streams: RefCell<Streams>,
     /// Limits the memory for data buffered for slow peers.
     pub memory: Rc<Memory>,
     /// Metrics.
@@ -166,6 +169,7 @@
             owner,
             ledger,
             quota,
+            streams: RefCell::default(),
             memory,
             metrics: adapter.metrics,
             in_flight: Cell::new(0),
@@ -283,6 +287,7 @@
         daemon
             .pools
             .sweep(&|id| directory.accepts_work(id), daemon.now_ms());
+        daemon.streams.borrow_mut().expire(daemon.now_ms());
         let cold = daemon.cold.count_cold(&directory);
         daemon.metrics.cold_servers.set(cold as i64);
     }
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -13,6 +13,7 @@
 //! - [`client`]: opens and closes turns while owners may change. `exchange` sends one request to
 //!   an owner, `replace` finds or becomes the next owner, `closing` closes turns in the
 //!   background.
+//! - `streams`: records and looks up which server began a stream.
 //! - [`quota`]: requests admission under the limit of a tenant.
 //! - [`peer`]: connections between daemons.
 //!
@@ -40,3 +41,4 @@
 mod release;
 mod replace;
 mod served;
+mod streams;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -331,9 +331,20 @@
     /// Records the end of a turn. Returns whether it is durable.
     pub async fn close(&self, request: &CloseTurn, deadline: Instant) -> bool {
         let request = LedgerRequest::Close(request.clone());
+        self.record(&request, || {}, deadline).await
+    }
+
+    /// Sends a request that appends a record until the record is durable; returns whether it is.
+    /// `on_accepted` is called whenever an owner has accepted the request.
+    pub(super) async fn record(
+        &self,
+        request: &LedgerRequest,
+        on_accepted: impl Fn(),
+        deadline: Instant,
+    ) -> bool {
         let partition = request.partition(self.owner.zone_state.layout.global_count());
         while Instant::now() < deadline {
-            let answer = self.request_until_answered(&request, deadline).await;
+            let answer = self.request_until_answered(request, deadline).await;
             let Some((LedgerReply::Accepted, mut replies)) = answer else {
                 if self.reach.get() != Reach::Minority {
                     return false;
@@ -341,6 +352,7 @@
                 sleep(MINORITY_RETRY_PAUSE).await;
                 continue;
             };
+            on_accepted();
             let until = deadline.min(Instant::now() + APPEND_TIMEOUT);
             match timeout_at(until, replies.recv()).await {
                 Ok(Some(LedgerReply::Closed)) => return true,
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -3,7 +3,9 @@
 
 use super::assigner::Assigner;
 use crate::daemon::unix_ms;
-use fieldhook_ledger::message::{CloseTurn, LedgerReply, LedgerRequest, OpenTurn};
+use fieldhook_ledger::message::{
+    CloseTurn, FoundStream, LedgerReply, LedgerRequest, OpenTurn, RecordStream,
+};
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
@@ -38,6 +40,8 @@
             LedgerRequest::Open(open) => self.open(&open, sender),
             LedgerRequest::Close(close) => self.close(&close, sender),
             LedgerRequest::Find(find) => self.find(&find.turn, sender),
+            LedgerRequest::RecordStream(request) => self.record_stream(&request, sender),
+            LedgerRequest::FindStream(stream) => self.find_stream(&stream.name, sender),
             // Answered by `Owner::handle`, which passes on only requests about turns.
             LedgerRequest::FindOwner(_)
             | LedgerRequest::HasRecentLogContact
@@ -156,6 +160,34 @@
         }
     }
 
+    fn record_stream(&self, request: &RecordStream, sender: mpsc::UnboundedSender<LedgerReply>) {
+        let records = self.state.borrow_mut().record_stream(request, unix_ms());
+        let _ = sender.send(LedgerReply::Accepted);
+        let reply = LedgerReply::Closed;
+        self.push(records, Some(PendingReply { sender, reply }), Urgency::Now);
+    }
+
+    /// Replies with the origin of a stream. That none is recorded is certain only for an owner that
+    /// was not replaced.
+    fn find_stream(&self, name: &QualifiedName, sender: mpsc::UnboundedSender<LedgerReply>) {
+        let now_ms = unix_ms();
+        let found = self.state.borrow().find_stream(name, now_ms).map(|stream| {
+            let record = &stream.record;
+            FoundStream {
+                origin: record.origin.clone(),
+                age_ms: now_ms.saturating_sub(record.began_ms),
+                is_restored: stream.is_restored,
+            }
+        });
+        let reply = LedgerReply::Stream(found);
+        match reply {
+            LedgerReply::Stream(None) => self.reply_after_fence_check(sender, reply),
+            reply => {
+                let _ = sender.send(reply);
+            }
+        }
+    }
+
     /// Sends a reply once an append shows that this owner is not fenced.
     fn reply_after_fence_check(
         &self,
--- /dev/null
+++ b/crates/gateway/src/ledger/streams.rs
@@ -0,0 +1,53 @@
+//! Records and looks up the origins of streams at the owners of their partitions.
+
+use super::client::LedgerClient;
+use fieldhook_ledger::message::{FoundStream, LedgerReply, LedgerRequest, RecordStream, StreamKey};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+impl LedgerClient {
+    /// Records the origin of a stream in the background, until it is durable or the deadline has
+    /// passed. The receiver is notified once an owner has accepted it.
+    pub fn record_stream(
+        self: &Rc<Self>,
+        request: RecordStream,
+        deadline: Instant,
+    ) -> oneshot::Receiver<()> {
+        let (sender, accepted) = oneshot::channel();
+        let sender = Cell::new(Some(sender));
+        let ledger = self.clone();
+        ntex::rt::spawn(async move {
+            let stream = request.stream.name.name.clone();
+            let request = LedgerRequest::RecordStream(request);
+            let notify = || {
+                if let Some(sender) = sender.take() {
+                    let _ = sender.send(());
+                }
+            };
+            if !ledger.record(&request, notify, deadline).await {
+                tracing::info!(
+                    event = "stream_not_durable",
+                    request = stream,
+                    partition = request.partition(ledger.owner.zone_state.layout.global_count()),
+                    log_age_ms = ledger.log_health.ms_since_answer()
+                );
+            }
+        });
+        accepted
+    }
+
+    /// Looks up the origin of a stream; `None` if no owner replied by the deadline.
+    pub async fn find_stream(
+        &self,
+        stream: StreamKey,
+        deadline: Instant,
+    ) -> Option<Option<FoundStream>> {
+        let request = LedgerRequest::FindStream(stream);
+        match self.request_until_answered(&request, deadline).await {
+            Some((LedgerReply::Stream(found), _)) => Some(found),
+            _ => None,
+        }
+    }
+}
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -3,10 +3,11 @@
 
 use super::local_response::{LocalResponse, memory_full};
 use super::reader::{BODY_COPIES, ClientRequest};
+use super::stream_origin::KnownOrigin;
 use super::turn::Turn;
 use super::turn_open::{self, TurnRefusal};
 use super::writer::ClientWriter;
-use super::{admission, buffered, homes, quota, stream};
+use super::{admission, buffered, homes, quota, stream, stream_origin};
 use crate::daemon::Daemon;
 use crate::dialect::RequestMeta;
 use crate::http::headers::Headers;
@@ -67,6 +68,8 @@
     pub body: Bytes,
     /// Service that the request goes to, once selected.
     pub service: OnceCell<String>,
+    /// Origin of the stream that the request resumes.
+    pub resumed: Option<KnownOrigin>,
     /// Engine assigned to the program.
     pub engine: Option<String>,
     /// Server that the request was last sent to.
@@ -166,7 +169,7 @@
     writer: &mut ClientWriter,
 ) -> ConnectionAction {
     daemon.wait_for_routes().await;
-    let context = match build_context(daemon, request) {
+    let mut context = match build_context(daemon, request) {
         Ok(context) => context,
         Err((id, response)) => {
             tracing::info!(
@@ -191,6 +194,9 @@
             Err(refusal) => context.respond(refusal, writer).await,
         };
     }
+    if let Err(refusal) = stream_origin::resolve(&mut context).await {
+        return context.respond(refusal, writer).await;
+    }
     match turn_open::open(&context).await {
         Ok(turn) => {
             match quota::acquire(&context, turn.as_ref().is_some_and(Turn::is_first_turn)).await {
@@ -318,6 +324,7 @@
         headers,
         body: request.body,
         service: OnceCell::new(),
+        resumed: None,
         engine: None,
         last_server: Rc::default(),
         memory_account: request.memory_account,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -49,6 +49,7 @@
 ) -> ConnectionAction {
     let mut delivery = Delivery {
         last_event: context.meta.last_event,
+        origin: context.resumed.as_ref().map(|known| known.origin.clone()),
         ..Delivery::default()
     };
     let attempts = run_attempts(context, &mut turn, &mut delivery, writer);
@@ -221,7 +222,11 @@
             continue;
         }
         if delivery.origin.is_none() {
-            delivery.origin = Some(stream_origin::of(&attempt.server));
+            let recording = stream_origin::record(context, &attempt.server);
+            let Ok(origin) = writer.while_draining(recording).await else {
+                return StreamEnd::ClientGone;
+            };
+            delivery.origin = Some(origin);
         }
         if let Some(turn) = turn
             && !turn.wait_allowed(batch.len(), context.deadline).await
@@ -274,13 +279,10 @@
             program = context.meta.program,
             server = attempt.server.id,
             software = attempt.server.software_version.as_deref(),
-            resumes = context.meta.resumes,
-            last_event = context.meta.last_event,
             age_ms = context.age_ms()
         );
-        if context.meta.last_event.is_some() {
-            let resumed = &context.daemon.metrics.resumed_streams;
-            resumed.with_label_values(&["placed"]).inc();
+        if let Some(known) = &context.resumed {
+            stream_origin::log_resumption(context, known, &attempt.server);
         }
     }
     for event in batch {
--- a/crates/gateway/src/serve/stream_origin.rs
+++ b/crates/gateway/src/serve/stream_origin.rs
@@ -1,8 +1,107 @@
 //! Keeps a stream at the software that sent its first event.
+//!
+//! The origin of each resumable stream is recorded before its first event leaves. A request that
+//! resumes a stream goes only to servers of that software; if the origin is not known, the request
+//! is refused, because a guess could mix what two versions write.
 
+use super::local_response::LocalResponse;
 use super::request::RequestContext;
+use fieldhook_ledger::message::{RecordStream, StreamKey};
+use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::streams::StreamOrigin;
+use fieldhook_log::reach::Reach;
+use fieldhook_traffic::config::RouteKind;
 use fieldhook_traffic::directory::{ServerEntry, Software};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How long the first event waits until an owner has accepted the origin: several round trips
+/// between regions. A stream that goes on without is not resumable until the record arrives.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Additional time for which an origin is kept, in milliseconds: the clocks of successive owners
+/// differ.
+const RETENTION_MARGIN_MS: u64 = 15_000;
+
+/// How the origin of a stream is known, as logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This daemon served the first event.
+    Memory,
+    /// The owner got it from the daemon that served the first event.
+    Owner,
+    /// The owner read it from the log.
+    Log,
+}
+
+impl Source {
+    /// Returns the value of the log field `known_by` and of the metric label.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Owner => "owner",
+            Self::Log => "log",
+        }
+    }
+}
+
+/// The origin of a stream that a request resumes.
+#[derive(Clone, Debug)]
+pub struct KnownOrigin {
+    /// Server of the first event.
+    pub origin: StreamOrigin,
+    /// How it is known.
+    pub source: Source,
+    /// Time since the first event, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Why a stream cannot be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    /// The request does not name the attempt that it resumes.
+    Unnamed,
+    /// No origin is recorded.
+    Unknown,
+    /// Two attempts with this id got events of different software.
+    Ambiguous,
+    /// The route does not lead to the service of the stream any more.
+    ServiceRemoved,
+    /// No owner replied.
+    NoOwner,
+}
+
+impl Refusal {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unnamed => "unnamed",
+            Self::Unknown => "unknown",
+            Self::Ambiguous => "ambiguous",
+            Self::ServiceRemoved => "service_removed",
+            Self::NoOwner => "no_owner",
+        }
+    }
+
+    /// Only a missing owner is worth a retry; in all other cases the client has to start anew.
+    fn response(self, context: &RequestContext) -> LocalResponse {
+        match self {
+            Self::Unnamed => LocalResponse::new(
+                503,
+                "the attempt to resume is not named; name it or start anew",
+            ),
+            Self::Unknown | Self::Ambiguous => LocalResponse::new(
+                503,
+                "the software that began this stream is not known; start anew",
+            ),
+            Self::ServiceRemoved => {
+                LocalResponse::new(503, "the service of this stream is gone; start anew")
+            }
+            Self::NoOwner => LocalResponse::not_run(
+                "the origin of this stream cannot be looked up",
+                context.retry_later_ms(),
+            ),
+        }
+    }
+}
 
 /// Origin of a stream whose first event a server sent.
 pub fn of(server: &ServerEntry) -> StreamOrigin {
@@ -18,6 +117,144 @@
     Software::new(origin.software_version.as_deref(), &origin.server)
 }
 
+/// Finds the origin of the stream that a request resumes, if it resumes one, and restricts the
+/// request to the service of that stream.
+///
+/// # Errors
+/// The stream cannot be resumed; contains the response for the client.
+pub async fn resolve(context: &mut RequestContext) -> Result<(), LocalResponse> {
+    if context.meta.last_event.is_none() {
+        return Ok(());
+    }
+    let known = match find(context).await {
+        Ok(known) => known,
+        Err(refusal) => return Err(refuse(context, refusal)),
+    };
+    let parts = &context.entry.route.services;
+    if !parts
+        .iter()
+        .any(|part| part.service == known.origin.service)
+    {
+        return Err(refuse(context, Refusal::ServiceRemoved));
+    }
+    let _ = context.service.set(known.origin.service.clone());
+    context.resumed = Some(known);
+    Ok(())
+}
+
+async fn find(context: &RequestContext) -> Result<KnownOrigin, Refusal> {
+    let id = context.meta.resumes.as_deref().ok_or(Refusal::Unnamed)?;
+    let daemon = &context.daemon;
+    let stream = stream_key(context, id);
+    let now_ms = daemon.now_ms();
+    let remembered = daemon.streams.borrow().get(&stream.name, now_ms).cloned();
+    if let Some(stream) = remembered {
+        return Ok(KnownOrigin {
+            origin: stream.record.origin.ok_or(Refusal::Ambiguous)?,
+            source: Source::Memory,
+            age_ms: now_ms.saturating_sub(stream.record.began_ms),
+        });
+    }
+    let found = daemon.ledger.find_stream(stream, context.deadline).await;
+    let found = found.ok_or(Refusal::NoOwner)?.ok_or(Refusal::Unknown)?;
+    Ok(KnownOrigin {
+        origin: found.origin.ok_or(Refusal::Ambiguous)?,
+        source: match found.is_restored {
+            true => Source::Log,
+            false => Source::Owner,
+        },
+        age_ms: found.age_ms,
+    })
+}
+
+fn stream_key(context: &RequestContext, id: &str) -> StreamKey {
+    StreamKey {
+        name: QualifiedName::new(context.tenant_name(), id),
+        program: context.meta.program.clone(),
+    }
+}
+
+fn refuse(context: &RequestContext, refusal: Refusal) -> LocalResponse {
+    let resumed = &context.daemon.metrics.resumed_streams;
+    resumed.with_label_values(&[refusal.name()]).inc();
+    tracing::info!(
+        event = "resume_refused",
+        request = context.meta.id,
+        program = context.meta.program,
+        resumes = context.meta.resumes,
+        last_event = context.meta.last_event,
+        cause = refusal.name(),
+        log_age_ms = context.daemon.log_health.ms_since_answer(),
+        age_ms = context.age_ms()
+    );
+    refusal.response(context)
+}
+
+/// Logs and counts a resumed stream whose first event is about to be sent.
+pub fn log_resumption(context: &RequestContext, known: &KnownOrigin, server: &ServerEntry) {
+    let resumed = &context.daemon.metrics.resumed_streams;
+    resumed.with_label_values(&[known.source.name()]).inc();
+    tracing::info!(
+        event = "stream_resumed",
+        request = context.meta.id,
+        program = context.meta.program,
+        resumes = context.meta.resumes,
+        last_event = context.meta.last_event,
+        server = server.id,
+        software = server.software_version.as_deref(),
+        began_at = known.origin.server,
+        known_by = known.source.name(),
+        known_age_ms = known.age_ms,
+        age_ms = context.age_ms()
+    );
+}
+
+/// Records that a server sent the first event of a stream. Returns once an owner has accepted the
+/// origin, or after a short time, since a stream without a recorded origin is merely not resumable.
+pub async fn record(context: &RequestContext, server: &ServerEntry) -> StreamOrigin {
+    let origin = of(server);
+    if context.entry.route.kind != (RouteKind::Stream { resumable: true }) {
+        return origin;
+    }
+    let request = RecordStream {
+        stream: stream_key(context, &context.meta.id),
+        origin: origin.clone(),
+        retention_ms: retention_ms(context),
+    };
+    if !request.stream.name.fits_record_key() {
+        return origin;
+    }
+    let daemon = &context.daemon;
+    daemon.streams.borrow_mut().record(
+        &request.stream.name,
+        &origin,
+        request.retention_ms,
+        daemon.now_ms(),
+    );
+    let accepted = daemon.ledger.record_stream(request, context.deadline);
+    let is_isolated = daemon.ledger.reach.get() == Reach::Isolated;
+    if is_isolated || timeout(ACCEPT_TIMEOUT, accepted).await.is_err() {
+        tracing::info!(
+            event = "stream_unrecorded",
+            request = context.meta.id,
+            program = context.meta.program,
+            server = server.id,
+            reach = ?daemon.ledger.reach.get(),
+            log_age_ms = daemon.log_health.ms_since_answer(),
+            age_ms = context.age_ms()
+        );
+    }
+    origin
+}
+
+/// Clients resume a stream within the deadline of its first attempt.
+fn retention_ms(context: &RequestContext) -> u64 {
+    let timeout_ms = context.entry.route.timeout_ms;
+    let deadline_ms = context.meta.deadline_ms.unwrap_or(timeout_ms);
+    let longest_ms = deadline_ms.max(timeout_ms);
+    longest_ms.saturating_add(RETENTION_MARGIN_MS)
+}
+
 /// Whether a server still runs the software that its entry stated when the server was chosen.
 pub fn is_current(context: &RequestContext, server: &ServerEntry) -> bool {
     let directory = context.daemon.directory.borrow();
--- a/crates/gateway/tests/gateway/stream_versions.rs
+++ b/crates/gateway/tests/gateway/stream_versions.rs
@@ -1,7 +1,13 @@
 //! Streams that continue while servers of several software versions serve.
 
-use crate::support::{Act, Gateway, SERVERS, Server, World, run};
+use crate::support::{
+    Act, Gateway, LogCapture, Reply, SERVERS, Server, World, config_with_tenants, run, tenant,
+};
+use fieldhook_emulator::log::memory::LogFault;
+use fieldhook_gateway::drain;
+use fieldhook_traffic::config::{Service, WeightedService};
 use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 /// Number of streams of a test. If the version were ignored, about half of them would mix versions.
 const STREAMS: usize = 12;
@@ -111,3 +117,243 @@
         assert_eq!(running[0].count() + running[1].count(), 1);
     });
 }
+
+/// Time until every partition has an owner.
+const OWNERS_SETTLED: Duration = Duration::from_millis(900);
+/// Time within which a stream that cannot continue is refused: discovery may be late by 120 ms.
+const REFUSAL_BOUND: Duration = Duration::from_millis(500);
+
+/// Two gateways and two servers, of versions v1 and v2.
+struct Pair {
+    world: World,
+    first: Gateway,
+    second: Gateway,
+    v1: Server,
+    v2: Server,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        Self::start_in(World::new().await).await
+    }
+
+    async fn start_in(world: World) -> Self {
+        let v1 = versioned_server(&world, "a", "v1").await;
+        let v2 = versioned_server(&world, "b", "v2").await;
+        let first = world.gateway("g1").await;
+        let second = world.gateway("g2").await;
+        first.wait_ready(2).await;
+        second.wait_ready(2).await;
+        sleep(OWNERS_SETTLED).await;
+        Self {
+            world,
+            first,
+            second,
+            v1,
+            v2,
+        }
+    }
+
+    fn requests(&self) -> usize {
+        self.v1.count() + self.v2.count()
+    }
+}
+
+async fn resume(gateway: &Gateway, fields: &str) -> Reply {
+    gateway.ask("POST", "/resume/1", fields, "A;").await
+}
+
+/// Checks that a request was refused at once, without a time to come back.
+fn assert_refused_for_good(reply: &Reply, started: Instant) {
+    assert_eq!(reply.head.status, 503, "{}", reply.text());
+    assert!(reply.complete);
+    assert!(!reply.head.headers.has("come-back-ms"));
+    assert!(started.elapsed() < REFUSAL_BOUND, "{:?}", started.elapsed());
+}
+
+/// Guards against a guess: no server may get a stream whose origin is not known.
+#[test]
+fn stream_of_unknown_origin_is_refused_and_not_run() {
+    run(async {
+        let lines = LogCapture::start();
+        let pair = Pair::start().await;
+        let cases = [
+            ("unnamed", "Request: r1\r\nLast-Event: 0\r\n".to_owned()),
+            ("unknown", resume_fields("r2", "never-begun")),
+        ];
+        for (cause, fields) in cases {
+            let started = Instant::now();
+            let reply = resume(&pair.second, &fields).await;
+            assert_refused_for_good(&reply, started);
+            let refused = lines.with_event("resume_refused");
+            let line = refused.last().expect("a line");
+            assert!(line.contains(&format!("\"cause\":\"{cause}\"")), "{line}");
+        }
+        assert_eq!(pair.requests(), 0);
+    });
+}
+
+/// A client's third attempt names the same first attempt as its second.
+#[test]
+fn stream_may_be_resumed_more_than_once() {
+    run(async {
+        let pair = Pair::start().await;
+        let version = begin_stream(&pair.first, "s1").await;
+        for (number, gateway) in [&pair.second, &pair.first, &pair.second].iter().enumerate() {
+            let id = format!("again{number}");
+            let fields = format!("Request: {id}\r\nResumes: s1\r\nLast-Event: {number}\r\n");
+            let reply = resume(gateway, &fields).await;
+            assert_eq!(versions(&reply.text()), vec![&version; 5 - number]);
+        }
+    });
+}
+
+/// Guards against an origin that only the processes knew which are gone.
+#[test]
+fn stream_is_resumed_after_its_daemon_and_owner_are_gone() {
+    run(async {
+        let lines = LogCapture::start();
+        let pair = Pair::start().await;
+        let version = begin_stream(&pair.first, "s1").await;
+        drain::run(pair.first.daemon.clone()).await;
+        drain::run(pair.second.daemon.clone()).await;
+        let third = pair.world.gateway("g3").await;
+        third.wait_ready(2).await;
+        let reply = resume(&third, &resume_fields("again", "s1")).await;
+        assert_eq!(versions(&reply.text()), vec![version; 5]);
+        let resumed = lines.with_event("stream_resumed");
+        assert!(resumed[0].contains("\"known_by\":\"log\""), "{resumed:?}");
+        assert!(resumed[0].contains("\"resumes\":\"s1\""), "{resumed:?}");
+    });
+}
+
+/// Guards against streams that cannot be resumed for as long as the log is away.
+#[test]
+fn stream_begun_in_a_log_outage_is_resumed_from_the_memory_of_its_owner() {
+    run(async {
+        let lines = LogCapture::start();
+        let pair = Pair::start().await;
+        for gateway in [&pair.first, &pair.second] {
+            gateway.store.set_fault(LogFault::Silent);
+        }
+        for number in 0..4 {
+            let id = format!("s{number}");
+            let version = begin_stream(&pair.first, &id).await;
+            let reply = resume(&pair.second, &resume_fields(&format!("again{number}"), &id)).await;
+            assert_eq!(versions(&reply.text()), vec![version; 5]);
+        }
+        let resumed = lines.with_event("stream_resumed");
+        assert!(
+            resumed
+                .iter()
+                .all(|line| line.contains("\"known_by\":\"owner\"")),
+            "{resumed:?}"
+        );
+    });
+}
+
+/// Guards against a stream that waits, or goes on at another version, once no server of its version
+/// accepts work.
+#[test]
+fn stream_whose_version_has_left_is_refused_at_once() {
+    run(async {
+        let pair = Pair::start().await;
+        let version = begin_stream(&pair.first, "s1").await;
+        let (leaving, other) = match version.as_str() {
+            "v1" => (&pair.v1, &pair.v2),
+            _ => (&pair.v2, &pair.v1),
+        };
+        let entry = format!("service {} version={version} draining", leaving.address);
+        pair.world.put(SERVERS, &leaving.id, &entry).await;
+        sleep(Duration::from_millis(600)).await;
+        let before = pair.requests();
+        let started = Instant::now();
+        let reply = resume(&pair.second, &resume_fields("again", "s1")).await;
+        assert_refused_for_good(&reply, started);
+        assert_eq!(pair.requests(), before);
+        // New streams begin at the other version.
+        begin_stream(&pair.second, "s2").await;
+        assert!(other.count() > 0);
+    });
+}
+
+/// Guards against a server that comes back under its name and identity with other software.
+#[test]
+fn stream_does_not_return_to_a_server_that_changed_its_version() {
+    run(async {
+        let world = World::new().await;
+        let server = versioned_server(&world, "a", "v1").await;
+        let gateway = world.gateway("g1").await;
+        gateway.wait_ready(1).await;
+        sleep(OWNERS_SETTLED).await;
+        assert_eq!(begin_stream(&gateway, "s1").await, "v1");
+        server.set(Act::Paced(texts("v2"), Duration::from_millis(20)));
+        world.list_running(&server, "v2").await;
+        sleep(Duration::from_millis(600)).await;
+        let started = Instant::now();
+        let reply = resume(&gateway, &resume_fields("again", "s1")).await;
+        assert_refused_for_good(&reply, started);
+        assert_eq!(server.count(), 1);
+    });
+}
+
+/// Guards against a stream that learns of another tenant's stream with the same id.
+#[test]
+fn stream_of_another_tenant_is_unknown() {
+    run(async {
+        let world = World::new().await;
+        let tenants = vec![tenant("red", "k1"), tenant("blue", "k2")];
+        world.configs.borrow_mut()[0] = config_with_tenants(1, tenants);
+        let pair = Pair::start_in(world).await;
+        let mut client = pair.first.client().await;
+        let fields = "Request: s1\r\nKey: k1\r\n";
+        client.send("POST", "/resume/1", fields, "A;").await;
+        client.body_until("\n\n").await;
+        drop(client);
+        let again = |key: &str, id: &str| format!("{}Key: {key}\r\n", resume_fields(id, "s1"));
+        for gateway in [&pair.first, &pair.second] {
+            let started = Instant::now();
+            let reply = resume(gateway, &again("k2", "foreign")).await;
+            assert_refused_for_good(&reply, started);
+        }
+        let reply = resume(&pair.second, &again("k1", "own")).await;
+        assert_eq!(versions(&reply.text()).len(), 5);
+    });
+}
+
+/// Guards against a stream that moves to another service of a route that is split between two.
+#[test]
+fn stream_stays_at_its_service() {
+    run(async {
+        let world = World::new().await;
+        {
+            let config = &mut world.configs.borrow_mut()[0];
+            let second = Service {
+                name: "second".to_owned(),
+                ..config.services[0].clone()
+            };
+            config.services.push(second);
+            for route in &mut config.routes {
+                route.services.push(WeightedService {
+                    service: "second".to_owned(),
+                    weight: 1,
+                });
+            }
+        }
+        let one = versioned_server(&world, "a", "v1").await;
+        let other =
+            Server::start("b", Act::Paced(texts("second"), Duration::from_millis(20))).await;
+        let entry = format!("second {} version=v1", other.address);
+        world.put(SERVERS, "b", &entry).await;
+        let gateway = world.gateway("g1").await;
+        gateway.wait_ready(2).await;
+        sleep(OWNERS_SETTLED).await;
+        for number in 0..STREAMS {
+            let id = format!("s{number}");
+            let begun = begin_stream(&gateway, &id).await;
+            let reply = resume(&gateway, &resume_fields(&format!("{id}-again"), &id)).await;
+            assert_eq!(versions(&reply.text()), vec![begun; 5], "stream {id}");
+        }
+        assert!(one.count() > 0 && other.count() > 0);
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -3,6 +3,7 @@
 use crate::name::QualifiedName;
 use crate::open_turns::TurnRequest;
 use crate::partition_of;
+use crate::streams::StreamOrigin;
 use nanoserde::{DeBin, SerBin};
 
 /// Input for the assignment of an engine to the program of a turn.
@@ -201,6 +202,46 @@
     pub turn: QualifiedName,
 }
 
+/// Name of a stream and where its origin is recorded.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct StreamKey {
+    /// Id of the attempt that brought the first event.
+    pub name: QualifiedName,
+    /// Program of the stream, whose partition records the origin. A stream without a program is
+    /// recorded in the partition that its own name hashes to.
+    pub program: Option<String>,
+}
+
+impl StreamKey {
+    fn partition(&self, partitions: u32) -> u32 {
+        let name = self.program.as_ref().unwrap_or(&self.name.name);
+        partition_of(name, partitions)
+    }
+}
+
+/// Records which server sent the first event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct RecordStream {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The server and its software.
+    pub origin: StreamOrigin,
+    /// How long the client may resume the stream, in milliseconds.
+    pub retention_ms: u64,
+}
+
+/// A stream as known to the owner of its partition.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct FoundStream {
+    /// Origin of the first event; `None` if it is uncertain: see
+    /// [`StreamRecord`](crate::streams::StreamRecord).
+    pub origin: Option<StreamOrigin>,
+    /// Time since the first event, in milliseconds.
+    pub age_ms: u64,
+    /// Whether the owner read the record from the log.
+    pub is_restored: bool,
+}
+
 /// Event that is reported to the owner of a tenant's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum QuotaEvent {
@@ -354,6 +395,10 @@
     Follow(FollowTopic),
     /// Asks for the newest records of a followed topic.
     List(ListTopic),
+    /// Records the origin of a stream.
+    RecordStream(RecordStream),
+    /// Asks for the origin of a stream.
+    FindStream(StreamKey),
 }
 
 impl LedgerRequest {
@@ -367,6 +412,8 @@
                 .home_partition
                 .unwrap_or_else(|| partition_of(&close.program, partitions)),
             Self::Find(find) => find.partition,
+            Self::RecordStream(request) => request.stream.partition(partitions),
+            Self::FindStream(stream) => stream.partition(partitions),
             // The limit of a tenant is kept in the partition of a program with the same name.
             Self::Quota(request) => partition_of(&request.tenant, partitions),
             Self::Cold(request) => partition_of(&request.server, partitions),
@@ -466,6 +513,8 @@
     TopicGone(u64),
     /// This daemon does not serve the topic, or does not serve it yet.
     NotReader,
+    /// Origin of a stream; `None` if none is recorded.
+    Stream(Option<FoundStream>),
 }
 
 impl LedgerReply {
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,9 +1,10 @@
 //! State machine of one partition, run by its owner.
 
 use crate::budget::{Budget, ReserveOutcome, ReservePolicy, Settlement};
-use crate::message::{BudgetUsage, CloseTurn, OpenTurn};
+use crate::message::{BudgetUsage, CloseTurn, OpenTurn, RecordStream};
 use crate::name::QualifiedName;
 use crate::record::{ProgramRecord, Record, TurnRecord};
+use crate::streams::{Stream, Streams};
 use crate::uncertainty::Uncertainty;
 pub use crate::uncertainty::uncertainty_after_loss_ms;
 use std::collections::HashMap;
@@ -65,6 +66,7 @@
 pub struct Partition {
     programs: HashMap<QualifiedName, Budget>,
     turns: HashMap<QualifiedName, StoredTurn>,
+    streams: Streams,
     /// Number of pending deletions of each expired program. Until they are durable, a successor may
     /// still read the old record and count only that.
     pending_deletions: HashMap<QualifiedName, u32>,
@@ -158,6 +160,8 @@
             Record::Turn(name, None) => {
                 self.turns.remove(&name);
             }
+            Record::Stream(name, Some(record)) => self.streams.restore(&name, record),
+            Record::Stream(name, None) => self.streams.remove(&name),
         }
     }
 
@@ -253,6 +257,26 @@
         records
     }
 
+    /// Records the origin of a stream. A repeated request appends nothing.
+    pub fn record_stream(&mut self, request: &RecordStream, now_ms: u64) -> Vec<Record> {
+        let name = request.stream.name.clone();
+        let retention_ms = request.retention_ms;
+        let change = self
+            .streams
+            .record(&name, &request.origin, retention_ms, now_ms);
+        let forgotten = change.forgotten.into_iter();
+        let record = change
+            .record
+            .map(|record| Record::Stream(name, Some(record)));
+        let tombstones = forgotten.map(|name| Record::Stream(name, None));
+        record.into_iter().chain(tombstones).collect()
+    }
+
+    /// Returns a stream whose origin is known.
+    pub fn find_stream(&self, name: &QualifiedName, now_ms: u64) -> Option<&Stream> {
+        self.streams.get(name, now_ms)
+    }
+
     /// A record was appended.
     pub fn record_appended(&mut self, record: &Record) {
         match record {
@@ -279,7 +303,7 @@
         }
     }
 
-    /// Deletes expired turns and programs.
+    /// Deletes expired turns, programs and streams.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Record> {
         let mut records = self.end_uncertainty(now_ms);
         self.turns.retain(|name, turn| {
@@ -289,6 +313,8 @@
             }
             keep
         });
+        let streams = self.streams.expire(now_ms).into_iter();
+        records.extend(streams.map(|name| Record::Stream(name, None)));
         self.programs.retain(|name, program| {
             let keep = now_ms < program.changed_ms() + PROGRAM_RETENTION_MS;
             if !keep {
@@ -321,6 +347,11 @@
         self.programs.len()
     }
 
+    /// Number of streams whose origin is known.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Committed tokens of a program, for tests.
     pub fn committed_tokens(&self, program: &QualifiedName) -> u64 {
         self.programs
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,6 +1,7 @@
 //! Records of the compacted topic. The log keeps the newest record of each key.
 
 use crate::name::QualifiedName;
+use crate::streams::StreamRecord;
 use nanoserde::{DeBin, SerBin};
 
 /// Key prefixes. Keys of tenants' names continue with the length of the tenant name (one byte) and
@@ -9,6 +10,8 @@
 const TURN_KEY: u8 = b't';
 const TENANT_PROGRAM_KEY: u8 = b'P';
 const TENANT_TURN_KEY: u8 = b'T';
+const STREAM_KEY: u8 = b's';
+const TENANT_STREAM_KEY: u8 = b'S';
 const UNRECORDED_SHARES_KEY: u8 = b'd';
 
 /// Reservation of a turn whose end is not known yet.
@@ -67,6 +70,8 @@
     /// Number of consecutive successors that may have granted their share to programs without a
     /// record: see [`crate::uncertainty`].
     UnrecordedShares(u32),
+    /// Origin of a stream.
+    Stream(QualifiedName, Option<StreamRecord>),
 }
 
 /// A key or value that cannot be decoded.
@@ -79,6 +84,7 @@
         let (kind, tenant_kind, name) = match self {
             Self::Program(name, _) => (PROGRAM_KEY, TENANT_PROGRAM_KEY, name),
             Self::Turn(name, _) => (TURN_KEY, TENANT_TURN_KEY, name),
+            Self::Stream(name, _) => (STREAM_KEY, TENANT_STREAM_KEY, name),
             Self::UnrecordedShares(_) => return vec![UNRECORDED_SHARES_KEY],
         };
         let mut key = Vec::with_capacity(name.name.len() + 1);
@@ -99,6 +105,7 @@
         match self {
             Self::Program(_, Some(record)) => record.serialize_bin(),
             Self::Turn(_, Some(record)) => record.serialize_bin(),
+            Self::Stream(_, Some(record)) => record.serialize_bin(),
             Self::UnrecordedShares(successors) => successors.serialize_bin(),
             _ => Vec::new(),
         }
@@ -117,17 +124,22 @@
         let (kind, name) = match *kind {
             TENANT_PROGRAM_KEY => (PROGRAM_KEY, decode_tenant_name(name)?),
             TENANT_TURN_KEY => (TURN_KEY, decode_tenant_name(name)?),
+            TENANT_STREAM_KEY => (STREAM_KEY, decode_tenant_name(name)?),
             kind => (kind, QualifiedName::new(None, decode_utf8(name)?)),
         };
         match (kind, value.is_empty()) {
             (PROGRAM_KEY, true) => Ok(Self::Program(name, None)),
             (TURN_KEY, true) => Ok(Self::Turn(name, None)),
+            (STREAM_KEY, true) => Ok(Self::Stream(name, None)),
             (PROGRAM_KEY, false) => ProgramRecord::deserialize_bin(value)
                 .map(|record| Self::Program(name, Some(record)))
                 .map_err(|_| UnreadableRecord),
             (TURN_KEY, false) => TurnRecord::deserialize_bin(value)
                 .map(|record| Self::Turn(name, Some(record)))
                 .map_err(|_| UnreadableRecord),
+            (STREAM_KEY, false) => StreamRecord::deserialize_bin(value)
+                .map(|record| Self::Stream(name, Some(record)))
+                .map_err(|_| UnreadableRecord),
             _ => Err(UnreadableRecord),
         }
     }
--- a/crates/ledger/tests/records.rs
+++ b/crates/ledger/tests/records.rs
@@ -2,6 +2,7 @@
 
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::record::{ProgramRecord, Record, TurnRecord};
+use fieldhook_ledger::streams::{StreamOrigin, StreamRecord};
 
 fn turn_record() -> TurnRecord {
     TurnRecord {
@@ -14,6 +15,18 @@
     }
 }
 
+fn stream_record() -> StreamRecord {
+    StreamRecord {
+        origin: Some(StreamOrigin {
+            service: "llm".to_owned(),
+            server: "s1".to_owned(),
+            software_version: None,
+        }),
+        began_ms: 5,
+        retention_ms: 6,
+    }
+}
+
 #[test]
 fn records_round_trip_and_keys_are_unique_per_tenant() {
     let tenants = [None, Some("a"), Some("ab"), Some(""), Some("b")];
@@ -25,7 +38,8 @@
                 QualifiedName::new(tenant, text),
                 Some(ProgramRecord::default()),
             );
-            for record in [turn, program] {
+            let stream = Record::Stream(QualifiedName::new(tenant, text), Some(stream_record()));
+            for record in [turn, program, stream] {
                 assert_eq!(
                     Record::decode(&record.key(), &record.value()),
                     Ok(record.clone())
