Resume streams of unknown origin while only one software has begun any

Clients that know no Resumes, and streams whose record was lost with owner and daemon, had nothing that proves where they began.

What proves it is a record of the software that may have begun streams of a service, kept by the owner of the partition that the service's name hashes to. A daemon registers a software before its first resumable stream there, and sends nothing to a server of it until the record is durable. The answer to a request that resumes something unknown comes after a fence check: if it names one software, all streams that can have begun by then began there, whatever any daemon's view of the servers. With two or more the request is refused as before.

A durable one is confirmed without the log, so streams begin in an outage; a software that can't be registered gets no streams meanwhile, others do.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::relay::{self, Relay};
 use crate::serve::response_times::ResponseTimes;
+use crate::serve::software::Registrations;
 use crate::settings::GatewaySettings;
 use crate::upstream::pool::Pools;
 use crate::zone_state::ZoneState;
@@ -83,6 +84,8 @@
     pub ledger: Rc<LedgerClient>,
     /// Shares of tenants' limits granted to this daemon.
     pub quota: LocalShares,
+    /// Software at which this daemon may begin streams.
+    pub registrations: Registrations,
     /// Origins of the streams that this daemon has served.
     pub streams: RefCell<Streams>,
     /// Limits the memory for data buffered for slow peers.
@@ -169,6 +172,7 @@
             owner,
             ledger,
             quota,
+            registrations: Registrations::default(),
             streams: RefCell::default(),
             memory,
             metrics: adapter.metrics,
--- a/crates/gateway/src/ledger/held.rs
+++ b/crates/gateway/src/ledger/held.rs
@@ -41,7 +41,7 @@
 async fn load(owner: &Owner, partition: u32, epoch: u64) -> Option<LoadedPartition> {
     let claim = owner.claims.claim(partition);
     let state = match claim.map_or(PreviousOwner::Lost, |claim| claim.previous_owner) {
-        PreviousOwner::None => Partition::default(),
+        PreviousOwner::None => Partition::first(unix_ms()),
         PreviousOwner::HandedOver { uncertainty_ms } => {
             Partition::after_handover(unix_ms(), uncertainty_ms)
         }
@@ -118,6 +118,7 @@
         state: state.clone(),
         appender: appender.clone(),
         assigner: owner.assigner.clone(),
+        log_health: owner.log_health.clone(),
     };
     served.append_unrecorded_share();
     owner
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -9,8 +9,11 @@
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
 use fieldhook_ledger::record::Record;
+use fieldhook_ledger::software::MAX_CONTACT_AGE_MS;
+use fieldhook_ledger::streams::StreamOrigin;
 use fieldhook_log::api::KeyedRecord;
 use fieldhook_log::appender::{Appender, Outcome, Urgency};
+use fieldhook_log::log_health::LogHealth;
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -27,6 +30,7 @@
     pub(super) state: Rc<RefCell<Partition>>,
     pub(super) appender: Rc<Appender>,
     pub(super) assigner: Rc<Assigner>,
+    pub(super) log_health: Rc<LogHealth>,
 }
 
 impl ServedPartition {
@@ -42,6 +46,11 @@
             LedgerRequest::Find(find) => self.find(&find.turn, sender),
             LedgerRequest::RecordStream(request) => self.record_stream(&request, sender),
             LedgerRequest::FindStream(stream) => self.find_stream(&stream.name, sender),
+            LedgerRequest::RegisterSoftware(origin) => self.register_software(&origin, sender),
+            LedgerRequest::FindSoftware(service) => {
+                let software = self.state.borrow().software_of(&service);
+                self.reply_after_fence_check(sender, LedgerReply::Software(software));
+            }
             // Answered by `Owner::handle`, which passes on only requests about turns.
             LedgerRequest::FindOwner(_)
             | LedgerRequest::HasRecentLogContact
@@ -167,6 +176,24 @@
         self.push(records, Some(PendingReply { sender, reply }), Urgency::Now);
     }
 
+    /// Registers a software. One that is durable is confirmed at once, so that streams begin during
+    /// an outage of the log, unless this owner may have been replaced meanwhile.
+    fn register_software(&self, origin: &StreamOrigin, sender: mpsc::UnboundedSender<LedgerReply>) {
+        let records = self.state.borrow_mut().register_software(origin, unix_ms());
+        let _ = sender.send(LedgerReply::Accepted);
+        let reply = LedgerReply::Closed;
+        let contact_age_ms = self.log_health.ms_since_answer();
+        match records {
+            None if contact_age_ms < MAX_CONTACT_AGE_MS => {
+                let _ = sender.send(reply);
+            }
+            records => {
+                let records = records.unwrap_or_default();
+                self.push(records, Some(PendingReply { sender, reply }), Urgency::Now);
+            }
+        }
+    }
+
     /// Replies with the origin of a stream. That none is recorded is certain only for an owner that
     /// was not replaced.
     fn find_stream(&self, name: &QualifiedName, sender: mpsc::UnboundedSender<LedgerReply>) {
--- a/crates/gateway/src/ledger/streams.rs
+++ b/crates/gateway/src/ledger/streams.rs
@@ -2,6 +2,8 @@
 
 use super::client::LedgerClient;
 use fieldhook_ledger::message::{FoundStream, LedgerReply, LedgerRequest, RecordStream, StreamKey};
+use fieldhook_ledger::software::ServiceSoftware;
+use fieldhook_ledger::streams::StreamOrigin;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -38,6 +40,22 @@
         accepted
     }
 
+    /// Registers the software of a server; returns whether that is durable.
+    pub async fn register_software(&self, origin: StreamOrigin, deadline: Instant) -> bool {
+        let request = LedgerRequest::RegisterSoftware(origin);
+        self.record(&request, || {}, deadline).await
+    }
+
+    /// Returns the software that may have begun streams of a service; `None` if no owner replied by
+    /// the deadline.
+    pub async fn find_software(&self, service: &str, deadline: Instant) -> Option<ServiceSoftware> {
+        let request = LedgerRequest::FindSoftware(service.to_owned());
+        match self.request_until_answered(&request, deadline).await {
+            Some((LedgerReply::Software(software), _)) => Some(software),
+            _ => None,
+        }
+    }
+
     /// Looks up the origin of a stream; `None` if no owner replied by the deadline.
     pub async fn find_stream(
         &self,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,7 +9,8 @@
 //! [`buffered`] and [`stream`] obtain the response in one or more attempts. [`dispatch`] makes an
 //! attempt: [`selection`] picks a server, `cold` limits requests to cold servers, [`send_check`]
 //! verifies that the server may still be used, and `silence` stops waiting for a server whose
-//! machine cannot be reached. [`stream_origin`] keeps a stream at the software that began it.
+//! machine cannot be reached. [`stream_origin`] keeps a stream at the software that began it, and
+//! [`software`] registers at which software streams begin.
 //! [`attempt`] holds the state and the outcome of attempts. [`retry`] decides what follows a
 //! failed attempt; [`response_times`] determines the timeout of an attempt. For a turn of a
 //! program, [`turn_open`] opens it at the ledger, [`turn`] tracks it, and `turn_record` records its
@@ -32,6 +33,7 @@
 pub mod selection;
 pub mod send_check;
 mod silence;
+pub mod software;
 pub mod stream;
 pub mod stream_origin;
 pub mod turn;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -7,6 +7,7 @@
 use super::selection::choose;
 use super::send_check;
 use super::silence;
+use super::software;
 use crate::dialect::Forwarding;
 use crate::http::write;
 use crate::upstream::connection::{ExchangeError, OutgoingRequest, ServerConnection};
@@ -57,6 +58,9 @@
             break;
         };
         history.servers.push(server.id.clone());
+        if continuation.origin.is_none() && !software::register(context, &server).await {
+            return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
+        }
         history.stage = Stage::Connecting;
         let in_flight = context.daemon.pools.start_request(&server.id);
         let connection = connect(context, &server).await?;
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -30,7 +30,7 @@
     // Servers are sampled by the id of the program, so that its requests find the same engine
     // again, or else by the name of the daemon, so that requests use servers with open connections.
     let sampling_key = affinity.unwrap_or(&daemon.settings.name);
-    let software = origin.map(stream_origin::software);
+    let software = origin.map(stream_origin::required_software);
     let query = CandidateQuery {
         zone,
         range: HashRange::FULL,
--- a/crates/gateway/src/serve/send_check.rs
+++ b/crates/gateway/src/serve/send_check.rs
@@ -99,7 +99,11 @@
     let directory = daemon.directory.borrow();
     let runs = |origin: &StreamOrigin| {
         let servers = directory.active_servers(service);
-        servers.is_some_and(|servers| servers.running(&stream_origin::software(origin)).is_some())
+        servers.is_some_and(|servers| {
+            servers
+                .running(&stream_origin::required_software(origin))
+                .is_some()
+        })
     };
     if origin.is_some_and(|origin| !runs(origin)) {
         return DispatchFailure::SoftwareGone;
--- a/crates/gateway/src/serve/stream_origin.rs
+++ b/crates/gateway/src/serve/stream_origin.rs
@@ -2,10 +2,12 @@
 //!
 //! The origin of each resumable stream is recorded before its first event leaves. A request that
 //! resumes a stream goes only to servers of that software; if the origin is not known, the request
-//! is refused, because a guess could mix what two versions write.
+//! is refused, because a guess could mix what two versions write, unless all streams of the service
+//! began at the same software.
 
 use super::local_response::LocalResponse;
 use super::request::RequestContext;
+use super::software;
 use fieldhook_ledger::message::{RecordStream, StreamKey};
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::streams::StreamOrigin;
@@ -13,11 +15,14 @@
 use fieldhook_traffic::config::RouteKind;
 use fieldhook_traffic::directory::{ServerEntry, Software};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// How long the first event waits until an owner has accepted the origin: several round trips
 /// between regions. A stream that goes on without is not resumable until the record arrives.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long the origin of a stream is looked up: an owner that is lost is replaced within 300 to
+/// 700 ms.
+const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
 /// Additional time for which an origin is kept, in milliseconds: the clocks of successive owners
 /// differ.
 const RETENTION_MARGIN_MS: u64 = 15_000;
@@ -31,6 +36,8 @@
     Owner,
     /// The owner read it from the log.
     Log,
+    /// No other software has begun streams of the service.
+    OnlySoftware,
 }
 
 impl Source {
@@ -40,6 +47,7 @@
             Self::Memory => "memory",
             Self::Owner => "owner",
             Self::Log => "log",
+            Self::OnlySoftware => "only_software",
         }
     }
 }
@@ -51,8 +59,8 @@
     pub origin: StreamOrigin,
     /// How it is known.
     pub source: Source,
-    /// Time since the first event, in milliseconds.
-    pub age_ms: u64,
+    /// Time since the first event, in milliseconds, if it is known.
+    pub age_ms: Option<u64>,
 }
 
 /// Why a stream cannot be resumed.
@@ -113,7 +121,7 @@
 }
 
 /// Returns the software that a stream has to stay at.
-pub fn software(origin: &StreamOrigin) -> Software {
+pub fn required_software(origin: &StreamOrigin) -> Software {
     Software::new(origin.software_version.as_deref(), &origin.server)
 }
 
@@ -126,10 +134,12 @@
     if context.meta.last_event.is_none() {
         return Ok(());
     }
-    let known = match find(context).await {
-        Ok(known) => known,
-        Err(refusal) => return Err(refuse(context, refusal)),
+    let deadline = context.deadline.min(Instant::now() + LOOKUP_TIMEOUT);
+    let known = match find(context, deadline).await {
+        Err(Refusal::Unnamed | Refusal::Unknown) => find_only(context, deadline).await,
+        found => found,
     };
+    let known = known.map_err(|refusal| refuse(context, refusal))?;
     let parts = &context.entry.route.services;
     if !parts
         .iter()
@@ -142,7 +152,7 @@
     Ok(())
 }
 
-async fn find(context: &RequestContext) -> Result<KnownOrigin, Refusal> {
+async fn find(context: &RequestContext, deadline: Instant) -> Result<KnownOrigin, Refusal> {
     let id = context.meta.resumes.as_deref().ok_or(Refusal::Unnamed)?;
     let daemon = &context.daemon;
     let stream = stream_key(context, id);
@@ -152,10 +162,10 @@
         return Ok(KnownOrigin {
             origin: stream.record.origin.ok_or(Refusal::Ambiguous)?,
             source: Source::Memory,
-            age_ms: now_ms.saturating_sub(stream.record.began_ms),
+            age_ms: Some(now_ms.saturating_sub(stream.record.began_ms)),
         });
     }
-    let found = daemon.ledger.find_stream(stream, context.deadline).await;
+    let found = daemon.ledger.find_stream(stream, deadline).await;
     let found = found.ok_or(Refusal::NoOwner)?.ok_or(Refusal::Unknown)?;
     Ok(KnownOrigin {
         origin: found.origin.ok_or(Refusal::Ambiguous)?,
@@ -163,7 +173,23 @@
             true => Source::Log,
             false => Source::Owner,
         },
-        age_ms: found.age_ms,
+        age_ms: Some(found.age_ms),
+    })
+}
+
+/// Finds the origin of a stream about which nothing is recorded, if all streams of its service
+/// began at the same software.
+async fn find_only(context: &RequestContext, deadline: Instant) -> Result<KnownOrigin, Refusal> {
+    let only = software::only(context, deadline).await;
+    let only = only.map_err(|software::NoOwner| Refusal::NoOwner)?;
+    let unknown = match context.meta.resumes {
+        Some(_) => Refusal::Unknown,
+        None => Refusal::Unnamed,
+    };
+    Ok(KnownOrigin {
+        origin: only.ok_or(unknown)?,
+        source: Source::OnlySoftware,
+        age_ms: None,
     })
 }
 
--- a/crates/gateway/tests/gateway/stream_versions.rs
+++ b/crates/gateway/tests/gateway/stream_versions.rs
@@ -6,6 +6,7 @@
 use fieldhook_emulator::log::memory::LogFault;
 use fieldhook_gateway::drain;
 use fieldhook_traffic::config::{Service, WeightedService};
+use fieldhook_traffic::directory::ServerEntry;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -32,8 +33,13 @@
 
 /// Starts a stream and disconnects after its first event. Returns the version that sent it.
 async fn begin_stream(gateway: &Gateway, id: &str) -> String {
+    begin_stream_with(gateway, id, "").await
+}
+
+/// Starts a stream with these further fields.
+async fn begin_stream_with(gateway: &Gateway, id: &str, fields: &str) -> String {
     let mut client = gateway.client().await;
-    let fields = format!("Request: {id}\r\n");
+    let fields = format!("Request: {id}\r\n{fields}");
     client.send("POST", "/resume/1", &fields, "A;").await;
     let body = client.body_until("\n\n").await;
     versions(&body).first().expect("an event").to_string()
@@ -157,6 +163,16 @@
     fn requests(&self) -> usize {
         self.v1.count() + self.v2.count()
     }
+
+    /// Begins streams until both versions have begun some.
+    async fn begin_at_both(&self, fields: &str) {
+        let mut number = 0;
+        while self.v1.count() == 0 || self.v2.count() == 0 {
+            assert!(number < 100, "one version gets no stream");
+            begin_stream_with(&self.first, &format!("begun{number}"), fields).await;
+            number += 1;
+        }
+    }
 }
 
 async fn resume(gateway: &Gateway, fields: &str) -> Reply {
@@ -177,6 +193,8 @@
     run(async {
         let lines = LogCapture::start();
         let pair = Pair::start().await;
+        pair.begin_at_both("").await;
+        let before = pair.requests();
         let cases = [
             ("unnamed", "Request: r1\r\nLast-Event: 0\r\n".to_owned()),
             ("unknown", resume_fields("r2", "never-begun")),
@@ -189,7 +207,7 @@
             let line = refused.last().expect("a line");
             assert!(line.contains(&format!("\"cause\":\"{cause}\"")), "{line}");
         }
-        assert_eq!(pair.requests(), 0);
+        assert_eq!(pair.requests(), before);
     });
 }
 
@@ -233,6 +251,7 @@
     run(async {
         let lines = LogCapture::start();
         let pair = Pair::start().await;
+        pair.begin_at_both("").await;
         for gateway in [&pair.first, &pair.second] {
             gateway.store.set_fault(LogFault::Silent);
         }
@@ -305,11 +324,8 @@
         let tenants = vec![tenant("red", "k1"), tenant("blue", "k2")];
         world.configs.borrow_mut()[0] = config_with_tenants(1, tenants);
         let pair = Pair::start_in(world).await;
-        let mut client = pair.first.client().await;
-        let fields = "Request: s1\r\nKey: k1\r\n";
-        client.send("POST", "/resume/1", fields, "A;").await;
-        client.body_until("\n\n").await;
-        drop(client);
+        pair.begin_at_both("Key: k1\r\n").await;
+        begin_stream_with(&pair.first, "s1", "Key: k1\r\n").await;
         let again = |key: &str, id: &str| format!("{}Key: {key}\r\n", resume_fields(id, "s1"));
         for gateway in [&pair.first, &pair.second] {
             let started = Instant::now();
@@ -357,3 +373,72 @@
         assert!(one.count() > 0 && other.count() > 0);
     });
 }
+
+/// Guards against clients that cannot resume while only one version has ever begun streams, and
+/// against a guess once there are two, also at a daemon that knows servers of one version only.
+#[test]
+fn stream_of_unknown_origin_is_resumed_only_while_one_version_has_begun_streams() {
+    run(async {
+        let lines = LogCapture::start();
+        let world = World::new().await;
+        let v1 = versioned_server(&world, "a", "v1").await;
+        let first = world.gateway("g1").await;
+        first.wait_ready(1).await;
+        sleep(OWNERS_SETTLED).await;
+        begin_stream(&first, "s1").await;
+        let unnamed = "Request: r1\r\nLast-Event: 0\r\n";
+        let second = world.gateway("g2").await;
+        second.wait_ready(1).await;
+        for fields in [unnamed, &resume_fields("r2", "never-recorded")] {
+            let reply = resume(&second, fields).await;
+            assert_eq!(versions(&reply.text()), ["v1"; 5]);
+        }
+        let resumed = lines.with_event("stream_resumed");
+        assert!(resumed[0].contains("\"known_by\":\"only_software\""));
+        // The second version begins a stream at the first gateway and leaves.
+        let v2 = versioned_server(&world, "b", "v2").await;
+        first.wait_ready(2).await;
+        let mut number = 0;
+        while v2.count() == 0 {
+            begin_stream(&first, &format!("more{number}")).await;
+            number += 1;
+        }
+        world.put(SERVERS, "b", "").await;
+        sleep(Duration::from_millis(600)).await;
+        assert_eq!(second.daemon.directory.borrow().len(), 1);
+        let before = v1.count();
+        let started = Instant::now();
+        assert_refused_for_good(&resume(&second, unnamed).await, started);
+        assert_eq!(v1.count(), before);
+    });
+}
+
+/// Guards against a stream that begins at a version of which no record could be made: the streams
+/// of other clients would then be resumed as if that version did not exist.
+#[test]
+fn stream_does_not_begin_at_a_version_that_cannot_be_registered() {
+    run(async {
+        let world = World::new().await;
+        let _v1 = versioned_server(&world, "a", "v1").await;
+        let gateway = world.gateway("g1").await;
+        gateway.wait_ready(1).await;
+        sleep(OWNERS_SETTLED).await;
+        begin_stream(&gateway, "s1").await;
+        gateway.store.set_fault(LogFault::Silent);
+        let v2 = Server::start("b", Act::Paced(texts("v2"), Duration::from_millis(20))).await;
+        let known = gateway.daemon.directory.borrow().entry("a").cloned();
+        let entry = ServerEntry {
+            id: "b".to_owned(),
+            name: "b".to_owned(),
+            address: v2.address,
+            software_version: Some("v2".into()),
+            ..known.expect("an entry")
+        };
+        gateway.daemon.directory.borrow_mut().insert(entry, 1_000);
+        for number in 0..STREAMS {
+            let version = begin_stream(&gateway, &format!("n{number}")).await;
+            assert_eq!(version, "v1");
+        }
+        assert_eq!(v2.count(), 0);
+    });
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`ended_turns`]: recently ended turns, for deduplication.
 //! - [`uncertainty`]: programs that may have started without a record before a takeover.
 //! - [`streams`]: which server sent the first event of a stream that a client may resume.
+//! - [`software`]: the software that may have begun streams, by service.
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
@@ -42,6 +43,7 @@
 pub mod open_turns;
 pub mod partition;
 pub mod record;
+pub mod software;
 pub mod streams;
 pub mod uncertainty;
 
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -3,6 +3,7 @@
 use crate::name::QualifiedName;
 use crate::open_turns::TurnRequest;
 use crate::partition_of;
+use crate::software::ServiceSoftware;
 use crate::streams::StreamOrigin;
 use nanoserde::{DeBin, SerBin};
 
@@ -399,6 +400,10 @@
     RecordStream(RecordStream),
     /// Asks for the origin of a stream.
     FindStream(StreamKey),
+    /// Registers the software of a server before it begins a stream.
+    RegisterSoftware(StreamOrigin),
+    /// Asks for the software that may have begun streams of a service.
+    FindSoftware(String),
 }
 
 impl LedgerRequest {
@@ -414,6 +419,8 @@
             Self::Find(find) => find.partition,
             Self::RecordStream(request) => request.stream.partition(partitions),
             Self::FindStream(stream) => stream.partition(partitions),
+            Self::RegisterSoftware(origin) => partition_of(&origin.service, partitions),
+            Self::FindSoftware(service) => partition_of(service, partitions),
             // The limit of a tenant is kept in the partition of a program with the same name.
             Self::Quota(request) => partition_of(&request.tenant, partitions),
             Self::Cold(request) => partition_of(&request.server, partitions),
@@ -515,6 +522,8 @@
     NotReader,
     /// Origin of a stream; `None` if none is recorded.
     Stream(Option<FoundStream>),
+    /// Software that may have begun streams of the service.
+    Software(ServiceSoftware),
 }
 
 impl LedgerReply {
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -4,7 +4,8 @@
 use crate::message::{BudgetUsage, CloseTurn, OpenTurn, RecordStream};
 use crate::name::QualifiedName;
 use crate::record::{ProgramRecord, Record, TurnRecord};
-use crate::streams::{Stream, Streams};
+use crate::software::{Registration, ServiceSoftware, SoftwareRegister};
+use crate::streams::{Stream, StreamOrigin, Streams};
 use crate::uncertainty::Uncertainty;
 pub use crate::uncertainty::uncertainty_after_loss_ms;
 use std::collections::HashMap;
@@ -67,16 +68,27 @@
     programs: HashMap<QualifiedName, Budget>,
     turns: HashMap<QualifiedName, StoredTurn>,
     streams: Streams,
+    software: SoftwareRegister,
     /// Number of pending deletions of each expired program. Until they are durable, a successor may
     /// still read the old record and count only that.
     pending_deletions: HashMap<QualifiedName, u32>,
     /// Whether a program without a record may have been started by a previous owner.
     uncertainty: Uncertainty,
+    /// Unix time when loading began, in milliseconds.
+    loaded_ms: u64,
     /// The previous owner was lost, and possibly the gateways of its recorded turns as well.
     previous_owner_lost: bool,
 }
 
 impl Partition {
+    /// A partition without a previous owner.
+    pub fn first(now_ms: u64) -> Self {
+        Self {
+            loaded_ms: now_ms,
+            ..Self::default()
+        }
+    }
+
     /// A partition whose previous owner was lost. That owner may have granted turns without a
     /// record to programs that first appear within the next `uncertainty_ms`: see
     /// [`uncertainty_after_loss_ms`].
@@ -92,6 +104,7 @@
     pub fn after_handover(now_ms: u64, uncertainty_ms: u64) -> Self {
         Self {
             uncertainty: Uncertainty::until(now_ms + uncertainty_ms),
+            loaded_ms: now_ms,
             ..Self::default()
         }
     }
@@ -162,6 +175,10 @@
             }
             Record::Stream(name, Some(record)) => self.streams.restore(&name, record),
             Record::Stream(name, None) => self.streams.remove(&name),
+            Record::Software(service, Some(record)) => {
+                self.software.restore(&service, &record, self.loaded_ms);
+            }
+            Record::Software(service, None) => self.software.remove(&service),
         }
     }
 
@@ -277,6 +294,24 @@
         self.streams.get(name, now_ms)
     }
 
+    /// Registers the software of a server that is about to begin a stream. Returns the records that
+    /// have to be durable before; `None` if nothing has to be appended.
+    pub fn register_software(&mut self, origin: &StreamOrigin, now_ms: u64) -> Option<Vec<Record>> {
+        let service = &origin.service;
+        match self.software.register(origin, now_ms) {
+            Registration::Durable => None,
+            Registration::Pending => {
+                let record = self.software.service(service);
+                Some(vec![Record::Software(service.clone(), Some(record))])
+            }
+        }
+    }
+
+    /// Returns the software that may have begun streams of a service.
+    pub fn software_of(&self, service: &str) -> ServiceSoftware {
+        self.software.service(service)
+    }
+
     /// A record was appended.
     pub fn record_appended(&mut self, record: &Record) {
         match record {
@@ -288,6 +323,9 @@
             }
             Record::Program(name, None) => self.deletion_appended(name),
             Record::UnrecordedShares(successors) => self.uncertainty.record_appended(*successors),
+            Record::Software(service, Some(record)) => {
+                self.software.record_appended(service, record);
+            }
             _ => {}
         }
     }
@@ -315,6 +353,8 @@
         });
         let streams = self.streams.expire(now_ms).into_iter();
         records.extend(streams.map(|name| Record::Stream(name, None)));
+        let software = self.software.expire(now_ms).into_iter();
+        records.extend(software.map(|(service, record)| Record::Software(service, record)));
         self.programs.retain(|name, program| {
             let keep = now_ms < program.changed_ms() + PROGRAM_RETENTION_MS;
             if !keep {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,6 +1,7 @@
 //! Records of the compacted topic. The log keeps the newest record of each key.
 
 use crate::name::QualifiedName;
+use crate::software::ServiceSoftware;
 use crate::streams::StreamRecord;
 use nanoserde::{DeBin, SerBin};
 
@@ -12,6 +13,7 @@
 const TENANT_TURN_KEY: u8 = b'T';
 const STREAM_KEY: u8 = b's';
 const TENANT_STREAM_KEY: u8 = b'S';
+const SOFTWARE_KEY: u8 = b'v';
 const UNRECORDED_SHARES_KEY: u8 = b'd';
 
 /// Reservation of a turn whose end is not known yet.
@@ -72,6 +74,8 @@
     UnrecordedShares(u32),
     /// Origin of a stream.
     Stream(QualifiedName, Option<StreamRecord>),
+    /// Software that may have begun streams of a service.
+    Software(String, Option<ServiceSoftware>),
 }
 
 /// A key or value that cannot be decoded.
@@ -86,6 +90,9 @@
             Self::Turn(name, _) => (TURN_KEY, TENANT_TURN_KEY, name),
             Self::Stream(name, _) => (STREAM_KEY, TENANT_STREAM_KEY, name),
             Self::UnrecordedShares(_) => return vec![UNRECORDED_SHARES_KEY],
+            Self::Software(service, _) => {
+                return [&[SOFTWARE_KEY], service.as_bytes()].concat();
+            }
         };
         let mut key = Vec::with_capacity(name.name.len() + 1);
         match &name.tenant {
@@ -106,6 +113,7 @@
             Self::Program(_, Some(record)) => record.serialize_bin(),
             Self::Turn(_, Some(record)) => record.serialize_bin(),
             Self::Stream(_, Some(record)) => record.serialize_bin(),
+            Self::Software(_, Some(record)) => record.serialize_bin(),
             Self::UnrecordedShares(successors) => successors.serialize_bin(),
             _ => Vec::new(),
         }
@@ -131,6 +139,7 @@
             (PROGRAM_KEY, true) => Ok(Self::Program(name, None)),
             (TURN_KEY, true) => Ok(Self::Turn(name, None)),
             (STREAM_KEY, true) => Ok(Self::Stream(name, None)),
+            (SOFTWARE_KEY, true) => Ok(Self::Software(name.name, None)),
             (PROGRAM_KEY, false) => ProgramRecord::deserialize_bin(value)
                 .map(|record| Self::Program(name, Some(record)))
                 .map_err(|_| UnreadableRecord),
@@ -140,6 +149,9 @@
             (STREAM_KEY, false) => StreamRecord::deserialize_bin(value)
                 .map(|record| Self::Stream(name, Some(record)))
                 .map_err(|_| UnreadableRecord),
+            (SOFTWARE_KEY, false) => ServiceSoftware::deserialize_bin(value)
+                .map(|record| Self::Software(name.name, Some(record)))
+                .map_err(|_| UnreadableRecord),
             _ => Err(UnreadableRecord),
         }
     }
--- a/crates/ledger/src/streams.rs
+++ b/crates/ledger/src/streams.rs
@@ -31,7 +31,7 @@
 impl StreamOrigin {
     /// Whether what two servers write fits together. Without a published version, this is certain
     /// only for the same server.
-    fn is_compatible_with(&self, other: &Self) -> bool {
+    pub(crate) fn is_compatible_with(&self, other: &Self) -> bool {
         let same_software = match (&self.software_version, &other.software_version) {
             (Some(version), Some(other_version)) => version == other_version,
             (None, None) => self.server == other.server,
