Probe only servers of configured services

Traced: the entry names a service that no route uses; a daemon that suspects an owner probes some servers of every other zone to tell a lost zone, and took them from all services of the directory.

The sample is taken from the services of the configuration.

--- a/crates/gateway/src/ledger/reach.rs
+++ b/crates/gateway/src/ledger/reach.rs
@@ -83,7 +83,10 @@
     let own = daemon.zone_state.zone.to_string();
     let mut by_zone: BTreeMap<String, Vec<ServerEntry>> = {
         let directory = daemon.directory.borrow();
-        let sample = directory.sample_zones(PROBED_PER_ZONE, fastrand::u64(..));
+        let routes = daemon.routes.borrow();
+        let services = routes.iter().flat_map(|table| &table.config.services);
+        let services = services.map(|service| service.name.as_str());
+        let sample = directory.sample_zones(services, PROBED_PER_ZONE, fastrand::u64(..));
         let to_owned = |servers: Vec<&ServerEntry>| servers.into_iter().cloned().collect();
         sample
             .into_iter()
--- a/crates/gateway/tests/gateway/zones.rs
+++ b/crates/gateway/tests/gateway/zones.rs
@@ -1,10 +1,11 @@
 //! Loss of a zone's power, and network partitions between zones. docs/design/zones-lost.md
 //! lists the kinds of network partition.
 
-use crate::support::{Act, Gateway, Reply, Server, World, run};
+use crate::support::{Act, Gateway, Reply, SERVERS, Server, World, run};
 use fieldhook_emulator::log::memory::LogFault;
 use fieldhook_ledger::message::{Envelope, LedgerReply, LedgerRequest};
 use fieldhook_log::reach::Reach;
+use fieldhook_topology::zone::Map;
 use nanoserde::{DeBin, SerBin};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -385,3 +386,31 @@
         assert_eq!(claim.and_then(|claim| claim.address), Some(owner));
     });
 }
+
+/// Guards against a probe of an address that another writer published under a service of no route.
+#[test]
+fn only_servers_of_configured_services_are_probed() {
+    run(async {
+        let world = World::new().await;
+        *world.zones.borrow_mut() = Map::new([("z1", "r"), ("z2", "r")]);
+        let local = Server::start("s1", one_event()).await;
+        let remote = Server::start("s2", one_event()).await;
+        world.list_in(&local, "z1").await;
+        world.list_in(&remote, "z2").await;
+        let foreign = silent_listener().await;
+        let address = foreign.local_addr().expect("an address");
+        let entry = format!("nowhere {address} zone=z2");
+        world.put(SERVERS, "foreign", &entry).await;
+        let gateway = world.gateway("g1").await;
+        gateway.wait_ready(3).await;
+        let lost_owner = silent_listener().await;
+        let partition = fieldhook_ledger::partition_of("p", 2);
+        let owner = lost_owner.local_addr().expect("an address");
+        world.claim_for(partition, owner).await;
+        sleep(Duration::from_millis(50)).await;
+        let fields = "Request: t1\r\nProgram: p\r\n";
+        assert!(gateway.ask("POST", "/chat/1", fields, "A;").await.complete);
+        let probed = timeout(Duration::from_millis(1_000), foreign.accept()).await;
+        assert!(probed.is_err(), "the foreign address was probed");
+    });
+}
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -292,11 +292,18 @@
             .map(|(zone, _)| zone.as_str())
     }
 
-    /// Returns up to `max` servers of each zone and service that accept new work, starting at
-    /// the ring position that `number` maps to.
-    pub fn sample_zones(&self, max: usize, number: u64) -> BTreeMap<&str, Vec<&ServerEntry>> {
+    /// Returns up to `max` servers of each zone and each of these services that accept new work,
+    /// starting at the ring position that `number` maps to.
+    pub fn sample_zones<'a>(
+        &'a self,
+        services: impl Iterator<Item = &'a str>,
+        max: usize,
+        number: u64,
+    ) -> BTreeMap<&'a str, Vec<&'a ServerEntry>> {
         let mut servers_by_zone: BTreeMap<&str, Vec<&ServerEntry>> = BTreeMap::new();
-        let rings = self.services.values().flat_map(|active| &active.zones);
+        let rings = services
+            .filter_map(|service| self.active_servers(service))
+            .flat_map(|active| &active.zones);
         for (zone, ring) in rings {
             let servers = ring.iter_from(HashRange::FULL, number).take(max);
             servers_by_zone
