explain follows a stream over the attempts of its client

The story of a resumed stream is spread over requests with different ids. explain takes in the attempts that a request resumes or that resume it, and names the request of each line that is not the one asked for. Files are read twice for that; standard input is kept in memory.

--- a/crates/cli/src/log_lines.rs
+++ b/crates/cli/src/log_lines.rs
@@ -6,7 +6,7 @@
 use crate::error::ClientError;
 use serde_json::{Map, Value};
 use std::fs::File;
-use std::io::{BufRead, BufReader, stdin};
+use std::io::{BufRead, BufReader, Read, stdin};
 
 const STANDARD_INPUT: &str = "-";
 
@@ -63,18 +63,65 @@
 /// A file cannot be read.
 pub fn read(files: &[String], mut handle: impl FnMut(LogLine)) -> Result<(), ClientError> {
     for file in files {
-        let reader: Box<dyn BufRead> = match file.as_str() {
-            STANDARD_INPUT => Box::new(BufReader::new(stdin())),
-            path => Box::new(BufReader::new(File::open(path).map_err(|error| {
-                ClientError::Usage(format!("{path}: {error}; specify readable files, or - "))
-            })?)),
-        };
-        for text in reader.split(b'\n').map_while(Result::ok) {
-            let text = String::from_utf8_lossy(&text);
-            if let Some(line) = LogLine::parse(&text, file) {
-                handle(line);
-            }
+        match file.as_str() {
+            STANDARD_INPUT => read_lines(stdin().lock(), file, &mut handle),
+            path => read_lines(open(path)?, file, &mut handle),
         }
     }
     Ok(())
 }
+
+fn open(path: &str) -> Result<BufReader<File>, ClientError> {
+    let file = File::open(path).map_err(|error| {
+        ClientError::Usage(format!("{path}: {error}; specify readable files, or - "))
+    })?;
+    Ok(BufReader::new(file))
+}
+
+fn read_lines(reader: impl BufRead, file: &str, handle: &mut impl FnMut(LogLine)) {
+    for text in reader.split(b'\n').map_while(Result::ok) {
+        let text = String::from_utf8_lossy(&text);
+        if let Some(line) = LogLine::parse(&text, file) {
+            handle(line);
+        }
+    }
+}
+
+/// Files that are read more than once. Standard input is kept in memory.
+pub struct LogFiles<'a> {
+    files: &'a [String],
+    standard_input: Vec<u8>,
+}
+
+impl<'a> LogFiles<'a> {
+    /// Prepares the files for reading.
+    ///
+    /// # Errors
+    /// Standard input is one of them and cannot be read.
+    pub fn new(files: &'a [String]) -> Result<Self, ClientError> {
+        let mut standard_input = Vec::new();
+        if files.iter().any(|file| file == STANDARD_INPUT) {
+            stdin().read_to_end(&mut standard_input).map_err(|error| {
+                ClientError::Usage(format!("standard input: {error}; specify files instead"))
+            })?;
+        }
+        Ok(Self {
+            files,
+            standard_input,
+        })
+    }
+
+    /// Calls `handle` with each log line, like [`read`].
+    ///
+    /// # Errors
+    /// A file cannot be read.
+    pub fn read(&self, mut handle: impl FnMut(LogLine)) -> Result<(), ClientError> {
+        for file in self.files {
+            match file.as_str() {
+                STANDARD_INPUT => read_lines(&self.standard_input[..], file, &mut handle),
+                path => read_lines(open(path)?, file, &mut handle),
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -3,7 +3,7 @@
 //! docs/OPERATIONS.md describes the output.
 
 use crate::error::ClientError;
-use crate::log_lines::{self, LogLine};
+use crate::log_lines::{LogFiles, LogLine};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,7 +31,7 @@
     "zone_evacuation",
 ];
 /// Fields that are printed at the start of a line or that carry no information here.
-const OMITTED_FIELDS: [&str; 4] = ["timestamp", "level", "event", "request"];
+const OMITTED_FIELDS: [&str; 3] = ["timestamp", "level", "event"];
 
 fn is_context(line: &LogLine) -> bool {
     CONTEXT_EVENTS.contains(&line.event())
@@ -56,10 +56,12 @@
     )
 }
 
-fn print_line(line: &LogLine, mark: &str) {
+/// Prints a line. The request is named unless it is the one that was asked for.
+fn print_line(line: &LogLine, mark: &str, id: &str) {
     let mut text = format!("{mark} {} {} {}", line.time(), line.origin, line.event());
     for (key, value) in &line.fields {
-        if OMITTED_FIELDS.contains(&key.as_str()) || value.is_null() {
+        let is_omitted = OMITTED_FIELDS.contains(&key.as_str());
+        if is_omitted || value.is_null() || (key == "request" && value == id) {
             continue;
         }
         let value = match value {
@@ -102,15 +104,41 @@
     }
 }
 
-/// Prints the timeline of a request, or of all requests of a program.
+/// Adds the ids of all attempts of the client that belong to the same stream: those that resume a
+/// known attempt, and those that a known attempt resumes.
+fn attempts_of_stream(id: &str, files: &LogFiles<'_>) -> Result<BTreeSet<String>, ClientError> {
+    let mut links: Vec<(String, String)> = Vec::new();
+    files.read(|line| {
+        if !line.text("resumes").is_empty() {
+            let link = (line.text("request"), line.text("resumes"));
+            links.push((link.0.to_owned(), link.1.to_owned()));
+        }
+    })?;
+    let mut ids = BTreeSet::from([id.to_owned()]);
+    let mut known = 0;
+    while known < ids.len() {
+        known = ids.len();
+        for (request, resumed) in &links {
+            if ids.contains(request) || ids.contains(resumed) {
+                ids.extend([request.clone(), resumed.clone()]);
+            }
+        }
+    }
+    Ok(ids)
+}
+
+/// Prints the timeline of a request with the attempts that it resumes or that resume it, or of all
+/// requests of a program.
 ///
 /// # Errors
 /// A file cannot be read, or no line contains the identifier.
 pub fn run(id: &str, files: &[String]) -> Result<(), ClientError> {
+    let files = LogFiles::new(files)?;
+    let attempts = attempts_of_stream(id, &files)?;
     let mut own_lines = Vec::new();
     let mut context = Vec::new();
-    log_lines::read(files, |line| {
-        if line.text("request") == id || line.text("program") == id {
+    files.read(|line| {
+        if attempts.contains(line.text("request")) || line.text("program") == id {
             own_lines.push(line);
         } else if is_context(&line) {
             context.push(line);
@@ -127,7 +155,7 @@
     all.extend(context.iter().map(|line| ("~", line)));
     all.sort_by(|left, right| left.1.time().cmp(right.1.time()));
     for (mark, line) in &all {
-        print_line(line, mark);
+        print_line(line, mark, id);
     }
     println!(
         "{} lines of {id}, {} context lines (~)",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -20,6 +20,11 @@
 frontend-b {"timestamp":"2026-01-01T00:00:03.150000Z","event":"server_gone","server":"i-1"}
 frontend-b {"timestamp":"2026-01-01T00:00:03.160000Z","event":"server_gone","server":"i-2"}
 frontend-b {"timestamp":"2026-01-01T00:00:04.000000Z","event":"turn_opened","request":"r2","program":"p1","partition":3}
+frontend-a {"timestamp":"2026-01-01T00:00:05.000000Z","event":"first_event","request":"s1","server":"i-5","software":"v1"}
+frontend-b {"timestamp":"2026-01-01T00:00:05.300000Z","event":"attempt_answered","request":"s2","server":"i-6"}
+frontend-b {"timestamp":"2026-01-01T00:00:05.310000Z","event":"stream_resumed","request":"s2","resumes":"s1","server":"i-6","software":"v1","known_by":"owner"}
+frontend-c {"timestamp":"2026-01-01T00:00:05.600000Z","event":"resume_refused","request":"s3","resumes":"s1","cause":"software_gone"}
+frontend-c {"timestamp":"2026-01-01T00:00:05.700000Z","event":"resume_refused","request":"s5","resumes":"s4","cause":"unknown"}
 not a line of ours {
 "#;
 
@@ -82,6 +87,26 @@
     assert!(events.contains(&"frontend-b turn_opened".to_owned()));
 }
 
+/// Whichever attempt of its client is asked for, a stream is followed over all of them.
+#[test]
+fn stream_timeline_includes_all_attempts_of_its_client() {
+    for id in ["s1", "s2", "s3"] {
+        let output = explain(id);
+        let attempts = [
+            "frontend-a first_event",
+            "frontend-b attempt_answered",
+            "frontend-b stream_resumed",
+            "frontend-c resume_refused",
+        ];
+        let mut events = events(&output);
+        events.retain(|event| attempts.contains(&event.as_str()));
+        assert_eq!(events, attempts);
+    }
+    let text = String::from_utf8_lossy(&explain("s1").stdout).into_owned();
+    assert!(text.contains("request=s2 resumes=s1"), "{text}");
+    assert!(!text.contains("request=s1"), "{text}");
+}
+
 #[test]
 fn unknown_request_and_unreadable_file_exit_with_an_error() {
     let unknown = explain("r9");
