Register known software before requests need it

Software of known servers is registered in the background now, and a request that still has to wait does so for up to 1 s, since an owner is replaced within 300 to 700 ms.

Only routes that allow to resume take part: on others nothing is registered, so nothing proves where a stream began, and a request to resume there is refused.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -269,6 +269,7 @@
         ntex::rt::spawn(crate::ledger::owner::run_expiry(self.owner.clone()));
         ntex::rt::spawn(crate::ledger::reach::run(self.clone()));
         ntex::rt::spawn(crate::ledger::homes::watch_owners(self.ledger.clone()));
+        ntex::rt::spawn(crate::serve::software::run(self.clone()));
         ntex::rt::spawn(sweep_pools(self.clone()));
         ntex::rt::spawn(detect_suspension(self.clone()));
         Ok(())
--- a/crates/gateway/src/serve/software.rs
+++ b/crates/gateway/src/serve/software.rs
@@ -3,18 +3,22 @@
 
 use super::request::RequestContext;
 use super::stream_origin;
+use crate::daemon::Daemon;
 use fieldhook_ledger::software::{MAX_SERVICE_BYTES, VALIDITY_MS};
 use fieldhook_ledger::streams::StreamOrigin;
-use fieldhook_traffic::config::RouteKind;
-use fieldhook_traffic::directory::{ServerEntry, Software};
+use fieldhook_traffic::config::{Route, RouteKind};
+use fieldhook_traffic::directory::{ActiveServers, ServerEntry, Software};
+use futures_util::future::join_all;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-/// How long a request waits for a registration: an owner that is lost is replaced within 300 to
-/// 700 ms, and other software may be registered already.
-const REGISTER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a registration may take: an owner that is lost is replaced within 300 to 700 ms.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often the software of known servers is checked. A request that is faster registers it.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// How long a software is skipped after its registration failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// How long after its confirmation a registration is used. Renewed in time, it stays valid at all
@@ -58,21 +62,63 @@
     }
 }
 
+/// Registers the software that requests may need, before they do, until the daemon exits.
+pub async fn run(daemon: Rc<Daemon>) {
+    loop {
+        sleep(CHECK_PERIOD).await;
+        let servers = unregistered_servers(&daemon);
+        let deadline = Instant::now() + REGISTER_TIMEOUT;
+        let registrations = servers
+            .iter()
+            .map(|server| register_server(&daemon, server, deadline));
+        join_all(registrations).await;
+    }
+}
+
+/// Returns one server of each software that is not registered, among the services of routes whose
+/// streams may be resumed.
+fn unregistered_servers(daemon: &Daemon) -> Vec<Rc<ServerEntry>> {
+    let routes = daemon.routes.borrow();
+    let routes = routes.iter().flat_map(|table| &table.config.routes);
+    let resumable = routes.filter(|route| is_resumable(route));
+    let services: BTreeSet<&str> = resumable
+        .flat_map(|route| &route.services)
+        .map(|part| part.service.as_str())
+        .collect();
+    let directory = daemon.directory.borrow();
+    let servers = services
+        .into_iter()
+        .filter_map(|service| directory.active_servers(service))
+        .flat_map(ActiveServers::of_each_software);
+    let unregistered = servers.filter(|server| daemon.registrations.state(server).is_none());
+    unregistered.cloned().collect()
+}
+
+/// Whether clients may resume the streams of a route.
+pub fn is_resumable(route: &Route) -> bool {
+    route.kind == RouteKind::Stream { resumable: true }
+}
+
 /// Makes sure that the software of a server is registered before a stream begins there that may be
 /// resumed. Returns false if it could not be registered; nothing may be sent to the server then.
 pub async fn register(context: &RequestContext, server: &ServerEntry) -> bool {
-    let is_resumable = context.entry.route.kind == (RouteKind::Stream { resumable: true });
-    if !is_resumable || server.service.len() > MAX_SERVICE_BYTES {
+    if !is_resumable(&context.entry.route) {
+        return true;
+    }
+    let deadline = context.deadline.min(Instant::now() + REGISTER_TIMEOUT);
+    register_server(&context.daemon, server, deadline).await
+}
+
+async fn register_server(daemon: &Daemon, server: &ServerEntry, deadline: Instant) -> bool {
+    if server.service.len() > MAX_SERVICE_BYTES {
         return true;
     }
-    let daemon = &context.daemon;
     match daemon.registrations.state(server) {
         Some(State::Confirmed(_)) => return true,
         Some(State::Failed(_)) => return false,
         None => {}
     }
     let requested = Instant::now();
-    let deadline = context.deadline.min(requested + REGISTER_TIMEOUT);
     let origin = stream_origin::of(server);
     let confirmed = daemon.ledger.register_software(origin, deadline).await;
     let state = match confirmed {
@@ -82,7 +128,6 @@
     daemon.registrations.set(server, state);
     tracing::info!(
         event = "software_registered",
-        request = context.meta.id,
         service = server.service,
         server = server.id,
         software = server.software_version.as_deref(),
@@ -107,10 +152,11 @@
     context: &RequestContext,
     deadline: Instant,
 ) -> Result<Option<StreamOrigin>, NoOwner> {
-    let [part] = context.entry.route.services.as_slice() else {
+    let route = &context.entry.route;
+    let [part] = route.services.as_slice() else {
         return Ok(None);
     };
-    if part.service.len() > MAX_SERVICE_BYTES {
+    if !is_resumable(route) || part.service.len() > MAX_SERVICE_BYTES {
         return Ok(None);
     }
     let ledger = &context.daemon.ledger;
--- a/crates/gateway/src/serve/stream_origin.rs
+++ b/crates/gateway/src/serve/stream_origin.rs
@@ -12,7 +12,6 @@
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::streams::StreamOrigin;
 use fieldhook_log::reach::Reach;
-use fieldhook_traffic::config::RouteKind;
 use fieldhook_traffic::directory::{ServerEntry, Software};
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -239,7 +238,7 @@
 /// origin, or after a short time, since a stream without a recorded origin is merely not resumable.
 pub async fn record(context: &RequestContext, server: &ServerEntry) -> StreamOrigin {
     let origin = of(server);
-    if context.entry.route.kind != (RouteKind::Stream { resumable: true }) {
+    if !software::is_resumable(&context.entry.route) {
         return origin;
     }
     let request = RecordStream {
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -132,6 +132,12 @@
         self.version += 1;
     }
 
+    /// Iterates over one server of each software.
+    pub fn of_each_software(&self) -> impl Iterator<Item = &Rc<ServerEntry>> {
+        let rings = self.software.values();
+        rings.filter_map(|ring| ring.iter_from(HashRange::FULL, 0).next())
+    }
+
     /// Returns the servers that run this software, at least one.
     pub fn running(&self, software: &Software) -> Option<&HashRing> {
         self.software.get(software)
