Stream origins: a dropped acceptance counts as none; a request left without registration is logged

Found by reading the change as a newcomer: an acceptance whose sender ended early was taken for one that came; a new owner that restored more streams than its bounds would have left their records on the log for good; a request that was not sent for lack of a registration had no line of its own.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,12 +9,12 @@
 //! [`buffered`] and [`stream`] obtain the response in one or more attempts. [`dispatch`] makes an
 //! attempt: [`selection`] picks a server, `cold` limits requests to cold servers, [`send_check`]
 //! verifies that the server may still be used, and `silence` stops waiting for a server whose
-//! machine cannot be reached. [`stream_origin`] keeps a stream at the software that began it, and
-//! [`software`] registers at which software streams begin.
-//! [`attempt`] holds the state and the outcome of attempts. [`retry`] decides what follows a
-//! failed attempt; [`response_times`] determines the timeout of an attempt. For a turn of a
-//! program, [`turn_open`] opens it at the ledger, [`turn`] tracks it, and `turn_record` records its
-//! result.
+//! machine cannot be reached. [`attempt`] holds the state and the outcome of attempts. [`retry`]
+//! decides what follows a failed attempt; [`response_times`] determines the timeout of an attempt.
+//!
+//! [`stream_origin`] keeps a stream at the software that began it, and [`software`] registers the
+//! software at which streams begin. For a turn of a program, [`turn_open`] opens it at the ledger,
+//! [`turn`] tracks it, and `turn_record` records its result.
 
 pub mod admission;
 pub mod attempt;
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -59,6 +59,7 @@
         };
         history.servers.push(server.id.clone());
         if continuation.origin.is_none() && !software::register(context, &server).await {
+            log_unregistered(context, &server);
             return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
         }
         history.stage = Stage::Connecting;
@@ -86,6 +87,18 @@
     }
 }
 
+fn log_unregistered(context: &RequestContext, server: &ServerEntry) {
+    tracing::info!(
+        event = "attempt_failed",
+        request = context.meta.id,
+        program = context.meta.program,
+        server = server.id,
+        outcome = "software_unregistered",
+        software = server.software_version.as_deref(),
+        age_ms = context.age_ms()
+    );
+}
+
 async fn connect(
     context: &RequestContext,
     server: &ServerEntry,
--- a/crates/gateway/src/serve/stream_origin.rs
+++ b/crates/gateway/src/serve/stream_origin.rs
@@ -257,8 +257,10 @@
         daemon.now_ms(),
     );
     let accepted = daemon.ledger.record_stream(request, context.deadline);
-    let is_isolated = daemon.ledger.reach.get() == Reach::Isolated;
-    if is_isolated || timeout(ACCEPT_TIMEOUT, accepted).await.is_err() {
+    // An isolated daemon reaches no owner, so waiting would only delay the event.
+    let is_accepted = daemon.ledger.reach.get() != Reach::Isolated
+        && matches!(timeout(ACCEPT_TIMEOUT, accepted).await, Ok(Ok(())));
+    if !is_accepted {
         tracing::info!(
             event = "stream_unrecorded",
             request = context.meta.id,
--- a/crates/ledger/src/streams.rs
+++ b/crates/ledger/src/streams.rs
@@ -141,25 +141,20 @@
                 _ => return StreamChange::default(),
             }
         }
-        let forgotten = self.insert(name, record.clone(), false);
+        self.insert(name, record.clone(), false);
         StreamChange {
             record: Some(record),
-            forgotten,
+            forgotten: self.forget_excess(&name.tenant),
         }
     }
 
-    /// Restores a stream from its record.
+    /// Restores a stream from its record. The owner that made the record kept to the bounds.
     pub fn restore(&mut self, name: &QualifiedName, record: StreamRecord) {
         self.insert(name, record, true);
     }
 
-    /// Adds or replaces a stream. Returns the streams that were forgotten for lack of space.
-    fn insert(
-        &mut self,
-        name: &QualifiedName,
-        record: StreamRecord,
-        is_restored: bool,
-    ) -> Vec<QualifiedName> {
+    /// Adds or replaces a stream.
+    fn insert(&mut self, name: &QualifiedName, record: StreamRecord, is_restored: bool) {
         let tenant = self.tenants.entry(name.tenant.clone()).or_default();
         let stream = Stream {
             record,
@@ -169,9 +164,9 @@
             tenant.order.push_back(name.name.clone());
             self.count += 1;
         }
-        self.forget_excess(&name.tenant)
     }
 
+    /// Forgets a stream if there are too many after one of this tenant was added.
     fn forget_excess(&mut self, added_to: &Option<String>) -> Vec<QualifiedName> {
         let is_tenant_full = self
             .tenants
