--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -29,7 +29,7 @@
 /// cold servers fail under load at once instead of processing requests.
 const EARLY_FAILURE_WITHIN: Duration = Duration::from_millis(50);
 
-/// Where a stream continues; empty for a request that starts anew.
+/// Where a stream continues; empty for a new stream and for other requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Continuation<'a> {
     /// Last event that the client has.
--- a/crates/gateway/src/serve/stream_origin.rs
+++ b/crates/gateway/src/serve/stream_origin.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Only a missing owner is worth a retry; in all other cases the client has to start anew.
+    /// Only a missing owner is worth a retry. In all other cases the client has to start a new stream.
     fn response(self, context: &RequestContext) -> LocalResponse {
         match self {
             Self::Unnamed => LocalResponse::new(
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -7,6 +7,10 @@
 use crate::streams::StreamOrigin;
 use nanoserde::{DeBin, SerBin};
 
+mod stream;
+
+pub use stream::{FoundStream, RecordStream, StreamKey};
+
 /// Input for the assignment of an engine to the program of a turn.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct AssignmentInput {
@@ -203,46 +207,6 @@
     pub turn: QualifiedName,
 }
 
-/// Name of a stream and where its origin is recorded.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub struct StreamKey {
-    /// Id of the attempt that brought the first event.
-    pub name: QualifiedName,
-    /// Program of the stream, whose partition records the origin. A stream without a program is
-    /// recorded in the partition that its own name hashes to.
-    pub program: Option<String>,
-}
-
-impl StreamKey {
-    fn partition(&self, partitions: u32) -> u32 {
-        let name = self.program.as_ref().unwrap_or(&self.name.name);
-        partition_of(name, partitions)
-    }
-}
-
-/// Records which server sent the first event of a stream.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub struct RecordStream {
-    /// The stream.
-    pub stream: StreamKey,
-    /// The server and its software.
-    pub origin: StreamOrigin,
-    /// How long the client may resume the stream, in milliseconds.
-    pub retention_ms: u64,
-}
-
-/// A stream as known to the owner of its partition.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub struct FoundStream {
-    /// Origin of the first event; `None` if it is uncertain: see
-    /// [`StreamRecord`](crate::streams::StreamRecord).
-    pub origin: Option<StreamOrigin>,
-    /// Time since the first event, in milliseconds.
-    pub age_ms: u64,
-    /// Whether the owner read the record from the log.
-    pub is_restored: bool,
-}
-
 /// Event that is reported to the owner of a tenant's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub enum QuotaEvent {
--- a/crates/ledger/src/software.rs
+++ b/crates/ledger/src/software.rs
@@ -4,8 +4,9 @@
 //! owner's record of that software is durable. If the record of a service names one software only,
 //! every stream of the service began there, whatever else is known of the stream.
 //!
-//! Daemons renew their registrations. A software that nobody renews is removed, long after its
-//! last stream can be resumed. Renewals are kept in memory: a new owner counts the time anew.
+//! Daemons renew their registrations. A software that is not renewed is removed, long after its
+//! last stream can be resumed. Renewals are kept in memory: a new owner counts the time from its
+//! start.
 
 use crate::streams::StreamOrigin;
 use nanoserde::{DeBin, SerBin};
@@ -17,7 +18,7 @@
 /// milliseconds: it may have been replaced without knowing.
 pub const MAX_CONTACT_AGE_MS: u64 = 600_000;
 /// Time without a renewal after which a software is removed, in milliseconds. It covers the
-/// validity, a replaced owner that still confirms, and clients that resume very late.
+/// validity, a replaced owner that still confirms, and clients that resume after a long time.
 pub const REMOVAL_MS: u64 = 24 * 3_600_000;
 /// Maximum number of software of a service that are named. More than one already shows that a
 /// stream may have begun at any of them.
--- a/crates/ledger/src/streams.rs
+++ b/crates/ledger/src/streams.rs
@@ -3,7 +3,7 @@
 //! A stream may continue only at a server of the software that sent its first event. The origin of
 //! a stream is recorded before its first event leaves, because the daemon that served it may be
 //! lost together with the owner. An origin that is not known is never guessed: clients then start
-//! the stream anew.
+//! a new stream.
 
 use crate::name::QualifiedName;
 use nanoserde::{DeBin, SerBin};
