Register software in the background only where an owner is known

Traced by its lines: the cut-off gateway had asked no peer, since it owned both partitions. The registration that runs right after a start asks for a partition that nobody owns yet, which makes this daemon claim it at once, while claims are delayed so that daemons with more capacity go first.

The background registration waits until the partition has an owner; a request that needs it still asks, as for a turn.

--- a/crates/gateway/src/ledger/streams.rs
+++ b/crates/gateway/src/ledger/streams.rs
@@ -40,6 +40,12 @@
         accepted
     }
 
+    /// Whether the partition that a service's name hashes to has an owner, as far as known.
+    pub fn has_owner(&self, service: &str) -> bool {
+        let claim = self.owner.claims.claim(self.partition_of(service));
+        claim.is_some_and(|claim| claim.address.is_some())
+    }
+
     /// Registers the software of a server; returns whether that is durable.
     pub async fn register_software(&self, origin: StreamOrigin, deadline: Instant) -> bool {
         let request = LedgerRequest::RegisterSoftware(origin);
--- a/crates/gateway/src/serve/software.rs
+++ b/crates/gateway/src/serve/software.rs
@@ -71,15 +71,19 @@
 /// Registers the software that requests may need, before they do, until the daemon exits.
 pub async fn run(daemon: Rc<Daemon>) {
     loop {
-        let servers = unregistered_servers(&daemon);
+        let (servers, unowned): (Vec<_>, Vec<_>) = unregistered_servers(&daemon)
+            .into_iter()
+            .partition(|server| daemon.ledger.has_owner(&server.service));
         let deadline = Instant::now() + REGISTER_TIMEOUT;
         let registrations = servers
             .iter()
             .map(|server| register_server(&daemon, server, deadline));
         let confirmed = join_all(registrations).await;
-        let pause = match confirmed.contains(&false) {
-            true => FAILURE_PAUSE,
-            false => CHECK_PERIOD,
+        // Asking for a partition without an owner would claim it, out of the order in which daemons
+        // claim.
+        let pause = match unowned.is_empty() && !confirmed.contains(&false) {
+            true => CHECK_PERIOD,
+            false => FAILURE_PAUSE,
         };
         tokio::select! {
             () = sleep(pause) => {}
