--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and checks of the review's cases: `review-harness CASE ROOT FOLDER TROUBLE`.
 
 mod cluster;
+mod engine;
+mod expiry;
 mod http;
 mod store;
 mod surplus;
@@ -35,6 +37,7 @@
     });
     let verdict = match case.as_str() {
         "surplus" => surplus::run(&root, &folder, trouble),
+        "expiry" => expiry::run(&root, &folder, trouble),
         _ => Ok(Verdict::NotRun("no such case".to_owned())),
     };
     exit(match verdict {
