Review, case 3: a program that returns gets part of its budget twice

What a program without a record was handed is counted after the loss of its owner only for programs that appear within 20 s; a program may return for 60 s.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod expiry;
 mod http;
+mod returns;
 mod store;
 mod surplus;
 
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "surplus" => surplus::run(&root, &folder, trouble),
         "expiry" => expiry::run(&root, &folder, trouble),
+        "returns" => returns::run(&root, &folder, trouble),
         _ => Ok(Verdict::NotRun("no such case".to_owned())),
     };
     exit(match verdict {
