--- /dev/null
+++ b/crates/ledger/src/chains.rs
@@ -0,0 +1,139 @@
+//! Chains of completed turns, with the contents from which later turns continue.
+
+use crate::name::QualifiedName;
+use crate::record::TurnRecord;
+use std::collections::HashMap;
+
+/// How much longer than promised a turn is stored, in milliseconds: the clocks of successive owners
+/// differ.
+const RETENTION_MARGIN_MS: u64 = 15_000;
+/// Maximum number of turns of a chain whose retention is extended.
+const MAX_EXTENDED_TURNS: usize = 10_000;
+
+struct StoredTurn {
+    record: TurnRecord,
+    keep_until_ms: u64,
+}
+
+impl StoredTurn {
+    /// Name of the turn that this one continues; `name` is the name of this turn.
+    fn previous_name(&self, name: &QualifiedName) -> Option<QualifiedName> {
+        let previous = self.record.previous.as_deref()?;
+        Some(name.in_same_tenant(previous))
+    }
+}
+
+/// Completed turns of one partition.
+#[derive(Default)]
+pub struct Chains {
+    turns: HashMap<QualifiedName, StoredTurn>,
+}
+
+impl Chains {
+    /// Adds a turn that a previous owner stored.
+    pub fn restore(&mut self, name: QualifiedName, record: TurnRecord) {
+        let keep_until_ms = record.ended_ms + record.retention_ms;
+        self.turns.insert(
+            name,
+            StoredTurn {
+                record,
+                keep_until_ms,
+            },
+        );
+    }
+
+    /// Removes a turn that a previous owner deleted.
+    pub fn remove(&mut self, name: &QualifiedName) {
+        self.turns.remove(name);
+    }
+
+    /// Finishes restoring after the last turn: extends the retention of each chain to that of its
+    /// newest turn.
+    pub fn finish_restoring(&mut self) {
+        let chain_ends: Vec<(QualifiedName, u64)> = self
+            .turns
+            .iter()
+            .map(|(name, turn)| (name.clone(), turn.keep_until_ms))
+            .collect();
+        for (name, keep_until_ms) in chain_ends {
+            self.extend_retention(&name, keep_until_ms);
+        }
+    }
+
+    /// Stores a turn and extends the retention of its chain.
+    pub fn insert(&mut self, name: &QualifiedName, record: TurnRecord) {
+        let keep_until_ms = record.ended_ms + record.retention_ms;
+        self.restore(name.clone(), record);
+        self.extend_retention(name, keep_until_ms);
+    }
+
+    /// Whether a turn is stored.
+    pub fn contains(&self, name: &QualifiedName) -> bool {
+        self.turns.contains_key(name)
+    }
+
+    /// Number of stored turns.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Whether no turn is stored.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Inputs and outputs of the chain that ends with a turn, oldest first.
+    pub fn contents(&self, last: &QualifiedName) -> Option<Vec<u8>> {
+        let chain = self.turns_of(last)?;
+        let mut contents = Vec::new();
+        for turn in chain.iter().rev() {
+            contents.extend_from_slice(&turn.record.input);
+            contents.extend_from_slice(&turn.record.output);
+        }
+        Some(contents)
+    }
+
+    /// Removes expired turns and returns their names.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<QualifiedName> {
+        let mut expired = Vec::new();
+        self.turns.retain(|name, turn| {
+            let keep = now_ms < turn.keep_until_ms + RETENTION_MARGIN_MS;
+            if !keep {
+                expired.push(name.clone());
+            }
+            keep
+        });
+        expired
+    }
+
+    /// The turns of a chain, from this one back to the first.
+    fn turns_of(&self, last: &QualifiedName) -> Option<Vec<&StoredTurn>> {
+        let mut chain = Vec::new();
+        let mut next = Some(last.clone());
+        while let Some(name) = next {
+            if chain.len() > self.turns.len() {
+                return None;
+            }
+            let turn = self.turns.get(&name)?;
+            next = turn.previous_name(&name);
+            chain.push(turn);
+        }
+        Some(chain)
+    }
+
+    fn extend_retention(&mut self, last: &QualifiedName, until_ms: u64) {
+        let mut next = Some(last.clone());
+        let mut steps = 0;
+        while let Some(name) = next {
+            let Some(turn) = self.turns.get_mut(&name) else {
+                return;
+            };
+            steps += 1;
+            turn.keep_until_ms = turn.keep_until_ms.max(until_ms);
+            next = turn.previous_name(&name);
+            if steps > MAX_EXTENDED_TURNS {
+                return;
+            }
+        }
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -28,6 +28,7 @@
 //!   replies.
 //! - [`record`]: records of the topic and their keys.
 //! - [`budget`]: the token budget of one program.
+//! - [`chains`]: chains of completed turns, with their contents.
 //! - [`open_turns`]: turns in progress of a program, and which of them are in doubt.
 //! - [`ended_turns`]: recently ended turns, for deduplication.
 //! - [`uncertainty`]: programs that may have started without a record before a takeover.
@@ -37,6 +38,7 @@
 //! - [`partition`]: the state machine of one partition.
 
 pub mod budget;
+pub mod chains;
 pub mod crashes;
 pub mod ended_turns;
 pub mod layout;
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,6 +1,7 @@
 //! State machine of one partition, run by its owner.
 
 use crate::budget::{Budget, ReserveOutcome, ReservePolicy, Settlement};
+use crate::chains::Chains;
 use crate::crashes::{CrashTable, SendDecision};
 use crate::message::{BudgetUsage, CloseTurn, OpenTurn, RecordStream, ReportAttempt, RequestSend};
 use crate::name::QualifiedName;
@@ -11,9 +12,6 @@
 pub use crate::uncertainty::uncertainty_after_loss_ms;
 use std::collections::HashMap;
 
-/// How much longer than promised a turn is stored, in milliseconds: the clocks of successive owners
-/// differ.
-const RETENTION_MARGIN_MS: u64 = 15_000;
 /// How long the budget of a program is stored after its last change, in milliseconds.
 const PROGRAM_RETENTION_MS: u64 = 180_000;
 
@@ -50,24 +48,11 @@
     AlreadyEnded,
 }
 
-struct StoredTurn {
-    record: TurnRecord,
-    keep_until_ms: u64,
-}
-
-impl StoredTurn {
-    /// Name of the turn that this one continues; `name` is the name of this turn.
-    fn previous_name(&self, name: &QualifiedName) -> Option<QualifiedName> {
-        let previous = self.record.previous.as_deref()?;
-        Some(name.in_same_tenant(previous))
-    }
-}
-
 /// Programs and turns of one partition.
 #[derive(Default)]
 pub struct Partition {
     programs: HashMap<QualifiedName, Budget>,
-    turns: HashMap<QualifiedName, StoredTurn>,
+    chains: Chains,
     streams: Streams,
     crashes: CrashTable,
     software: SoftwareRegister,
@@ -158,23 +143,12 @@
             Record::Program(name, Some(record)) => {
                 self.programs.insert(name, Budget::from_record(&record));
             }
-            Record::Turn(name, Some(record)) => {
-                let keep_until_ms = record.ended_ms + record.retention_ms;
-                self.turns.insert(
-                    name,
-                    StoredTurn {
-                        record,
-                        keep_until_ms,
-                    },
-                );
-            }
+            Record::Turn(name, Some(record)) => self.chains.restore(name, record),
             Record::UnrecordedShares(successors) => self.uncertainty.load(successors),
             Record::Program(name, None) => {
                 self.programs.remove(&name);
             }
-            Record::Turn(name, None) => {
-                self.turns.remove(&name);
-            }
+            Record::Turn(name, None) => self.chains.remove(&name),
             Record::Stream(name, Some(record)) => self.streams.restore(&name, record),
             Record::Stream(name, None) => self.streams.remove(&name),
             Record::Crashes(name, Some(record)) => self.crashes.restore(&name, record),
@@ -194,14 +168,7 @@
                 .values_mut()
                 .for_each(Budget::mark_open_in_doubt);
         }
-        let chain_ends: Vec<(QualifiedName, u64)> = self
-            .turns
-            .iter()
-            .map(|(name, turn)| (name.clone(), turn.keep_until_ms))
-            .collect();
-        for (name, keep_until_ms) in chain_ends {
-            self.extend_chain_retention(&name, keep_until_ms);
-        }
+        self.chains.finish_restoring();
     }
 
     /// Opens a turn. A repeated request for an open turn does not reserve its tokens again.
@@ -261,7 +228,7 @@
         }
         let turn = request.qualified_name(&request.turn);
         if let Some(content) = &request.content
-            && !self.turns.contains_key(&turn)
+            && !self.chains.contains(&turn)
         {
             let record = TurnRecord {
                 program: request.program.clone(),
@@ -271,8 +238,7 @@
                 ended_ms: now_ms,
                 retention_ms: content.retention_ms,
             };
-            self.load(Record::Turn(turn.clone(), Some(record.clone())));
-            self.extend_chain_retention(&turn, now_ms + content.retention_ms);
+            self.chains.insert(&turn, record.clone());
             records.push(Record::Turn(turn, Some(record)));
         }
         records
@@ -386,13 +352,8 @@
     /// Deletes expired turns, programs, streams and counts of ended servers.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Record> {
         let mut records = self.end_uncertainty(now_ms);
-        self.turns.retain(|name, turn| {
-            let keep = now_ms < turn.keep_until_ms + RETENTION_MARGIN_MS;
-            if !keep {
-                records.push(Record::Turn(name.clone(), None));
-            }
-            keep
-        });
+        let turns = self.chains.expire(now_ms).into_iter();
+        records.extend(turns.map(|name| Record::Turn(name, None)));
         let streams = self.streams.expire(now_ms).into_iter();
         records.extend(streams.map(|name| Record::Stream(name, None)));
         let crashes = self.crashes.expire(now_ms).into_iter();
@@ -423,7 +384,7 @@
 
     /// Number of stored turns.
     pub fn turn_count(&self) -> usize {
-        self.turns.len()
+        self.chains.len()
     }
 
     /// Number of known programs.
@@ -462,43 +423,6 @@
 
     /// Inputs and outputs of the chain that ends with a turn, oldest first.
     pub fn chain_contents(&self, last: &QualifiedName) -> Option<Vec<u8>> {
-        let chain = self.chain_turns(last)?;
-        let mut contents = Vec::new();
-        for turn in chain.iter().rev() {
-            contents.extend_from_slice(&turn.record.input);
-            contents.extend_from_slice(&turn.record.output);
-        }
-        Some(contents)
-    }
-
-    /// The turns of a chain, from this one back to the first.
-    fn chain_turns(&self, last: &QualifiedName) -> Option<Vec<&StoredTurn>> {
-        let mut chain = Vec::new();
-        let mut next = Some(last.clone());
-        while let Some(name) = next {
-            if chain.len() > self.turns.len() {
-                return None;
-            }
-            let turn = self.turns.get(&name)?;
-            next = turn.previous_name(&name);
-            chain.push(turn);
-        }
-        Some(chain)
-    }
-
-    fn extend_chain_retention(&mut self, last: &QualifiedName, until_ms: u64) {
-        let mut next = Some(last.clone());
-        let mut steps = 0;
-        while let Some(name) = next {
-            let Some(turn) = self.turns.get_mut(&name) else {
-                return;
-            };
-            steps += 1;
-            turn.keep_until_ms = turn.keep_until_ms.max(until_ms);
-            next = turn.previous_name(&name);
-            if steps > 10_000 {
-                return;
-            }
-        }
+        self.chains.contents(last)
     }
 }
