Lines for chains that are not known and for turns that expire

Cause: a 404 for a turn that goes on from another was logged as UnknownTurn alone. It could not be told whether the previous turn itself was never stored, was stored at another partition, or is stored while a turn further back in its chain is not. Change: chain_unknown names the turn that is missing, turns_expired those that an owner deletes (16 at most).

--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -32,6 +32,9 @@
 /// next attempt of the client finds a daemon that knows of it.
 const ANNOUNCE_WAIT: Duration = Duration::from_millis(50);
 
+/// Number of expired turns that one log line names.
+const MAX_LOGGED_TURNS: usize = 16;
+
 /// A loaded partition that this daemon owns.
 #[derive(Clone)]
 pub(super) struct ServedPartition {
@@ -124,6 +127,8 @@
                 let _ = sender.send(LedgerReply::Unavailable);
             }
             OpenOutcome::UnknownTurn => {
+                let previous = open.previous.as_deref().unwrap_or_default();
+                self.log_unknown_chain(&open.qualified_name(previous), Some(&open.turn));
                 self.reply_after_fence_check(sender, LedgerReply::UnknownTurn)
             }
         }
@@ -171,6 +176,7 @@
     /// Deletes expired turns and programs.
     pub(super) fn expire(&self) {
         let records = self.state.borrow_mut().expire(unix_ms());
+        self.log_expiry(&records);
         if !records.is_empty() {
             self.push(records, None, Urgency::Soon);
         }
@@ -181,8 +187,47 @@
             Some(chain) => {
                 let _ = sender.send(LedgerReply::Chain(chain));
             }
-            None => self.reply_after_fence_check(sender, LedgerReply::UnknownTurn),
+            None => {
+                self.log_unknown_chain(turn, None);
+                self.reply_after_fence_check(sender, LedgerReply::UnknownTurn)
+            }
+        }
+    }
+
+    /// Logs which turn of a chain is not stored. Every partition is asked for a turn that its own
+    /// partition does not store, so those lines are left out.
+    fn log_unknown_chain(&self, last: &QualifiedName, request: Option<&str>) {
+        let state = self.state.borrow();
+        let missing = state.chains().missing_turn(last);
+        if request.is_none() && missing.as_ref() == Some(last) {
+            return;
         }
+        tracing::info!(
+            event = "chain_unknown",
+            request,
+            previous = last.name,
+            missing = missing.map(|turn| turn.name),
+            turns = state.turn_count(),
+            epoch = self.epoch
+        );
+    }
+
+    fn log_expiry(&self, records: &[Record]) {
+        let turns = records.iter().filter_map(|record| match record {
+            Record::Turn(name, None) => Some(name.name.as_str()),
+            _ => None,
+        });
+        let turns: Vec<&str> = turns.collect();
+        if turns.is_empty() {
+            return;
+        }
+        let logged = &turns[..turns.len().min(MAX_LOGGED_TURNS)];
+        tracing::info!(
+            event = "turns_expired",
+            count = turns.len(),
+            turns = logged.join(" "),
+            epoch = self.epoch
+        );
     }
 
     fn record_stream(&self, request: &RecordStream, sender: mpsc::UnboundedSender<LedgerReply>) {
--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -93,6 +93,18 @@
         Some(contents)
     }
 
+    /// The first turn of a chain, from the last one back, that is not stored.
+    pub fn missing_turn(&self, last: &QualifiedName) -> Option<QualifiedName> {
+        let mut name = last.clone();
+        for _ in 0..=self.turns.len() {
+            let Some(turn) = self.turns.get(&name) else {
+                return Some(name);
+            };
+            name = turn.previous_name(&name)?;
+        }
+        None
+    }
+
     /// Removes expired turns and returns their names.
     pub fn expire(&mut self, now_ms: u64) -> Vec<QualifiedName> {
         let mut expired = Vec::new();
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -421,6 +421,11 @@
             })
     }
 
+    /// The turns that are stored.
+    pub fn chains(&self) -> &Chains {
+        &self.chains
+    }
+
     /// Inputs and outputs of the chain that ends with a turn, oldest first.
     pub fn chain_contents(&self, last: &QualifiedName) -> Option<Vec<u8>> {
         self.chains.contents(last)
