A turn that outlasts its chain is stored together with it

Cause: the owner of a partition deletes A 15 s after its retention, although B goes on from A and is in progress: opening a turn hands out its chain and nobody keeps it. The end of B then stored a record that names A as its previous turn without a look whether A is still there. From that moment on no chain of B could be read.

Change: the end of a turn whose chain is not stored is refused with UnknownTurn, and nothing is recorded. The gateway, which has the whole prompt, then stores the turn together with its chain, as it does for chains of other programs: in one record, or the chain in records of its own first if both exceed the size of one. Until then the client doesn't get the end of its answer. Line chain_recorded_again, metric fieldhook_expired_chains_total.

Why this works: the check and the extension of the chain's retention are one step of the owner whose append makes the turn durable, so a durable turn always has its whole chain before it in the log, whoever owned the partition when it was opened. It holds for a loss of the owner, a planned hand-over, a loss of all power and an outage of the log, because nothing but the end itself has to survive. A hold in the owner's memory would be lost with the owner. Turns that don't outlast their chain append nothing more than before.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -33,6 +33,25 @@
 /// Pause before a retry. No retry starts when less time than this is left.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
+/// Outcome of a request that appends a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recording {
+    /// The record is durable.
+    Durable,
+    /// The chain that an ended turn continues is not stored. Nothing was appended; the turn can be
+    /// stored together with its chain.
+    UnknownChain,
+    /// The record was not known to be durable by the deadline.
+    NotDurable,
+}
+
+impl Recording {
+    /// Whether the record is durable.
+    pub fn is_durable(self) -> bool {
+        self == Self::Durable
+    }
+}
+
 /// Why a turn could not be opened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OpenFailure {
@@ -333,29 +352,31 @@
         }
     }
 
-    /// Records the end of a turn. Returns whether it is durable.
-    pub async fn close(&self, request: &CloseTurn, deadline: Instant) -> bool {
+    /// Records the end of a turn.
+    pub async fn close(&self, request: &CloseTurn, deadline: Instant) -> Recording {
         let request = LedgerRequest::Close(request.clone());
         self.record(&request, || {}, deadline).await
     }
 
-    /// Sends a request that appends a record until the record is durable; returns whether it is.
-    /// `on_accepted` is called whenever an owner has accepted the request.
+    /// Sends a request that appends a record until the record is durable. `on_accepted` is called
+    /// whenever an owner has accepted the request.
     pub(super) async fn record(
         &self,
         request: &LedgerRequest,
         on_accepted: impl Fn(),
         deadline: Instant,
-    ) -> bool {
+    ) -> Recording {
         let partition = request.partition(self.owner.zone_state.layout.global_count());
         while Instant::now() < deadline {
             let answer = self.request_until_answered(request, deadline).await;
-            let Some((LedgerReply::Accepted, mut replies)) = answer else {
-                if self.reach.get() != Reach::Minority {
-                    return false;
+            let mut replies = match answer {
+                Some((LedgerReply::Accepted, replies)) => replies,
+                Some((LedgerReply::UnknownTurn, _)) => return Recording::UnknownChain,
+                _ if self.reach.get() != Reach::Minority => return Recording::NotDurable,
+                _ => {
+                    sleep(MINORITY_RETRY_PAUSE).await;
+                    continue;
                 }
-                sleep(MINORITY_RETRY_PAUSE).await;
-                continue;
             };
             on_accepted();
             let until = deadline.min(Instant::now() + APPEND_TIMEOUT);
@@ -363,12 +384,12 @@
             let epoch = claim.map(|claim| claim.epoch);
             let closed = self.wait_for_reply(partition, epoch, &mut replies);
             match timeout_at(until, closed).await {
-                Ok(WaitEnd::Reply(Some(LedgerReply::Closed))) => return true,
+                Ok(WaitEnd::Reply(Some(LedgerReply::Closed))) => return Recording::Durable,
                 Ok(_) => {}
                 Err(_) => self.replace_stuck(partition).await,
             }
         }
-        false
+        Recording::NotDurable
     }
 
     /// Records a request in the background, until it is durable or the deadline has passed. The
@@ -389,7 +410,7 @@
                     let _ = sender.send(());
                 }
             };
-            if !ledger.record(&request, notify, deadline).await {
+            if !ledger.record(&request, notify, deadline).await.is_durable() {
                 on_failure(request.partition(ledger.owner.zone_state.layout.global_count()));
             }
         });
--- a/crates/gateway/src/ledger/closing.rs
+++ b/crates/gateway/src/ledger/closing.rs
@@ -53,7 +53,8 @@
         let until = Instant::now() + RETRY_FOR;
         let mut pause = FIRST_PAUSE;
         while Instant::now() < until {
-            if self.close(close, Instant::now() + ATTEMPT_TIMEOUT).await {
+            let recording = self.close(close, Instant::now() + ATTEMPT_TIMEOUT).await;
+            if recording.is_durable() {
                 return true;
             }
             // Retry at once when the owner changes: a new owner may answer the client's next
--- a/crates/gateway/src/ledger/streams.rs
+++ b/crates/gateway/src/ledger/streams.rs
@@ -40,7 +40,7 @@
     /// Registers the software of a server; returns whether that is durable.
     pub async fn register_software(&self, origin: StreamOrigin, deadline: Instant) -> bool {
         let request = LedgerRequest::RegisterSoftware(origin);
-        self.record(&request, || {}, deadline).await
+        self.record(&request, || {}, deadline).await.is_durable()
     }
 
     /// Returns the software that may have begun streams of a service; `None` if no owner replied by
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub tenant_limit_used: GaugeVec,
     /// Turns that an owner may have opened for a client that left before the reply.
     pub turns_in_doubt: IntCounter,
+    /// Turns that were recorded together with a chain that had expired.
+    pub expired_chains: IntCounter,
     /// Unreadable records of the configuration, of evacuations and of servers, by kind.
     pub unreadable: IntCounterVec,
     /// Bytes buffered for slow peers.
@@ -166,6 +168,10 @@
                 "fieldhook_turns_in_doubt_total",
                 "Turns whose askers left before the owner's answer",
             ),
+            expired_chains: b.counter(
+                "fieldhook_expired_chains_total",
+                "Turns recorded together with a chain that had expired",
+            ),
             unreadable: b.counters(
                 "fieldhook_entries_unreadable_total",
                 "Records of the platform's log that could not be read",
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -19,10 +19,9 @@
     pub(super) metrics: Rc<Metrics>,
     pub(super) request: OpenTurn,
     pub(super) opened: OpenedTurn,
-    /// Stored as the input of this turn: the body of the request, or the complete prompt if this
-    /// turn also supplies its chain.
+    /// New input of this turn.
     pub(super) input: Bytes,
-    /// Complete prompt sent to the engine.
+    /// Complete prompt sent to the engine: the chain that the turn continues, then the new input.
     pub(super) prompt: Bytes,
     pub(super) output: BytesMut,
     pub(super) tokens: u64,
@@ -33,9 +32,7 @@
 }
 
 impl Turn {
-    /// Builds the body for the engine: the chain of earlier turns followed by the new input. If the
-    /// chain belongs to another program, the whole prompt is stored as the input of this turn,
-    /// because the partition of a program must contain everything that its turns continue from.
+    /// Builds the body for the engine: the chain of earlier turns followed by the new input.
     pub fn build_prompt(&mut self, input: &Bytes) -> Bytes {
         let chain = std::mem::take(&mut self.opened.chain);
         if chain.is_empty() {
@@ -45,9 +42,6 @@
         prompt.extend_from_slice(input);
         let prompt = prompt.freeze();
         self.prompt = prompt.clone();
-        if self.request.supplies_chain {
-            self.input = prompt.clone();
-        }
         prompt
     }
 
--- a/crates/gateway/src/serve/turn_record.rs
+++ b/crates/gateway/src/serve/turn_record.rs
@@ -3,6 +3,7 @@
 use super::homes;
 use super::request::RequestContext;
 use super::turn::{MAX_RECORD_BYTES, Turn};
+use crate::ledger::client::Recording;
 use fieldhook_ledger::message::{CloseTurn, TurnContent};
 use fieldhook_topology::region::RegionSet;
 use futures_util::future::{join, join_all};
@@ -70,46 +71,94 @@
             delays_response: true,
             ..self.close_request(None)
         };
-        self.ledger.close(&close, deadline).await
+        self.ledger.close(&close, deadline).await.is_durable()
     }
 
-    /// Records the content. A chain that is stored along with the turn may exceed the size of one
-    /// record; all of it but the last part is then stored in separate records first, as turns that
-    /// this one continues from.
+    /// Records the content. If the chain that the turn continues is not stored, it is recorded along
+    /// with the turn: it belongs to another program, or has expired since the turn was opened.
     async fn record_content(&self, deadline: Instant) -> bool {
-        let mut parts = vec![&self.input[..]];
-        if self.request.supplies_chain && self.input.len() > MAX_RECORD_BYTES {
-            parts = self.input.chunks(MAX_RECORD_BYTES).collect();
-        }
-        let last = parts.len() - 1;
-        let names: Vec<String> = (0..last).map(|number| self.part_name(number)).collect();
-        let closes = parts[..last].iter().enumerate().map(|(number, part)| {
-            let previous = number.checked_sub(1).map(|before| names[before].clone());
-            let content = self.content(previous, part, &[]);
-            CloseTurn {
-                turn: names[number].clone(),
-                budget: None,
-                engine: None,
-                ..self.close_request(Some(content))
+        let mut records_chain = self.request.supplies_chain;
+        loop {
+            let recording = match records_chain {
+                true => self.record_with_chain(deadline).await,
+                false => {
+                    let previous = self.request.previous.clone();
+                    self.record_turn(previous, &self.input, deadline).await
+                }
+            };
+            if recording != Recording::UnknownChain {
+                return recording.is_durable();
             }
-        });
-        let closes: Vec<CloseTurn> = closes.collect();
-        let recordings = closes
+            records_chain = true;
+            self.report_expired_chain();
+        }
+    }
+
+    /// Records the content together with its chain. If that exceeds the size of one record, the
+    /// chain is stored in separate records first, as turns that this one continues.
+    async fn record_with_chain(&self, deadline: Instant) -> Recording {
+        if self.prompt.len() + self.output.len() <= MAX_RECORD_BYTES {
+            return self.record_turn(None, &self.prompt, deadline).await;
+        }
+        let parts: Vec<&[u8]> = self.chain().chunks(MAX_RECORD_BYTES).collect();
+        let recordings = parts
             .iter()
-            .map(|close| self.ledger.close(close, deadline));
-        if !join_all(recordings)
-            .await
-            .into_iter()
-            .all(|recorded| recorded)
-        {
-            return false;
+            .enumerate()
+            .map(|(number, part)| self.record_part(number, part, deadline));
+        let recordings = join_all(recordings).await;
+        // A part that overtakes the one before it continues an unknown chain, and is sent again.
+        for outcome in [Recording::NotDurable, Recording::UnknownChain] {
+            if recordings.contains(&outcome) {
+                return outcome;
+            }
         }
-        let previous = names.last().cloned().or_else(|| self.recorded_previous());
-        let content = self.content(previous, parts[last], &self.output);
+        let last_part = parts.len().checked_sub(1);
+        let previous = last_part.map(|number| self.part_name(number));
+        self.record_turn(previous, &self.input, deadline).await
+    }
+
+    /// Records the turn with this input.
+    async fn record_turn(
+        &self,
+        previous: Option<String>,
+        input: &[u8],
+        deadline: Instant,
+    ) -> Recording {
+        let content = self.content(previous, input, &self.output);
         let close = self.close_request(Some(content));
         self.ledger.close(&close, deadline).await
     }
 
+    /// Records a part of the chain as a turn of its own.
+    async fn record_part(&self, number: usize, part: &[u8], deadline: Instant) -> Recording {
+        let previous = number.checked_sub(1).map(|before| self.part_name(before));
+        let content = self.content(previous, part, &[]);
+        let close = CloseTurn {
+            turn: self.part_name(number),
+            budget: None,
+            engine: None,
+            ..self.close_request(Some(content))
+        };
+        self.ledger.close(&close, deadline).await
+    }
+
+    /// Contents of the chain that the turn continues.
+    fn chain(&self) -> &[u8] {
+        &self.prompt[..self.prompt.len() - self.input.len()]
+    }
+
+    fn report_expired_chain(&self) {
+        self.metrics.expired_chains.inc();
+        tracing::info!(
+            event = "chain_recorded_again",
+            request = self.request.turn,
+            program = self.request.program,
+            previous = self.request.previous,
+            bytes = self.chain().len(),
+            keeper = self.request.home_partition
+        );
+    }
+
     /// Returns a turn name that no client can choose, because header fields contain no control
     /// characters.
     fn part_name(&self, number: usize) -> String {
@@ -139,12 +188,6 @@
         }
         self.request.home_partition = layout.home_partition(program, homes);
         self.request.supplies_chain = true;
-        self.input = self.prompt.clone();
         self.request.home_partition.is_some()
     }
-
-    fn recorded_previous(&self) -> Option<String> {
-        let previous = self.request.previous.clone();
-        previous.filter(|_| !self.request.supplies_chain)
-    }
 }
--- a/crates/gateway/tests/gateway/abandoned_turns.rs
+++ b/crates/gateway/tests/gateway/abandoned_turns.rs
@@ -188,8 +188,11 @@
             assert_eq!(reply.head.status, 200, "{program}");
             let ledger = &a.daemon.ledger;
             let end = abandoned.cancellation();
-            let is_recorded = ledger.close(&end, Instant::now() + REPORTED_WITHIN).await;
-            assert!(is_recorded, "the end of the turn was not recorded");
+            let recording = ledger.close(&end, Instant::now() + REPORTED_WITHIN).await;
+            assert!(
+                recording.is_durable(),
+                "the end of the turn was not recorded"
+            );
             // Ten tokens are used, so the budget covers one more turn.
             let last = format!("Request: last{number}\r\n{fields}");
             let reply = b.ask("POST", "/chat/1", &last, "x").await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod deadly_requests;
 mod evacuation;
+mod expired_chains;
 mod forwarding;
 mod homes;
 mod incarnations;
--- a/crates/gateway/tests/gateway/support/client.rs
+++ b/crates/gateway/tests/gateway/support/client.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use fieldhook_gateway::http::body::{BodyDecoder, Piece};
 use fieldhook_gateway::http::head::{ResponseHead, decode_response_head};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -71,7 +72,11 @@
     }
 
     pub async fn reply(&mut self) -> Reply {
-        timeout(LIMIT, self.read_reply())
+        self.reply_within(LIMIT).await
+    }
+
+    pub async fn reply_within(&mut self, limit: Duration) -> Reply {
+        timeout(limit, self.read_reply())
             .await
             .expect("an answer in time")
     }
--- a/crates/gateway/tests/gateway/support/world.rs
+++ b/crates/gateway/tests/gateway/support/world.rs
@@ -178,11 +178,17 @@
 
     /// Appends a record with arbitrary bytes as key and value.
     pub async fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
+        let partition = Partition {
+            topic: topic.to_owned(),
+            number: 0,
+        };
+        self.put_in(&partition, key, value).await;
+    }
+
+    /// Appends a record to a partition; an empty value deletes the key.
+    pub async fn put_in(&self, partition: &Partition, key: &[u8], value: &[u8]) {
         let append = Append {
-            partition: Partition {
-                topic: topic.to_owned(),
-                number: 0,
-            },
+            partition: partition.clone(),
             records: vec![KeyedRecord {
                 key: key.to_vec(),
                 value: value.to_vec(),
--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -23,7 +23,8 @@
     }
 }
 
-/// Completed turns of one partition.
+/// Completed turns of one partition. A turn is stored only while the chain that it continues is
+/// stored as well.
 #[derive(Default)]
 pub struct Chains {
     turns: HashMap<QualifiedName, StoredTurn>,
@@ -67,9 +68,9 @@
         self.extend_retention(name, keep_until_ms);
     }
 
-    /// Whether a turn is stored.
+    /// Whether a turn is stored together with the chain that it continues.
     pub fn contains(&self, name: &QualifiedName) -> bool {
-        self.turns.contains_key(name)
+        self.missing_turn(name).is_none()
     }
 
     /// Number of stored turns.
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -379,7 +379,8 @@
     Chain(Vec<u8>),
     /// The budget has no room for this turn.
     BudgetSpent(BudgetUsage),
-    /// The turn is not stored.
+    /// The turn is not stored. In reply to [`LedgerRequest::Close`], the chain that the turn
+    /// continues is not stored, and nothing was recorded.
     UnknownTurn,
     /// The owner knows the end of the turn, but it is not durable yet. [`LedgerReply::Closed`]
     /// follows. This shows that an owner whose appends wait for the log is still alive.
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -48,6 +48,11 @@
     AlreadyEnded,
 }
 
+/// The chain that an ended turn continues is not stored, so its content could not be read again.
+/// Its sender has the chain and stores it together with the turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownChain;
+
 /// Programs and turns of one partition.
 #[derive(Default)]
 pub struct Partition {
@@ -213,7 +218,12 @@
 
     /// Ends a turn: settles its tokens and stores its content. A repeated end appends nothing,
     /// because its records were already appended or are queued.
-    pub fn close(&mut self, request: &CloseTurn, now_ms: u64) -> Vec<Record> {
+    ///
+    /// # Errors
+    /// The chain that the content continues is not stored; nothing was changed. It may have expired
+    /// since the turn was opened, or the turn was opened by a previous owner.
+    pub fn close(&mut self, request: &CloseTurn, now_ms: u64) -> Result<Vec<Record>, UnknownChain> {
+        let content = self.new_content(request, now_ms)?;
         let mut records = Vec::new();
         if let Some(budget) = request.budget {
             let name = request.qualified_name(&request.program);
@@ -226,22 +236,37 @@
             };
             records.extend(record.map(|record| Record::Program(name, Some(record))));
         }
-        let turn = request.qualified_name(&request.turn);
-        if let Some(content) = &request.content
-            && !self.chains.contains(&turn)
-        {
-            let record = TurnRecord {
-                program: request.program.clone(),
-                previous: content.previous.clone(),
-                input: content.input.clone(),
-                output: content.output.clone(),
-                ended_ms: now_ms,
-                retention_ms: content.retention_ms,
-            };
+        if let Some((turn, record)) = content {
             self.chains.insert(&turn, record.clone());
             records.push(Record::Turn(turn, Some(record)));
         }
-        records
+        Ok(records)
+    }
+
+    /// Content that the end of a turn adds; `None` if it has none or is stored already.
+    fn new_content(
+        &self,
+        request: &CloseTurn,
+        now_ms: u64,
+    ) -> Result<Option<(QualifiedName, TurnRecord)>, UnknownChain> {
+        let turn = request.qualified_name(&request.turn);
+        let content = request.content.as_ref();
+        let Some(content) = content.filter(|_| !self.chains.contains(&turn)) else {
+            return Ok(None);
+        };
+        let previous = content.previous.as_deref();
+        if previous.is_some_and(|previous| !self.chains.contains(&turn.in_same_tenant(previous))) {
+            return Err(UnknownChain);
+        }
+        let record = TurnRecord {
+            program: request.program.clone(),
+            previous: content.previous.clone(),
+            input: content.input.clone(),
+            output: content.output.clone(),
+            ended_ms: now_ms,
+            retention_ms: content.retention_ms,
+        };
+        Ok(Some((turn, record)))
     }
 
     /// Records the origin of a stream. A repeated request appends nothing.
--- a/crates/ledger/tests/budget_fuzz/simulation.rs
+++ b/crates/ledger/tests/budget_fuzz/simulation.rs
@@ -196,7 +196,7 @@
             home_partition: None,
             delays_response: false,
         };
-        let records = self.owner.close(&request, NOW_MS);
+        let records = self.owner.close(&request, NOW_MS).expect("a known chain");
         self.push(records);
     }
 
--- a/crates/ledger/tests/budget_fuzz/simulation/requests.rs
+++ b/crates/ledger/tests/budget_fuzz/simulation/requests.rs
@@ -130,7 +130,10 @@
 
     fn cancel(&mut self, which: u8) {
         if let Some(request) = self.give_up(which) {
-            let records = self.owner.close(&request.cancellation(), NOW_MS);
+            let records = self
+                .owner
+                .close(&request.cancellation(), NOW_MS)
+                .expect("a known chain");
             self.push(records);
         }
     }
@@ -139,7 +142,9 @@
         let request = self.give_up(which);
         let replaced = usize::from(replaced).checked_rem(self.replaced_owners.len());
         if let (Some(request), Some(replaced)) = (request, replaced) {
-            self.replaced_owners[replaced].close(&request.cancellation(), NOW_MS);
+            self.replaced_owners[replaced]
+                .close(&request.cancellation(), NOW_MS)
+                .expect("a known chain");
         }
     }
 
--- a/crates/ledger/tests/budget_room/simulation.rs
+++ b/crates/ledger/tests/budget_room/simulation.rs
@@ -305,7 +305,10 @@
             home_partition: None,
             delays_response: false,
         };
-        let records = self.owner.close(&request, self.now_ms);
+        let records = self
+            .owner
+            .close(&request, self.now_ms)
+            .expect("a known chain");
         self.push(records);
         let recorded_at = self.queued;
         for turn in self.turns.iter_mut().filter(|turn| turn.attempt == attempt) {
--- a/crates/ledger/tests/budget_room/simulation/requests.rs
+++ b/crates/ledger/tests/budget_room/simulation/requests.rs
@@ -266,7 +266,7 @@
             return;
         };
         let end = self.requests[index].request.cancellation();
-        let records = self.owner.close(&end, self.now_ms);
+        let records = self.owner.close(&end, self.now_ms).expect("a known chain");
         self.push(records);
         self.requests[index]
             .end_reported_at
@@ -279,7 +279,9 @@
         };
         let end = self.requests[index].request.cancellation();
         if let Some(replaced) = usize::from(replaced).checked_rem(self.replaced_owners.len()) {
-            self.replaced_owners[replaced].close(&end, self.now_ms);
+            self.replaced_owners[replaced]
+                .close(&end, self.now_ms)
+                .expect("a known chain");
         }
     }
 
--- a/crates/ledger/tests/cancelled_turns.rs
+++ b/crates/ledger/tests/cancelled_turns.rs
@@ -44,7 +44,9 @@
     let mut partition = Partition::default();
     let cancelled = turn("t1", 1);
     assert!(is_opened(&mut partition, &cancelled));
-    partition.close(&cancelled.cancellation(), 2);
+    partition
+        .close(&cancelled.cancellation(), 2)
+        .expect("a known chain");
     assert_eq!(counted(&partition), 0);
     assert!(is_opened(&mut partition, &turn("t2", 2)));
 }
@@ -53,7 +55,9 @@
 fn open_after_cancellation_is_rejected() {
     let mut partition = Partition::default();
     let delayed = turn("t1", 1);
-    partition.close(&delayed.cancellation(), 1);
+    partition
+        .close(&delayed.cancellation(), 1)
+        .expect("a known chain");
     assert_eq!(partition.open(&delayed, 2), OpenOutcome::AlreadyEnded);
     assert_eq!(counted(&partition), 0);
     assert!(is_opened(&mut partition, &turn("t2", 2)));
@@ -66,7 +70,7 @@
     assert!(is_opened(&mut partition, &ended));
     let mut end = ended.cancellation();
     end.tokens = 200;
-    partition.close(&end, 2);
+    partition.close(&end, 2).expect("a known chain");
     assert_eq!(partition.open(&ended, 3), OpenOutcome::AlreadyEnded);
     assert_eq!(counted(&partition), 200);
 }
@@ -79,7 +83,7 @@
         assert!(is_opened(&mut partition, &retry), "attempt {attempt}");
         let mut end = retry.cancellation();
         end.tokens = 100;
-        partition.close(&end, 2);
+        partition.close(&end, 2).expect("a known chain");
     }
     assert_eq!(counted(&partition), 200);
 }
@@ -97,7 +101,9 @@
         .into_iter()
         .for_each(|record| successor.load(record));
     successor.finish_loading();
-    successor.close(&cancelled.cancellation(), 3);
+    successor
+        .close(&cancelled.cancellation(), 3)
+        .expect("a known chain");
     assert!(is_opened(&mut successor, &turn("t2", 2)));
 }
 
@@ -107,7 +113,9 @@
 fn early_cancellation_is_remembered_across_expiry() {
     let mut partition = Partition::default();
     let delayed = turn("t1", 1);
-    partition.close(&delayed.cancellation(), NOW_MS);
+    partition
+        .close(&delayed.cancellation(), NOW_MS)
+        .expect("a known chain");
     assert_eq!(partition.expire(NOW_MS + 10_000), []);
     assert_eq!(
         partition.open(&delayed, NOW_MS + 11_000),
@@ -121,7 +129,9 @@
 #[test]
 fn program_cancelled_during_uncertainty_stays_counted_after_it() {
     let mut successor = Partition::after_loss(NOW_MS, 5_000);
-    successor.close(&turn("t1", 1).cancellation(), NOW_MS);
+    successor
+        .close(&turn("t1", 1).cancellation(), NOW_MS)
+        .expect("a known chain");
     let during_window = counted(&successor);
     assert_eq!(during_window, BUDGET / 3);
     successor.expire(NOW_MS + 1_000);
@@ -136,7 +146,9 @@
 fn early_cancellation_survives_a_handover() {
     let mut partition = Partition::default();
     let delayed = turn("t1", 1);
-    let mut records = partition.close(&delayed.cancellation(), NOW_MS);
+    let mut records = partition
+        .close(&delayed.cancellation(), NOW_MS)
+        .expect("a known chain");
     records.extend(partition.handover_records());
     let mut successor = Partition::after_handover(NOW_MS, 0);
     for record in records {
@@ -152,7 +164,9 @@
 #[test]
 fn record_of_an_early_cancellation_reserves_nothing_more() {
     let mut partition = Partition::default();
-    let records = partition.close(&turn("t1", 1).cancellation(), NOW_MS);
+    let records = partition
+        .close(&turn("t1", 1).cancellation(), NOW_MS)
+        .expect("a known chain");
     assert_eq!(records.len(), 1);
     let mut successor = Partition::after_loss(NOW_MS, 5_000);
     for record in records {
@@ -161,9 +175,13 @@
     successor.finish_loading();
     let committed = counted(&successor);
     let mut without_record = Partition::after_loss(NOW_MS, 5_000);
-    without_record.close(&turn("t2", 2).cancellation(), NOW_MS);
+    without_record
+        .close(&turn("t2", 2).cancellation(), NOW_MS)
+        .expect("a known chain");
     assert_eq!(committed, counted(&without_record));
-    let records = successor.close(&turn("t3", 3).cancellation(), NOW_MS);
+    let records = successor
+        .close(&turn("t3", 3).cancellation(), NOW_MS)
+        .expect("a known chain");
     let mut next = Partition::after_loss(NOW_MS, 5_000);
     for record in records {
         next.load(record);
@@ -181,7 +199,7 @@
     assert!(is_opened(&mut partition, &ended));
     let mut end = ended.cancellation();
     end.tokens = 100;
-    let records = partition.close(&end, NOW_MS);
+    let records = partition.close(&end, NOW_MS).expect("a known chain");
     let mut successor = Partition::after_loss(NOW_MS, 0);
     for record in records {
         successor.load(record);
@@ -190,9 +208,11 @@
     let delivered = MAX_TOKENS;
     assert!(is_opened(&mut partition, &lost));
     for early in 0..60 {
-        successor.close(&turn("early", early).cancellation(), NOW_MS);
+        successor
+            .close(&turn("early", early).cancellation(), NOW_MS)
+            .expect("a known chain");
         assert!(counted(&successor) >= 100 + delivered, "{early}");
     }
-    successor.close(&end, NOW_MS);
+    successor.close(&end, NOW_MS).expect("a known chain");
     assert!(counted(&successor) >= 100 + delivered);
 }
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -1,11 +1,12 @@
 //! Chains of turns across changes of owner, checked against an oracle that keeps the prompt and
 //! output of each turn. A chain contains exactly its own inputs and outputs, and a turn whose end
-//! was acknowledged is known during its retention. Tenants use the same turn ids, and a turn never
-//! continues a turn of another tenant.
+//! was acknowledged is known during its retention, however long it took and whatever expired or
+//! changed owner meanwhile. Tenants use the same turn ids, and a turn never continues a turn of
+//! another tenant.
 
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
 use fieldhook_ledger::name::QualifiedName;
-use fieldhook_ledger::partition::{OpenOutcome, Partition};
+use fieldhook_ledger::partition::{OpenOutcome, Partition, UnknownChain};
 use fieldhook_ledger::record::Record;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -14,14 +15,40 @@
 /// Requests without a tenant, and those of two tenants.
 const TENANTS: [Option<&str>; 3] = [None, Some("a"), Some("b")];
 
+/// How the end of a turn reaches the log.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// It is appended and acknowledged.
+    Acknowledged,
+    /// It is appended, but the owner is lost before it acknowledges that. The gateway repeats the
+    /// end at the next owner, which acknowledges it.
+    Repeated,
+    /// The owner is lost before the append, so the client never gets the end of the response.
+    Lost,
+}
+
+impl Arbitrary for End {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 5 {
+            0 => Self::Lost,
+            1 => Self::Repeated,
+            _ => Self::Acknowledged,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// A turn continues an acknowledged one, or starts a chain.
+    /// A turn continues an acknowledged one, or starts a chain, and ends at once.
     Turn {
         tenant: usize,
         after: Option<u8>,
-        acknowledged: bool,
+        end: End,
     },
+    /// A turn starts and stays in progress.
+    Start { tenant: usize, after: Option<u8> },
+    /// A turn in progress ends.
+    End { which: u8, end: End },
     /// A turn names a previous turn that only other tenants have.
     ContinueForeign { tenant: usize },
     /// A turn names a previous turn that does not exist.
@@ -30,36 +57,97 @@
     ChangeOwner,
     /// Time passes (in seconds), and expired state is deleted.
     Wait(u8),
+    /// As above, but the owner is lost when this many deletions are appended.
+    WaitAndLoseOwner(u8, u8),
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let tenant = usize::arbitrary(g) % TENANTS.len();
-        match u8::arbitrary(g) % 11 {
+        match u8::arbitrary(g) % 18 {
             0..=5 => Self::Turn {
                 tenant,
                 after: Option::arbitrary(g),
-                acknowledged: u8::arbitrary(g) % 5 > 0,
+                end: End::arbitrary(g),
             },
             6 => Self::ContinueUnknown,
             7..=8 => Self::ChangeOwner,
             9 => Self::ContinueForeign { tenant },
+            10..=11 => Self::Start {
+                tenant,
+                after: Option::arbitrary(g),
+            },
+            12..=13 => Self::End {
+                which: u8::arbitrary(g),
+                end: End::arbitrary(g),
+            },
+            14 => Self::WaitAndLoseOwner(u8::arbitrary(g) % 90, u8::arbitrary(g) % 4),
+            15 => Self::Wait(60 + u8::arbitrary(g) % 60),
             _ => Self::Wait(u8::arbitrary(g) % 30),
         }
     }
 }
 
+/// A chain that differs from its turns, or was forgotten too early.
+#[derive(Debug)]
+struct WrongChain;
+
 struct KnownTurn {
     turn: String,
     contents: Vec<u8>,
     ended_ms: u64,
 }
 
+/// A turn in progress, as its gateway knows it.
+struct StartedTurn {
+    tenant: usize,
+    turn: String,
+    previous: Option<String>,
+    chain: Vec<u8>,
+}
+
+impl StartedTurn {
+    fn input(&self) -> Vec<u8> {
+        format!("in-{}-{};", self.tenant, self.turn).into_bytes()
+    }
+
+    fn output(&self) -> Vec<u8> {
+        format!("out-{}-{}\n", self.tenant, self.turn).into_bytes()
+    }
+
+    /// Message that ends the turn, with its chain if `has_chain` is set.
+    fn close(&self, has_chain: bool) -> CloseTurn {
+        let (previous, input) = match has_chain {
+            true => (None, [self.chain.clone(), self.input()].concat()),
+            false => (self.previous.clone(), self.input()),
+        };
+        CloseTurn {
+            tenant: TENANTS[self.tenant].map(str::to_owned),
+            turn: self.turn.clone(),
+            attempt: 0,
+            program: "p".to_owned(),
+            budget: None,
+            max_tokens: 10,
+            tokens: 1,
+            content: Some(TurnContent {
+                previous,
+                input,
+                output: self.output(),
+                retention_ms: RETENTION_MS,
+            }),
+            engine: None,
+            home_partition: None,
+            delays_response: true,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Simulation {
     owner: Partition,
     log: BTreeMap<Vec<u8>, Vec<u8>>,
     known: [Vec<KnownTurn>; TENANTS.len()],
+    started: Vec<StartedTurn>,
     now_ms: u64,
     next_turn: [u64; TENANTS.len()],
 }
@@ -95,7 +183,15 @@
         self.owner.open(&request, self.now_ms)
     }
 
-    fn run_turn(&mut self, tenant: usize, after: Option<u8>, acknowledged: bool) -> bool {
+    /// Starts a turn and returns it, or nothing if its chain may have been forgotten.
+    ///
+    /// # Errors
+    /// The chain is wrong, or was forgotten during its retention.
+    fn start_turn(
+        &mut self,
+        tenant: usize,
+        after: Option<u8>,
+    ) -> Result<Option<StartedTurn>, WrongChain> {
         let turn = format!("t{}", self.next_turn[tenant]);
         self.next_turn[tenant] += 1;
         let known = &self.known[tenant];
@@ -106,65 +202,70 @@
             .map(|known| known.contents.clone())
             .unwrap_or_default();
         let is_retained = previous.is_none_or(|known| self.now_ms < known.ended_ms + RETENTION_MS);
-        let name = previous.map(|known| known.turn.clone());
-        let chain = match self.open(tenant, &turn, name.clone()) {
-            OpenOutcome::Opened { chain, .. } => chain,
-            // A turn may be forgotten after its retention, but never before.
-            _ => return !is_retained,
-        };
-        if chain != expected {
-            return false;
+        let previous = previous.map(|known| known.turn.clone());
+        match self.open(tenant, &turn, previous.clone()) {
+            OpenOutcome::Opened { chain, .. } if chain == expected => Ok(Some(StartedTurn {
+                tenant,
+                turn,
+                previous,
+                chain,
+            })),
+            OpenOutcome::UnknownTurn if !is_retained => Ok(None),
+            _ => Err(WrongChain),
         }
-        self.close(tenant, &turn, name, chain, acknowledged);
-        true
     }
 
-    fn close(
-        &mut self,
-        tenant: usize,
-        turn: &str,
-        previous: Option<String>,
-        chain: Vec<u8>,
-        acknowledged: bool,
-    ) {
-        let input = format!("in-{tenant}-{turn};").into_bytes();
-        let output = format!("out-{tenant}-{turn}\n").into_bytes();
-        let close = CloseTurn {
-            tenant: TENANTS[tenant].map(str::to_owned),
-            turn: turn.to_owned(),
-            attempt: 0,
-            program: "p".to_owned(),
-            budget: None,
-            max_tokens: 10,
-            tokens: 1,
-            content: Some(TurnContent {
-                previous,
-                input: input.clone(),
-                output: output.clone(),
-                retention_ms: RETENTION_MS,
-            }),
-            engine: None,
-            home_partition: None,
-            delays_response: true,
-        };
-        let records = self.owner.close(&close, self.now_ms);
-        if !acknowledged {
-            // The owner is lost before the append, so the client never gets the end of the
-            // response.
-            self.change_owner();
-            return;
+    fn run_turn(&mut self, tenant: usize, after: Option<u8>, end: End) -> bool {
+        let started = self.start_turn(tenant, after);
+        if let Ok(Some(turn)) = &started {
+            self.end_turn(turn, end);
         }
-        self.append(&records);
-        let mut contents = chain;
-        contents.extend_from_slice(&input);
-        contents.extend_from_slice(&output);
-        self.known[tenant].push(KnownTurn {
-            turn: turn.to_owned(),
+        started.is_ok()
+    }
+
+    /// Returns the records of the end of a turn.
+    fn close(&mut self, turn: &StartedTurn) -> Vec<Record> {
+        let closed = self.owner.close(&turn.close(false), self.now_ms);
+        closed.unwrap_or_else(|UnknownChain| {
+            let closed = self.owner.close(&turn.close(true), self.now_ms);
+            closed.expect("it continues no turn")
+        })
+    }
+
+    fn end_turn(&mut self, turn: &StartedTurn, end: End) {
+        let records = self.close(turn);
+        match end {
+            End::Acknowledged => self.append(&records),
+            End::Repeated => {
+                self.append(&records);
+                self.change_owner();
+                let repeated = self.close(turn);
+                self.append(&repeated);
+            }
+            End::Lost => return self.change_owner(),
+        }
+        let contents = [turn.chain.clone(), turn.input(), turn.output()].concat();
+        self.known[turn.tenant].push(KnownTurn {
+            turn: turn.turn.clone(),
             contents,
             ended_ms: self.now_ms,
         });
     }
 
+    /// Ends a turn in progress, if there is one.
+    fn end_started_turn(&mut self, which: u8, end: End) {
+        if let Some(index) = usize::from(which).checked_rem(self.started.len()) {
+            let turn = self.started.swap_remove(index);
+            self.end_turn(&turn, end);
+        }
+    }
+
+    /// Lets time pass and returns the records that delete what has expired.
+    fn wait(&mut self, seconds: u8) -> Vec<Record> {
+        self.now_ms += u64::from(seconds) * 1_000;
+        self.owner.expire(self.now_ms)
+    }
+
     /// Tries to continue a turn of the tenant that has the most turns. Does nothing if this tenant
     /// has a turn with the same id.
     fn continue_foreign(&mut self, tenant: usize) -> bool {
@@ -190,11 +291,17 @@
 
     fn step(&mut self, step: Step) -> bool {
         match step {
-            Step::Turn {
-                tenant,
-                after,
-                acknowledged,
-            } => self.run_turn(tenant, after, acknowledged),
+            Step::Turn { tenant, after, end } => self.run_turn(tenant, after, end),
+            Step::Start { tenant, after } => {
+                let started = self.start_turn(tenant, after);
+                let is_right = started.is_ok();
+                self.started.extend(started.ok().flatten());
+                is_right
+            }
+            Step::End { which, end } => {
+                self.end_started_turn(which, end);
+                true
+            }
             Step::ContinueForeign { tenant } => self.continue_foreign(tenant),
             Step::ContinueUnknown => {
                 self.open(0, "x", Some("never".to_owned())) == OpenOutcome::UnknownTurn
@@ -204,11 +311,17 @@
                 true
             }
             Step::Wait(seconds) => {
-                self.now_ms += u64::from(seconds) * 1_000;
-                let records = self.owner.expire(self.now_ms);
+                let records = self.wait(seconds);
                 self.append(&records);
                 true
             }
+            Step::WaitAndLoseOwner(seconds, appended) => {
+                let records = self.wait(seconds);
+                let appended = usize::from(appended).min(records.len());
+                self.append(&records[..appended]);
+                self.change_owner();
+                true
+            }
         }
     }
 }
@@ -230,7 +343,7 @@
 fn cycle_in_a_corrupt_chain_terminates() {
     let mut owner = Partition::default();
     let mut simulation = Simulation::default();
-    simulation.run_turn(0, None, true);
+    simulation.run_turn(0, None, End::Acknowledged);
     for (key, value) in &simulation.log {
         if let Ok(Record::Turn(name, Some(mut record))) = Record::decode(key, value) {
             record.previous = Some(name.name.clone());
--- a/crates/ledger/tests/expiry.rs
+++ b/crates/ledger/tests/expiry.rs
@@ -43,7 +43,9 @@
 fn program_returning_before_its_deletion_is_durable_waits_for_a_record() {
     let mut owner = Partition::default();
     open(&mut owner, 1, NOW_MS);
-    let close_records = owner.close(&turn(1).cancellation(), NOW_MS);
+    let close_records = owner
+        .close(&turn(1).cancellation(), NOW_MS)
+        .expect("a known chain");
     close_records
         .iter()
         .for_each(|record| owner.record_appended(record));
@@ -65,7 +67,9 @@
 fn old_record_is_not_mistaken_for_one_of_the_recreated_program() {
     let mut owner = Partition::default();
     open(&mut owner, 1, NOW_MS);
-    let close_records = owner.close(&turn(1).cancellation(), NOW_MS);
+    let close_records = owner
+        .close(&turn(1).cancellation(), NOW_MS)
+        .expect("a known chain");
     assert_eq!(close_records.len(), 1);
     let deletions = owner.expire(LATER_MS);
     for attempt in 2..5 {
--- a/crates/ledger/tests/in_doubt.rs
+++ b/crates/ledger/tests/in_doubt.rs
@@ -56,7 +56,7 @@
 fn end(partition: &mut Partition, turn: &OpenTurn, tokens: u64) {
     let mut end = turn.cancellation();
     end.tokens = tokens;
-    partition.close(&end, NOW_MS);
+    partition.close(&end, NOW_MS).expect("a known chain");
 }
 
 /// Loads the records that were appended into a new owner.
@@ -200,7 +200,11 @@
     let mut successor = load_records(Partition::after_loss(NOW_MS, UNCERTAINTY_MS), log.clone());
     log.extend(open(&mut successor, &turn(2, Some("b"))).expect("turn 1 is in doubt"));
     let cancellation = turn(2, Some("b")).cancellation();
-    log.extend(successor.close(&cancellation, NOW_MS));
+    log.extend(
+        successor
+            .close(&cancellation, NOW_MS)
+            .expect("a known chain"),
+    );
     log.extend(successor.handover_records());
     let mut next = load_records(Partition::after_handover(NOW_MS, UNCERTAINTY_MS), log);
     let outcome = next.open(&turn(3, Some("c")), NOW_MS);
--- a/crates/ledger/tests/repeated_ends.rs
+++ b/crates/ledger/tests/repeated_ends.rs
@@ -46,13 +46,13 @@
         assert!(matches!(opened, OpenOutcome::Opened { .. }));
         let mut end = turn(attempt).cancellation();
         end.tokens = TOKENS;
-        owner.close(&end, NOW_MS);
+        owner.close(&end, NOW_MS).expect("a known chain");
     }
     for _ in 0..ROUNDS {
         for attempt in 0..TURNS {
             let mut end = turn(attempt).cancellation();
             end.tokens = TOKENS;
-            owner.close(&end, NOW_MS);
+            owner.close(&end, NOW_MS).expect("a known chain");
         }
     }
     let next = owner.open(&turn(TURNS), NOW_MS);
