Chains of more than 10,000 turns keep all their turns

The retention of a chain was extended for its newest 10,000 turns.

Change: the extension goes on to the first turn, and ends where a turn is kept as long already, since its own chain is then as well; that also ends it in a corrupt chain with a cycle. A new owner extends from the longest retention on, so that it visits each turn once, not once for each later turn of its chain.

--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -2,13 +2,12 @@
 
 use crate::name::QualifiedName;
 use crate::record::TurnRecord;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// How much longer than promised a turn is stored, in milliseconds: the clocks of successive owners
 /// differ.
 const RETENTION_MARGIN_MS: u64 = 15_000;
-/// Maximum number of turns of a chain whose retention is extended.
-const MAX_EXTENDED_TURNS: usize = 10_000;
 
 struct StoredTurn {
     record: TurnRecord,
@@ -51,13 +50,14 @@
     /// Finishes restoring after the last turn: extends the retention of each chain to that of its
     /// newest turn.
     pub fn finish_restoring(&mut self) {
-        let chain_ends: Vec<(QualifiedName, u64)> = self
-            .turns
-            .iter()
-            .map(|(name, turn)| (name.clone(), turn.keep_until_ms))
+        let turns = self.turns.iter();
+        let mut turns: Vec<(u64, QualifiedName)> = turns
+            .map(|(name, turn)| (turn.keep_until_ms, name.clone()))
             .collect();
-        for (name, keep_until_ms) in chain_ends {
-            self.extend_retention(&name, keep_until_ms);
+        // The longest retention comes first, so that no turn is extended twice.
+        turns.sort_unstable_by_key(|(keep_until_ms, _)| Reverse(*keep_until_ms));
+        for (keep_until_ms, name) in turns {
+            self.extend_chain(name, keep_until_ms);
         }
     }
 
@@ -65,7 +65,7 @@
     pub fn insert(&mut self, name: &QualifiedName, record: TurnRecord) {
         let keep_until_ms = record.ended_ms + record.retention_ms;
         self.restore(name.clone(), record);
-        self.extend_retention(name, keep_until_ms);
+        self.extend_chain(name.clone(), keep_until_ms);
     }
 
     /// Whether a turn is stored together with the chain that it continues.
@@ -134,19 +134,20 @@
         Some(chain)
     }
 
-    fn extend_retention(&mut self, last: &QualifiedName, until_ms: u64) {
-        let mut next = Some(last.clone());
-        let mut steps = 0;
-        while let Some(name) = next {
-            let Some(turn) = self.turns.get_mut(&name) else {
-                return;
-            };
-            steps += 1;
-            turn.keep_until_ms = turn.keep_until_ms.max(until_ms);
-            next = turn.previous_name(&name);
-            if steps > MAX_EXTENDED_TURNS {
-                return;
+    /// Extends the retention of the turns that a turn continues.
+    fn extend_chain(&mut self, mut name: QualifiedName, until_ms: u64) {
+        while let Some(previous) = self
+            .turns
+            .get(&name)
+            .and_then(|turn| turn.previous_name(&name))
+        {
+            match self.turns.get_mut(&previous) {
+                Some(turn) if turn.keep_until_ms < until_ms => turn.keep_until_ms = until_ms,
+                // Its own chain is kept as long as it is. This also ends the loop if a corrupt
+                // chain has a cycle.
+                Some(_) | None => return,
             }
+            name = previous;
         }
     }
 }
