A turn in progress goes on at the next owner after its chain has expired

A turn whose budget is not recorded yet is opened again if its owner is lost. That request asked for the chain as well, which its gateway has since the first time; where the chain had expired meanwhile, the new owner answered UnknownTurn, and the answer broke off.

Change: opening again says that the gateway has the chain, so nothing is looked up or sent again.

Test: turn_goes_on_at_the_next_owner_after_its_chain_has_expired: failed before ("the answer to t2 broke off"), passes now, with the other six of expired_chains.

--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -313,9 +313,9 @@
                     // The turn will be closed in any case, so it does not matter whether an owner
                     // acted on this request.
                     let in_doubt = Cell::default();
-                    let program_request = request.program_partition_request();
+                    let reopen_request = request.reopen_request();
                     match self
-                        .open_at_partition(&program_request, &in_doubt, deadline)
+                        .open_at_partition(&reopen_request, &in_doubt, deadline)
                         .await
                     {
                         Ok(again) => *opened = again,
--- a/crates/gateway/tests/gateway/expired_chains.rs
+++ b/crates/gateway/tests/gateway/expired_chains.rs
@@ -72,6 +72,8 @@
     owner: Gateway,
     other: Gateway,
     log_partition: LogPartition,
+    /// Header fields about the budget of the program.
+    budget: &'static str,
 }
 
 impl Deployment {
@@ -117,13 +119,14 @@
             owner,
             other,
             log_partition,
+            budget: "",
         }
     }
 
     /// Runs a turn at the gateway that does not own the partition.
     async fn turn(&self, turn: &str, previous: Option<&str>) -> u16 {
         let previous = previous.map_or(String::new(), |turn| format!("Previous: {turn}\r\n"));
-        let fields = format!("Request: {turn}\r\nProgram: p\r\n{previous}");
+        let fields = format!("Request: {turn}\r\nProgram: p\r\n{previous}{}", self.budget);
         let mut client = self.other.client().await;
         client
             .send("POST", "/chat/1", &fields, &format!("{turn};"))
@@ -329,3 +332,26 @@
         deployment.assert_continues(&contents).await;
     });
 }
+
+/// The first tokens of the turn reach its client before the log has recorded the budget. The next
+/// owner, which has to grant the rest, no longer knows the chain.
+#[test]
+fn turn_goes_on_at_the_next_owner_after_its_chain_has_expired() {
+    run(async {
+        let mut deployment = Deployment::start().await;
+        assert_eq!(deployment.turn("t1", None).await, 200);
+        // One event is granted without a record.
+        deployment.budget = "Budget: 100\r\nMost: 80\r\n";
+        deployment.owner.store.set_fault(LogFault::Silent);
+        let change = async {
+            deployment.delete("t1").await;
+            // The end of another turn replaces the owner, which then learns of that.
+            let fields = "Request: x\r\nProgram: p\r\n";
+            let reply = deployment.other.ask("POST", "/chat/1", fields, "x;").await;
+            assert!(reply.complete);
+            deployment.owner.store.set_fault(LogFault::None);
+        };
+        let time = Duration::from_millis(600);
+        assert_eq!(deployment.turn_during(time, change).await, 200);
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Request to open the turn again at a new owner while it is in progress. Its gateway has the
+    /// chain, which may have expired meanwhile.
+    pub fn reopen_request(&self) -> Self {
+        Self {
+            wants_chain: false,
+            supplies_chain: true,
+            ..self.program_partition_request()
+        }
+    }
+
     /// A name qualified by the tenant of the turn.
     pub fn qualified_name(&self, text: &str) -> QualifiedName {
         QualifiedName::new(self.tenant.as_deref(), text)
