The retention of a turn counts from the end that its client gets

The owner counted the retention from the moment when it received the end of the turn. The client gets the end of its answer only when the log has it, up to the deadline of the request later. An outage of the log of more than 15 s, the margin of the ledger, on a route with a longer time-out therefore cut the promised retention short.

Change: the gateway asks for the retention plus the time that is left until the deadline.

--- a/crates/gateway/src/serve/turn_record.rs
+++ b/crates/gateway/src/serve/turn_record.rs
@@ -124,7 +124,7 @@
         input: &[u8],
         deadline: Instant,
     ) -> Recording {
-        let content = self.content(previous, input, &self.output);
+        let content = self.content(previous, input, &self.output, deadline);
         let close = self.close_request(Some(content));
         self.ledger.close(&close, deadline).await
     }
@@ -132,7 +132,7 @@
     /// Records a part of the chain as a turn of its own.
     async fn record_part(&self, number: usize, part: &[u8], deadline: Instant) -> Recording {
         let previous = number.checked_sub(1).map(|before| self.part_name(before));
-        let content = self.content(previous, part, &[]);
+        let content = self.content(previous, part, &[], deadline);
         let close = CloseTurn {
             turn: self.part_name(number),
             budget: None,
@@ -166,12 +166,21 @@
         format!("\u{1}{hash:016x}-{number}")
     }
 
-    fn content(&self, previous: Option<String>, input: &[u8], output: &[u8]) -> TurnContent {
+    /// Returns the content to store. The client may get the end of the response as late as the
+    /// deadline, and the retention counts from then on.
+    fn content(
+        &self,
+        previous: Option<String>,
+        input: &[u8],
+        output: &[u8],
+        deadline: Instant,
+    ) -> TurnContent {
+        let remaining = deadline.saturating_duration_since(Instant::now());
         TurnContent {
             previous,
             input: input.to_vec(),
             output: output.to_vec(),
-            retention_ms: self.retention_ms,
+            retention_ms: self.retention_ms + remaining.as_millis() as u64,
         }
     }
 
--- a/crates/gateway/tests/gateway/expired_chains.rs
+++ b/crates/gateway/tests/gateway/expired_chains.rs
@@ -179,6 +179,23 @@
         Some(String::from_utf8_lossy(&contents).into_owned())
     }
 
+    /// Until when a turn is promised to be stored, according to its record, as Unix time in
+    /// milliseconds.
+    fn stored_until_ms(&self, turn: &str) -> Option<u64> {
+        let mut core = self.world.log.core.borrow_mut();
+        let page = core.newest(&self.log_partition, None);
+        let mut records = page
+            .records
+            .iter()
+            .filter_map(|(_, record)| Record::decode(&record.key, &record.value).ok());
+        records.find_map(|record| match record {
+            Record::Turn(found, Some(record)) if found == name(turn) => {
+                Some(record.ended_ms + record.retention_ms)
+            }
+            _ => None,
+        })
+    }
+
     /// Checks that t2 can be continued, now and after a loss of all daemons.
     async fn assert_continues(&self, contents: &str) {
         let found = self.contents_in_log("t2");
@@ -355,3 +372,28 @@
         assert_eq!(deployment.turn_during(time, change).await, 200);
     });
 }
+
+/// The owner accepts the end of the turn long before the log does and the client gets it.
+#[test]
+fn retention_counts_from_the_end_that_the_client_gets() {
+    run(async {
+        let deployment = Deployment::start().await;
+        let stores = [&deployment.owner.store, &deployment.other.store];
+        for store in stores {
+            store.set_fault(LogFault::Silent);
+        }
+        let outage = async {
+            sleep(Duration::from_millis(1_500)).await;
+            for store in stores {
+                store.set_fault(LogFault::None);
+            }
+        };
+        let turn = deployment.turn("t1", None);
+        let (status, ()) = futures_util::future::join(turn, outage).await;
+        let ended_ms = now_ms();
+        assert_eq!(status, 200);
+        let stored_until_ms = deployment.stored_until_ms("t1").expect("a record");
+        let retention_ms = stored_until_ms.saturating_sub(ended_ms);
+        assert!(retention_ms >= RETENTION_MS, "{retention_ms} ms");
+    });
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -147,7 +147,8 @@
     pub input: Vec<u8>,
     /// Output, in the form in which the prompt of the next turn contains it.
     pub output: Vec<u8>,
-    /// Retention after the end of the turn, in milliseconds.
+    /// How long the content is stored from the receipt of this message on, in milliseconds: the time
+    /// that the client may wait for the end of the response, and the retention after that.
     pub retention_ms: u64,
 }
 
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -59,9 +59,9 @@
     pub input: Vec<u8>,
     /// Output, in the form in which the prompt of the next turn contains it.
     pub output: Vec<u8>,
-    /// Unix time of the end, in milliseconds.
+    /// Unix time when the owner received the end, in milliseconds.
     pub ended_ms: u64,
-    /// Retention after the end, in milliseconds.
+    /// How long the turn is stored from then on, in milliseconds.
     pub retention_ms: u64,
 }
 
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -12,6 +12,8 @@
 use std::collections::BTreeMap;
 
 const RETENTION_MS: u64 = 60_000;
+/// Longest time that a turn may take.
+const TIMEOUT_MS: u64 = 300_000;
 /// Requests without a tenant, and those of two tenants.
 const TENANTS: [Option<&str>; 3] = [None, Some("a"), Some("b")];
 
@@ -20,6 +22,9 @@
 enum End {
     /// It is appended and acknowledged.
     Acknowledged,
+    /// It is appended and acknowledged after an outage of the log (in seconds), in which expired
+    /// state is deleted.
+    AcknowledgedLate(u8),
     /// It is appended, but the owner is lost before it acknowledges that. The gateway repeats the
     /// end at the next owner, which acknowledges it.
     Repeated,
@@ -29,9 +34,10 @@
 
 impl Arbitrary for End {
     fn arbitrary(g: &mut Gen) -> Self {
-        match u8::arbitrary(g) % 5 {
+        match u8::arbitrary(g) % 6 {
             0 => Self::Lost,
             1 => Self::Repeated,
+            2 => Self::AcknowledgedLate(u8::arbitrary(g) % 120),
             _ => Self::Acknowledged,
         }
     }
@@ -104,6 +110,7 @@
     turn: String,
     previous: Option<String>,
     chain: Vec<u8>,
+    deadline_ms: u64,
 }
 
 impl StartedTurn {
@@ -115,8 +122,9 @@
         format!("out-{}-{}\n", self.tenant, self.turn).into_bytes()
     }
 
-    /// Message that ends the turn, with its chain if `has_chain` is set.
-    fn close(&self, has_chain: bool) -> CloseTurn {
+    /// Message that ends the turn now, with its chain if `has_chain` is set. The client may get the
+    /// end of the response until the deadline, from which the retention counts.
+    fn close(&self, has_chain: bool, now_ms: u64) -> CloseTurn {
         let (previous, input) = match has_chain {
             true => (None, [self.chain.clone(), self.input()].concat()),
             false => (self.previous.clone(), self.input()),
@@ -133,7 +141,7 @@
                 previous,
                 input,
                 output: self.output(),
-                retention_ms: RETENTION_MS,
+                retention_ms: RETENTION_MS + self.deadline_ms - now_ms,
             }),
             engine: None,
             home_partition: None,
@@ -209,6 +217,7 @@
                 turn,
                 previous,
                 chain,
+                deadline_ms: self.now_ms + TIMEOUT_MS,
             })),
             OpenOutcome::UnknownTurn if !is_retained => Ok(None),
             _ => Err(WrongChain),
@@ -225,17 +234,29 @@
 
     /// Returns the records of the end of a turn.
     fn close(&mut self, turn: &StartedTurn) -> Vec<Record> {
-        let closed = self.owner.close(&turn.close(false), self.now_ms);
+        let now_ms = self.now_ms;
+        let closed = self.owner.close(&turn.close(false, now_ms), now_ms);
         closed.unwrap_or_else(|UnknownChain| {
-            let closed = self.owner.close(&turn.close(true), self.now_ms);
+            let closed = self.owner.close(&turn.close(true, now_ms), now_ms);
             closed.expect("it continues no turn")
         })
     }
 
     fn end_turn(&mut self, turn: &StartedTurn, end: End) {
+        if self.now_ms > turn.deadline_ms {
+            return;
+        }
         let records = self.close(turn);
         match end {
             End::Acknowledged => self.append(&records),
+            End::AcknowledgedLate(seconds) => {
+                let deletions = self.wait(seconds);
+                self.append(&records);
+                self.append(&deletions);
+                if self.now_ms > turn.deadline_ms {
+                    return;
+                }
+            }
             End::Repeated => {
                 self.append(&records);
                 self.change_owner();
