Budgets are stored as long as their programs may continue a turn

The budget of a program was deleted 180 s after its last change. With a retention-s of 300 a program that had spent all was refused until then, and got its whole budget again at 200 s, while its turns could still be continued. A turn that takes more than 180 s lost its reservation the same way.

Change: budgets are stored for the longest time-out and retention of the streaming routes in force and the margin of the ledger, 180 s at least; while no configuration is known they aren't deleted.

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -180,10 +180,7 @@
     let is_route = |name: &str| config.routes.iter().any(|route| route.name == name);
     daemon.response_times.retain(&is_route);
     daemon.stream_gaps.retain(&is_route);
-    let streams = config.routes.iter().filter(|route| route.kind.is_stream());
-    if let Some(longest_ms) = streams.map(|route| route.timeout_ms).max() {
-        daemon.owner.set_longest_turn(longest_ms);
-    }
+    apply_turn_times(daemon, &config);
     daemon.cold.set_config(&config);
     let previous = daemon.routes.borrow().clone();
     let table = RouteTable::new(config, previous.as_deref(), fastrand::u64(..));
@@ -191,6 +188,16 @@
     daemon.routes_changed.notify_waiters();
 }
 
+/// Applies how long turns may take and are stored.
+fn apply_turn_times(daemon: &Daemon, config: &TrafficConfig) {
+    let streams = config.routes.iter().filter(|route| route.kind.is_stream());
+    let longest_ms = streams.clone().map(|route| route.timeout_ms).max();
+    let retention_ms = streams.map(|route| route.retention_ms).max();
+    if let (Some(longest_ms), Some(retention_ms)) = (longest_ms, retention_ms) {
+        daemon.owner.set_longest_turn(longest_ms, retention_ms);
+    }
+}
+
 /// Applies the home regions of a configuration and logs routes and tenants that no region can
 /// serve.
 fn apply_homes(daemon: &Daemon, config: &TrafficConfig) {
--- a/crates/gateway/src/ledger/closing.rs
+++ b/crates/gateway/src/ledger/closing.rs
@@ -7,8 +7,8 @@
 use tokio::time::{Instant, timeout};
 
 /// How long closing an incomplete turn is retried. This outlasts an outage of the log, and ends
-/// before the owner deletes the program, 180 s after its last change (`PROGRAM_RETENTION_MS` in
-/// fieldhook-ledger).
+/// before the owner deletes the program, 180 s after its last change at the earliest
+/// (`MIN_PROGRAM_RETENTION_MS` in fieldhook-ledger).
 const RETRY_FOR: Duration = Duration::from_secs(120);
 /// Timeout of one attempt. It suffices to notice that an owner does not answer and to send the
 /// request once more.
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -15,7 +15,7 @@
 use fieldhook_ledger::message::{
     ClaimPartition, KnownOwner, LedgerReply, LedgerRequest, QuotaEvent, QuotaRequest,
 };
-use fieldhook_ledger::partition::uncertainty_after_loss_ms;
+use fieldhook_ledger::partition::{program_retention_ms, uncertainty_after_loss_ms};
 use fieldhook_log::api::{LogStore, Partition as LogPartition, StoreError};
 use fieldhook_log::appender::fence;
 use fieldhook_log::claim_delay::{Capacity, claim_delay};
@@ -56,6 +56,8 @@
     capacity: Capacity,
     /// Longest timeout of a streaming route in the active configuration, in milliseconds.
     longest_turn_ms: Cell<u64>,
+    /// Longest retention of a streaming route in the active configuration, in milliseconds.
+    longest_retention_ms: Cell<u64>,
     pub(super) assigner: Rc<Assigner>,
     limits: LimitCounters,
     /// Counters of requests to cold servers.
@@ -106,6 +108,7 @@
             held: RefCell::default(),
             capacity: settings.capacity,
             longest_turn_ms: Cell::new(u64::MAX),
+            longest_retention_ms: Cell::new(u64::MAX),
             limits: LimitCounters::new(bounds(settings.quota)),
             cold_counters: ColdCounters::default(),
             config: Rc::default(),
@@ -136,9 +139,15 @@
         claim_delay(self.capacity, loading.count() as u32)
     }
 
-    /// Sets the longest time that a turn may take.
-    pub fn set_longest_turn(&self, longest_ms: u64) {
+    /// Sets the longest time that a turn may take, and for which it may be stored.
+    pub fn set_longest_turn(&self, longest_ms: u64, longest_retention_ms: u64) {
         self.longest_turn_ms.set(longest_ms);
+        self.longest_retention_ms.set(longest_retention_ms);
+    }
+
+    /// Returns how long the budgets of programs are stored, in milliseconds.
+    pub fn program_retention_ms(&self) -> u64 {
+        program_retention_ms(self.longest_turn_ms.get(), self.longest_retention_ms.get())
     }
 
     /// Returns how long it stays uncertain what a lost owner granted to programs without a record,
@@ -410,7 +419,7 @@
         sleep(EXPIRY_PERIOD).await;
         for partition in owner.held.borrow().values() {
             if let HeldPartition::Serving(served) = partition {
-                served.expire();
+                served.expire(owner.program_retention_ms());
             }
         }
         owner.renew_crash_watches();
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -179,8 +179,11 @@
     }
 
     /// Deletes expired turns and programs.
-    pub(super) fn expire(&self) {
-        let records = self.state.borrow_mut().expire(unix_ms());
+    pub(super) fn expire(&self, program_retention_ms: u64) {
+        let mut state = self.state.borrow_mut();
+        state.set_program_retention(program_retention_ms);
+        let records = state.expire(unix_ms());
+        drop(state);
         self.log_expiry(&records);
         if !records.is_empty() {
             self.push(records, None, Urgency::Soon);
--- a/crates/gateway/tests/gateway/turns.rs
+++ b/crates/gateway/tests/gateway/turns.rs
@@ -1,6 +1,6 @@
 //! Turns of programs: chains, budgets, interrupted and resumed streams.
 
-use crate::support::{Act, Seen, Server, World, run};
+use crate::support::{Act, Seen, Server, World, config, run};
 use fieldhook_emulator::log::memory::LogFault;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -273,3 +273,19 @@
         }
     });
 }
+
+/// Guards against budgets that are deleted while their programs may still continue a turn.
+#[test]
+fn budgets_are_stored_as_long_as_the_routes_store_turns() {
+    run(async {
+        let world = World::new().await;
+        let mut initial = config(1);
+        let chat = initial.routes.iter_mut().find(|route| route.name == "chat");
+        let chat = chat.expect("a route");
+        (chat.timeout_ms, chat.retention_ms) = (30_000, 300_000);
+        world.configs.borrow_mut()[0] = initial;
+        let gateway = world.ready(&[]).await;
+        let stored_ms = gateway.daemon.owner.program_retention_ms();
+        assert!(stored_ms >= 30_000 + 300_000, "{stored_ms} ms");
+    });
+}
--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -7,7 +7,7 @@
 
 /// How much longer than promised a turn is stored, in milliseconds: the clocks of successive owners
 /// differ.
-const RETENTION_MARGIN_MS: u64 = 15_000;
+pub(crate) const RETENTION_MARGIN_MS: u64 = 15_000;
 
 struct StoredTurn {
     record: TurnRecord,
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -1,7 +1,7 @@
 //! State machine of one partition, run by its owner.
 
 use crate::budget::{Budget, ReserveOutcome, ReservePolicy, Settlement};
-use crate::chains::Chains;
+use crate::chains::{Chains, RETENTION_MARGIN_MS};
 use crate::crashes::{CrashTable, SendDecision};
 use crate::message::{BudgetUsage, CloseTurn, OpenTurn, RecordStream, ReportAttempt, RequestSend};
 use crate::name::QualifiedName;
@@ -12,8 +12,18 @@
 pub use crate::uncertainty::uncertainty_after_loss_ms;
 use std::collections::HashMap;
 
-/// How long the budget of a program is stored after its last change, in milliseconds.
-const PROGRAM_RETENTION_MS: u64 = 180_000;
+/// Shortest time that the budget of a program is stored after its last change, in milliseconds.
+const MIN_PROGRAM_RETENTION_MS: u64 = 180_000;
+
+/// How long the budget of a program is stored after its last change, in milliseconds, if a turn
+/// takes at most `longest_turn_ms` and is promised to be stored for at most `longest_retention_ms`:
+/// the program may continue a turn for that long.
+pub fn program_retention_ms(longest_turn_ms: u64, longest_retention_ms: u64) -> u64 {
+    longest_turn_ms
+        .saturating_add(longest_retention_ms)
+        .saturating_add(RETENTION_MARGIN_MS)
+        .max(MIN_PROGRAM_RETENTION_MS)
+}
 
 /// Turns whose content is stored cannot end without the log, so tokens for at most one further turn
 /// are reserved ahead.
@@ -70,6 +80,7 @@
     loaded_ms: u64,
     /// The previous owner was lost, and possibly the gateways of its recorded turns as well.
     previous_owner_lost: bool,
+    program_retention_ms: u64,
 }
 
 impl Partition {
@@ -101,6 +112,11 @@
         }
     }
 
+    /// Sets how long budgets are stored: see [`program_retention_ms`].
+    pub fn set_program_retention(&mut self, retention_ms: u64) {
+        self.program_retention_ms = retention_ms;
+    }
+
     /// Remaining uncertainty window, in milliseconds.
     pub fn uncertainty_ms(&self, now_ms: u64) -> u64 {
         self.uncertainty.remaining_ms(now_ms)
@@ -385,8 +401,9 @@
         records.extend(crashes.map(|name| Record::Crashes(name, None)));
         let software = self.software.expire(now_ms).into_iter();
         records.extend(software.map(|(service, record)| Record::Software(service, record)));
+        let retention_ms = self.program_retention_ms.max(MIN_PROGRAM_RETENTION_MS);
         self.programs.retain(|name, program| {
-            let keep = now_ms < program.changed_ms() + PROGRAM_RETENTION_MS;
+            let keep = now_ms < program.changed_ms().saturating_add(retention_ms);
             if !keep {
                 *self.pending_deletions.entry(name.clone()).or_default() += 1;
                 records.push(Record::Program(name.clone(), None));
--- a/crates/ledger/tests/expiry.rs
+++ b/crates/ledger/tests/expiry.rs
@@ -1,8 +1,9 @@
-//! Expired programs whose deletion is not durable yet. If such a program sends another turn, the
-//! next owner must count the tokens granted to it, although it may still read the old record.
+//! Expired programs, among them those whose deletion is not durable yet. If such a program sends
+//! another turn, the next owner must count the tokens granted to it, although it may still read the
+//! old record.
 
 use fieldhook_ledger::message::OpenTurn;
-use fieldhook_ledger::partition::{OpenOutcome, Partition};
+use fieldhook_ledger::partition::{OpenOutcome, Partition, program_retention_ms};
 use fieldhook_ledger::record::Record;
 
 const BUDGET: u64 = 2_700;
@@ -93,3 +94,23 @@
         .for_each(|record| owner.record_appended(record));
     assert_eq!(open(&mut owner, 2, LATER_MS).0, MAX_TOKENS);
 }
+
+/// Guards against a program that gets its budget again while it may still continue its turns.
+#[test]
+fn budget_is_stored_as_long_as_its_program_may_continue_a_turn() {
+    const LONGEST_TURN_MS: u64 = 30_000;
+    const RETENTION_MS: u64 = 300_000;
+    let mut owner = Partition::default();
+    owner.set_program_retention(program_retention_ms(LONGEST_TURN_MS, RETENTION_MS));
+    let granted = (1..).take_while(|attempt| {
+        let opened = owner.open(&turn(*attempt), NOW_MS);
+        matches!(opened, OpenOutcome::Opened { .. })
+    });
+    let granted = granted.count() as u64;
+    assert_eq!(granted, BUDGET / MAX_TOKENS);
+    for later_ms in [LATER_MS, NOW_MS + RETENTION_MS + LONGEST_TURN_MS] {
+        owner.expire(later_ms);
+        let next = owner.open(&turn(granted + 1), later_ms);
+        assert!(matches!(next, OpenOutcome::BudgetSpent(_)), "{next:?}");
+    }
+}
