Lines name the connection of a response, and responses to earlier requests

Cause: a refusal was logged without its connection, and the response to an earlier request was skipped without a line. It could not be told whether a request that runs twice was sent on after a copy of its own refusal, after a refusal that was wrong, or by two gateways. Change: attempt_failed (not_run) and attempt_answered name the connection by its local port; late_response_skipped is new.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -181,6 +181,9 @@
                 server = server.id,
                 outcome = "not_run",
                 status = response.head.status,
+                reused,
+                connection = self.connection.local_port,
+                took_ms = took.as_millis() as u64,
                 age_ms = context.age_ms()
             );
             history.permit = self.monitor.into_permit();
@@ -200,6 +203,7 @@
             tried = context.age_ms().saturating_sub(took.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             reused,
+            connection = self.connection.local_port,
             keep_alive_ms = response.meta.keep_alive_ms,
             keeps = response.head.keep_alive
         );
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -81,6 +81,8 @@
     pub has_served: bool,
     /// When the connection was opened.
     pub opened: Instant,
+    /// Local port, which identifies the connection in log lines.
+    pub local_port: u16,
 }
 
 impl ServerConnection {
@@ -93,6 +95,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         configure_socket(&stream);
+        let local_port = stream.local_addr()?.port();
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
@@ -102,6 +105,7 @@
             idle_before_use: Duration::ZERO,
             has_served: false,
             opened: Instant::now(),
+            local_port,
         })
     }
 
@@ -159,6 +163,13 @@
                 return Ok(response);
             }
             self.reusable = false;
+            tracing::info!(
+                event = "late_response_skipped",
+                request = outgoing.id,
+                late = response.meta.id,
+                status = response.head.status,
+                connection = self.local_port
+            );
             self.skip_body(response.body).await?;
         }
         Err(ExchangeError::InvalidResponse)
