A request is not sent again on the connection that carried it last

Cause: after a refusal the connection goes back to the pool, which hands out the newest. After a wait the request is sent to the same server again, under the same id, on the same connection. A server may send one response once more, late, in the place of the next. The copy of the first refusal then arrives as the response to the second attempt, which runs; the id is the same, so nothing tells them apart. The gateway concludes that the request has not run and sends it on. The same holds for a client that sends a request again under its id on its own.

Change: a connection remembers the id that it carried last, and the pool hands it out only for another one. A copy arrives in the place of the next response, so a request in between takes it, tells it by the id, skips it and closes the connection. If no idle connection can carry the request, a new one is opened and two others at most stay idle: requests that are refused in turn then take each other's connections, and one that is refused again and again doesn't add connections to a server that is full.

A history of connections in the request would miss a second attempt of the client.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -119,7 +119,7 @@
     let daemon = &context.daemon;
     let acquired = daemon
         .pools
-        .acquire(server, daemon.now_ms(), &daemon.metrics)
+        .acquire(server, &context.meta.id, daemon.now_ms(), &daemon.metrics)
         .await;
     match acquired {
         Ok(connection) => {
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -71,6 +71,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     reusable: bool,
+    /// Id of the newest request that was sent. Its response may arrive once more, late, in the place
+    /// of the next one.
+    last_request: String,
     /// When the last response was complete.
     pub idle_since: Instant,
     /// How long the connection was idle before the current request.
@@ -100,6 +103,7 @@
             stream,
             buffer: BytesMut::new(),
             reusable: true,
+            last_request: String::new(),
             idle_since: Instant::now(),
             idle_limit: Duration::ZERO,
             idle_before_use: Duration::ZERO,
@@ -123,6 +127,12 @@
         self.reusable && self.buffer.is_empty()
     }
 
+    /// Returns whether a response to the next request could be told from a late copy of the last
+    /// response if the next request has this id.
+    pub fn can_carry(&self, request: &str) -> bool {
+        self.last_request != request
+    }
+
     /// Marks the connection as idle and frees its read buffer.
     pub fn mark_idle(&mut self) {
         self.buffer = BytesMut::new();
@@ -134,8 +144,8 @@
         self.reusable = false;
     }
 
-    /// Sends a request and reads the head of the response. Late responses to other requests are
-    /// skipped.
+    /// Sends a request and reads the head of the response. A late response to an earlier request is
+    /// told by its id and skipped, so the last request must have had [another id](Self::can_carry).
     ///
     /// # Errors
     /// No response arrived. Unless no byte was written, the request may have run.
@@ -144,6 +154,7 @@
         outgoing: &OutgoingRequest<'_>,
         dialect: &dyn Dialect,
     ) -> Result<ServerResponse, ExchangeError> {
+        outgoing.id.clone_into(&mut self.last_request);
         let mut written = 0;
         for _ in 0..MAX_MISMATCHED_RESPONSES {
             let head = self.next_head(outgoing, &mut written).await?;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -22,6 +22,11 @@
 const IDLE_LIMIT_FACTOR: f64 = 0.88;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
+/// Number of idle connections that stay open if none of them can carry a request and another one is
+/// opened. With spare ones, requests that are refused in turn need no further connections; without
+/// a limit, one request that is refused again and again would take many of those that the server
+/// accepts.
+const MAX_SPARE_CONNECTIONS: usize = 2;
 
 #[derive(Default)]
 struct ServerState {
@@ -37,6 +42,15 @@
     last_contact: Option<(Instant, Contact)>,
 }
 
+impl ServerState {
+    /// Removes the newest idle connection that can carry the request with this id.
+    fn take_idle(&mut self, request: &str) -> Option<ServerConnection> {
+        let can_carry = |connection: &ServerConnection| connection.can_carry(request);
+        let index = self.idle.iter().rposition(can_carry)?;
+        Some(self.idle.remove(index))
+    }
+}
+
 /// Connection pools and health state of all servers.
 #[derive(Default)]
 pub struct Pools {
@@ -208,14 +222,16 @@
             .record_stale(now_ms, idle_time.as_millis() as u64);
     }
 
-    /// Returns a connection for the next request. If the machine of the server is suspected to be
-    /// unreachable, the connection is always new, so that no request is sent to such a machine.
+    /// Returns a connection for the request with this id. If the machine of the server is suspected
+    /// to be unreachable, the connection is always new, so that no request is sent to such a
+    /// machine.
     ///
     /// # Errors
     /// No connection was established; nothing was sent.
     pub async fn acquire(
         &self,
         server: &ServerEntry,
+        request: &str,
         now_ms: u64,
         metrics: &Metrics,
     ) -> std::io::Result<ServerConnection> {
@@ -223,24 +239,27 @@
             let silence = self.silence.borrow();
             silence.is_suspect(&server.id, &server.zone, now_ms)
         };
-        if !is_suspect && let Some(connection) = self.acquire_idle(&server.id, now_ms) {
+        if !is_suspect && let Some(connection) = self.acquire_idle(&server.id, request, now_ms) {
             return Ok(connection);
         }
         metrics.connections.inc();
         ServerConnection::connect(server.address, CONNECT_TIMEOUT).await
     }
 
-    fn acquire_idle(&self, id: &str, now_ms: u64) -> Option<ServerConnection> {
+    fn acquire_idle(&self, id: &str, request: &str, now_ms: u64) -> Option<ServerConnection> {
         let mut servers = self.servers.borrow_mut();
         let state = servers.get_mut(id)?;
         let limit = state.idle_limit.limit_ms(now_ms).map(Duration::from_millis);
-        while let Some(mut connection) = state.idle.pop() {
+        while let Some(mut connection) = state.take_idle(request) {
             connection.idle_before_use = connection.idle_since.elapsed();
             let is_too_old = limit.is_some_and(|limit| connection.idle_before_use > limit);
             if is_fresh(&connection) && !is_too_old && connection.has_no_input() {
                 return Some(connection);
             }
         }
+        if state.idle.len() > MAX_SPARE_CONNECTIONS {
+            state.idle.remove(0);
+        }
         None
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod incarnations;
 mod input;
 mod keep_alive;
+mod late_responses;
 mod limits;
 mod log_storage;
 mod outage;
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -22,6 +22,9 @@
     Large(usize),
     /// Respond that the request was not run.
     NotRun,
+    /// Respond to the first request that it was not run, and run all others. A copy of that response
+    /// arrives once more, late, in the place of the next response on its connection.
+    NotRunOnceWithLateCopy(String),
     /// Respond that the request was not run, but leave out the body.
     NotRunTruncated,
     /// Reset the connection after reading the request.
@@ -66,6 +69,8 @@
     pub address: SocketAddr,
     pub seen: Rc<RefCell<Vec<Seen>>>,
     pub client_disconnects: Rc<Cell<u32>>,
+    /// Number of open connections.
+    pub connections: Rc<Cell<u32>>,
     act: Rc<RefCell<Act>>,
     powered_off: Rc<Cell<bool>>,
     process: Rc<Process>,
@@ -140,12 +145,14 @@
             address: listener.local_addr().expect("an address"),
             seen: Rc::default(),
             client_disconnects: Rc::default(),
+            connections: Rc::default(),
             act: Rc::new(RefCell::new(act)),
             process: Rc::default(),
         };
         let (seen, act) = (server.seen.clone(), server.act.clone());
         let client_disconnects = server.client_disconnects.clone();
         let powered_off = server.powered_off.clone();
+        let connections = server.connections.clone();
         let process = server.process.clone();
         ntex::rt::spawn(async move {
             loop {
@@ -157,13 +164,19 @@
                 let Ok((stream, _)) = accepted else {
                     return;
                 };
-                ntex::rt::spawn(serve(
+                let serving = serve(
                     stream,
                     process.clone(),
                     seen.clone(),
                     act.clone(),
                     client_disconnects.clone(),
-                ));
+                );
+                let connections = connections.clone();
+                ntex::rt::spawn(async move {
+                    connections.set(connections.get() + 1);
+                    serving.await;
+                    connections.set(connections.get() - 1);
+                });
             }
         });
         server
@@ -293,6 +306,7 @@
     let _ = stream.set_nodelay(true);
     let mut buffer = BytesMut::new();
     let accepted = Instant::now();
+    let mut late_copy = String::new();
     while let Some(request) = read_request(&mut stream, &mut buffer, accepted).await {
         let id = request
             .head
@@ -313,6 +327,7 @@
             });
         }
         seen.borrow_mut().push(request);
+        let is_first = seen.borrow().len() == 1;
         let act = act.borrow().clone();
         let response = |id: &str, status: u16, body: &str| {
             format!(
@@ -343,10 +358,15 @@
                 let _ = stream.write_all(response(&id, 200, &body).as_bytes()).await;
             }
             Act::NotRun => {
-                let response = format!(
-                    "HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                );
-                let _ = stream.write_all(response.as_bytes()).await;
+                let _ = stream.write_all(not_run(&id).as_bytes()).await;
+            }
+            Act::NotRunOnceWithLateCopy(_) if is_first => {
+                late_copy = not_run(&id);
+                let _ = stream.write_all(late_copy.as_bytes()).await;
+            }
+            Act::NotRunOnceWithLateCopy(body) => {
+                let both = std::mem::take(&mut late_copy) + &response(&id, 200, &body);
+                let _ = stream.write_all(both.as_bytes()).await;
             }
             Act::NotRunTruncated => {
                 let head = format!(
@@ -406,6 +426,10 @@
     }
 }
 
+fn not_run(id: &str) -> String {
+    format!("HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 async fn send_events_head(stream: &mut TcpStream, id: &str) {
     let head = format!(
         "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
