A response without an id is not taken for one's own

A response whose head has no id was taken for the response to the newest request. A refusal of that kind, which may belong to an earlier request on the connection, allowed another send of an unsafe request. Each response of a server carries the id.

Change: such a response is invalid, as one that can't be read: the request may have run, and the connection is closed.

Test: refusal_without_an_id_does_not_show_that_a_request_did_not_run: 503 before, 502 now.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -164,14 +164,14 @@
                 self.reusable = false;
             }
             let response = ServerResponse { head, meta, body };
-            if response
-                .meta
-                .id
-                .as_deref()
-                .is_none_or(|id| id == outgoing.id)
-            {
-                self.has_served = true;
-                return Ok(response);
+            match response.meta.id.as_deref() {
+                Some(id) if id == outgoing.id => {
+                    self.has_served = true;
+                    return Ok(response);
+                }
+                Some(_) => {}
+                // It may belong to any request.
+                None => return Err(ExchangeError::InvalidResponse),
             }
             self.reusable = false;
             tracing::info!(
--- a/crates/gateway/tests/gateway/late_responses.rs
+++ b/crates/gateway/tests/gateway/late_responses.rs
@@ -45,6 +45,22 @@
     });
 }
 
+/// Guards against a refusal without an id, which may belong to any request, that is taken for the
+/// response to the newest one.
+#[test]
+fn refusal_without_an_id_does_not_show_that_a_request_did_not_run() {
+    run(async {
+        let server = Server::start("s1", Act::NotRunWithoutId).await;
+        let world = World::new().await;
+        let gateway = world.ready(&[&server]).await;
+        let reply = gateway
+            .ask("POST", "/unsafe/1", "Request: r1\r\n", "pay")
+            .await;
+        assert_eq!(reply.head.status, 502);
+        assert_eq!(server.count(), 1);
+    });
+}
+
 /// Guards against a connection that is opened for each refusal, just when servers are full.
 #[test]
 fn requests_that_are_refused_in_turn_share_connections() {
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -25,6 +25,8 @@
     /// Respond to the first request that it was not run, and run all others. A copy of that response
     /// arrives once more, late, in the place of the next response on its connection.
     NotRunOnceWithLateCopy(String),
+    /// Respond without the id of the request that it was not run.
+    NotRunWithoutId,
     /// Respond that the request was not run, but leave out the body.
     NotRunTruncated,
     /// Reset the connection after reading the request.
@@ -368,6 +370,10 @@
                 let both = std::mem::take(&mut late_copy) + &response(&id, 200, &body);
                 let _ = stream.write_all(both.as_bytes()).await;
             }
+            Act::NotRunWithoutId => {
+                let response = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+                let _ = stream.write_all(response.as_bytes()).await;
+            }
             Act::NotRunTruncated => {
                 let head = format!(
                     "HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\n"
