The end of a turn frees its engine once

Cause: an end that is refused because its chain is not stored is sent again with the chain; each was told to the assigner of engines. Change: the assigner is told of the end that is accepted.

--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -135,13 +135,13 @@
     }
 
     fn close(&self, close: &CloseTurn, sender: mpsc::UnboundedSender<LedgerReply>) {
-        self.assigner.end_turn(close);
         let closed = self.state.borrow_mut().close(close, unix_ms());
         let Ok(records) = closed else {
             // Even if this owner was replaced: content may always be stored with its chain.
             let _ = sender.send(LedgerReply::UnknownTurn);
             return;
         };
+        self.assigner.end_turn(close);
         let _ = sender.send(LedgerReply::Accepted);
         let reply = LedgerReply::Closed;
         let urgency = match close.delays_response {
