A corrupt chain with a cycle is not taken for one that is stored

Cause: the look for a missing turn ended without one where a chain has a cycle, while its contents can't be read. Change: it names a turn of the cycle. Result: cycle_in_a_corrupt_chain_terminates checks it as well; chain_fuzz and chain_retention pass.

--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -94,16 +94,17 @@
         Some(contents)
     }
 
-    /// The first turn of a chain, from the last one back, that is not stored.
+    /// The first turn of a chain, from the last one back, that is not stored. If a corrupt chain has
+    /// a cycle, one of its turns.
     pub fn missing_turn(&self, last: &QualifiedName) -> Option<QualifiedName> {
         let mut name = last.clone();
         for _ in 0..=self.turns.len() {
             let Some(turn) = self.turns.get(&name) else {
-                return Some(name);
+                break;
             };
             name = turn.previous_name(&name)?;
         }
-        None
+        Some(name)
     }
 
     /// Removes expired turns and returns their names.
--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -372,5 +372,7 @@
         }
     }
     owner.finish_loading();
-    assert_eq!(owner.chain_contents(&QualifiedName::new(None, "t0")), None);
+    let turn = QualifiedName::new(None, "t0");
+    assert_eq!(owner.chain_contents(&turn), None);
+    assert_eq!(owner.chains().missing_turn(&turn), Some(turn));
 }
