One walk along a chain finds its contents and what is missing

Cause: contents and missing_turn walked along a chain each in its own loop. Change: both use turns_of, whose error names the missing turn.

--- a/crates/ledger/src/chains.rs
+++ b/crates/ledger/src/chains.rs
@@ -85,7 +85,7 @@
 
     /// Inputs and outputs of the chain that ends with a turn, oldest first.
     pub fn contents(&self, last: &QualifiedName) -> Option<Vec<u8>> {
-        let chain = self.turns_of(last)?;
+        let chain = self.turns_of(last).ok()?;
         let mut contents = Vec::new();
         for turn in chain.iter().rev() {
             contents.extend_from_slice(&turn.record.input);
@@ -97,14 +97,7 @@
     /// The first turn of a chain, from the last one back, that is not stored. If a corrupt chain has
     /// a cycle, one of its turns.
     pub fn missing_turn(&self, last: &QualifiedName) -> Option<QualifiedName> {
-        let mut name = last.clone();
-        for _ in 0..=self.turns.len() {
-            let Some(turn) = self.turns.get(&name) else {
-                break;
-            };
-            name = turn.previous_name(&name)?;
-        }
-        Some(name)
+        self.turns_of(last).err()
     }
 
     /// Removes expired turns and returns their names.
@@ -121,18 +114,21 @@
     }
 
     /// The turns of a chain, from this one back to the first.
-    fn turns_of(&self, last: &QualifiedName) -> Option<Vec<&StoredTurn>> {
+    ///
+    /// # Errors
+    /// The name of the turn that is missing: see [`Self::missing_turn`].
+    fn turns_of(&self, last: &QualifiedName) -> Result<Vec<&StoredTurn>, QualifiedName> {
         let mut chain = Vec::new();
         let mut next = Some(last.clone());
         while let Some(name) = next {
-            if chain.len() > self.turns.len() {
-                return None;
-            }
-            let turn = self.turns.get(&name)?;
+            let is_cycle = chain.len() >= self.turns.len();
+            let Some(turn) = self.turns.get(&name).filter(|_| !is_cycle) else {
+                return Err(name);
+            };
             next = turn.previous_name(&name);
             chain.push(turn);
         }
-        Some(chain)
+        Ok(chain)
     }
 
     /// Extends the retention of the turns that a turn continues.
