chain_fuzz: each turn has its own time-out

Cause: with one time-out of 300 s for all turns their retention, which counts from the deadline, was so long that few of them expired. Change: time-outs of 0 to 255 s, drawn for each turn.

--- a/crates/ledger/tests/chain_fuzz.rs
+++ b/crates/ledger/tests/chain_fuzz.rs
@@ -12,8 +12,6 @@
 use std::collections::BTreeMap;
 
 const RETENTION_MS: u64 = 60_000;
-/// Longest time that a turn may take.
-const TIMEOUT_MS: u64 = 300_000;
 /// Requests without a tenant, and those of two tenants.
 const TENANTS: [Option<&str>; 3] = [None, Some("a"), Some("b")];
 
@@ -43,16 +41,31 @@
     }
 }
 
+/// A turn that continues an acknowledged one, or starts a chain.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    tenant: usize,
+    after: Option<u8>,
+    /// How long the client waits for the end of the response, in seconds.
+    timeout_s: u8,
+}
+
+impl Arbitrary for Start {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            tenant: usize::arbitrary(g) % TENANTS.len(),
+            after: Option::arbitrary(g),
+            timeout_s: u8::arbitrary(g),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// A turn continues an acknowledged one, or starts a chain, and ends at once.
-    Turn {
-        tenant: usize,
-        after: Option<u8>,
-        end: End,
-    },
+    /// A turn starts and ends at once.
+    Turn(Start, End),
     /// A turn starts and stays in progress.
-    Start { tenant: usize, after: Option<u8> },
+    Start(Start),
     /// A turn in progress ends.
     End { which: u8, end: End },
     /// A turn names a previous turn that only other tenants have.
@@ -71,18 +84,11 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let tenant = usize::arbitrary(g) % TENANTS.len();
         match u8::arbitrary(g) % 18 {
-            0..=5 => Self::Turn {
-                tenant,
-                after: Option::arbitrary(g),
-                end: End::arbitrary(g),
-            },
+            0..=5 => Self::Turn(Start::arbitrary(g), End::arbitrary(g)),
             6 => Self::ContinueUnknown,
             7..=8 => Self::ChangeOwner,
             9 => Self::ContinueForeign { tenant },
-            10..=11 => Self::Start {
-                tenant,
-                after: Option::arbitrary(g),
-            },
+            10..=11 => Self::Start(Start::arbitrary(g)),
             12..=13 => Self::End {
                 which: u8::arbitrary(g),
                 end: End::arbitrary(g),
@@ -195,11 +201,8 @@
     ///
     /// # Errors
     /// The chain is wrong, or was forgotten during its retention.
-    fn start_turn(
-        &mut self,
-        tenant: usize,
-        after: Option<u8>,
-    ) -> Result<Option<StartedTurn>, WrongChain> {
+    fn start_turn(&mut self, start: Start) -> Result<Option<StartedTurn>, WrongChain> {
+        let Start { tenant, after, .. } = start;
         let turn = format!("t{}", self.next_turn[tenant]);
         self.next_turn[tenant] += 1;
         let known = &self.known[tenant];
@@ -217,15 +220,15 @@
                 turn,
                 previous,
                 chain,
-                deadline_ms: self.now_ms + TIMEOUT_MS,
+                deadline_ms: self.now_ms + u64::from(start.timeout_s) * 1_000,
             })),
             OpenOutcome::UnknownTurn if !is_retained => Ok(None),
             _ => Err(WrongChain),
         }
     }
 
-    fn run_turn(&mut self, tenant: usize, after: Option<u8>, end: End) -> bool {
-        let started = self.start_turn(tenant, after);
+    fn run_turn(&mut self, start: Start, end: End) -> bool {
+        let started = self.start_turn(start);
         if let Ok(Some(turn)) = &started {
             self.end_turn(turn, end);
         }
@@ -312,9 +315,9 @@
 
     fn step(&mut self, step: Step) -> bool {
         match step {
-            Step::Turn { tenant, after, end } => self.run_turn(tenant, after, end),
-            Step::Start { tenant, after } => {
-                let started = self.start_turn(tenant, after);
+            Step::Turn(start, end) => self.run_turn(start, end),
+            Step::Start(start) => {
+                let started = self.start_turn(start);
                 let is_right = started.is_ok();
                 self.started.extend(started.ok().flatten());
                 is_right
@@ -364,7 +367,12 @@
 fn cycle_in_a_corrupt_chain_terminates() {
     let mut owner = Partition::default();
     let mut simulation = Simulation::default();
-    simulation.run_turn(0, None, End::Acknowledged);
+    let start = Start {
+        tenant: 0,
+        after: None,
+        timeout_s: 1,
+    };
+    simulation.run_turn(start, End::Acknowledged);
     for (key, value) in &simulation.log {
         if let Ok(Record::Turn(name, Some(mut record))) = Record::decode(key, value) {
             record.previous = Some(name.name.clone());
