Log how the body of a response is framed, and whether its server announced the close

A response without a length is complete when its server closes. The line tells whether such servers announce that they will close, for the report of heads that end early.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -21,6 +21,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the value of the log field `framing`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Result of decoding the buffered bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -208,7 +208,9 @@
             reused,
             connection = self.connection.local_port,
             keep_alive_ms = response.meta.keep_alive_ms,
-            keeps = response.head.keep_alive
+            keeps = response.head.keep_alive,
+            framing = response.head.framing.name(),
+            announces_close = response.head.headers.contains_token("connection", "close")
         );
         Ok(self)
     }
