Failing tests: ends that follow a detached attempt, and heads that stop early

A response whose server ends the head before its length arrives as a whole 200 with an empty body, in the gateway and in the client of /v1; an empty chunk size is taken for the last chunk.

--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -18,9 +18,9 @@
 /// Number of servers that may end under a request before it is not sent to any other.
 const MAX_ENDED: u64 = 3;
 /// Number of servers of a test.
-const SERVERS: usize = 10;
+pub const SERVERS: usize = 10;
 /// Text in requests that end servers.
-const MARK: &str = "deadly";
+pub const MARK: &str = "deadly";
 /// Pause between two attempts of a client.
 const CLIENT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -36,16 +36,16 @@
 }
 
 /// Two gateways in front of servers that restart at once when they end.
-struct Fleet {
-    gateways: Vec<Gateway>,
-    servers: Vec<Rc<Server>>,
+pub struct Fleet {
+    pub gateways: Vec<Gateway>,
+    pub servers: Vec<Rc<Server>>,
     world: World,
 }
 
 impl Fleet {
     /// Starts servers that end when they serve a request with the mark, and whose entries are late
     /// by `delay`.
-    async fn start(delay: Duration, states_identity: bool) -> Self {
+    pub async fn start(delay: Duration, states_identity: bool) -> Self {
         let world = World::new().await;
         let mut servers = Vec::new();
         for number in 0..SERVERS {
@@ -96,7 +96,7 @@
         join_all(requests).await;
     }
 
-    fn restarts(&self) -> u64 {
+    pub fn restarts(&self) -> u64 {
         self.servers.iter().map(|server| server.restarts()).sum()
     }
 
--- a/crates/gateway/tests/gateway/support/act.rs
+++ b/crates/gateway/tests/gateway/support/act.rs
@@ -21,6 +21,9 @@
     NotRunTruncated,
     /// Reset the connection after reading the request.
     Reset,
+    /// Send as many bytes of the head of a response as the number at the end of the target says, then
+    /// these bytes, and close the connection. The head announces the close if the flag is set.
+    Truncated(bool, &'static str),
     /// Send a response to another request first, then the response to this one.
     OtherResponseFirst(String),
     /// Respond without a length, and end the body by a close, or by a reset if the flag is set.
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -12,7 +12,7 @@
 pub use act::Act;
 pub use client::Reply;
 pub use log_capture::LogCapture;
-pub use server::{Seen, Server};
+pub use server::{Seen, Server, response_head};
 pub use world::{
     CONFIG, EntryWriter, Gateway, OWNERS_SETTLED, SERVERS, World, config, config_with_tenants,
     tenant,
--- a/crates/gateway/tests/gateway/support/process.rs
+++ b/crates/gateway/tests/gateway/support/process.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Request that ends the process which serves it.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
 pub struct Process {
     deadly: RefCell<Option<Deadly>>,
     pub has_ended: Cell<bool>,
+    /// When this process and those before it ended.
+    pub ends: RefCell<Vec<Instant>>,
     ended: Notify,
     /// Number of the process, counted from 0.
     pub number: Cell<u64>,
@@ -65,6 +68,7 @@
         if number != self.number.get() {
             return;
         }
+        self.ends.borrow_mut().push(Instant::now());
         match &*self.on_restart.borrow() {
             Some(on_restart) => {
                 self.number.set(number + 1);
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -182,14 +182,24 @@
         self.process.has_ended.get()
     }
 
+    /// When processes of the server ended.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.process.ends.borrow().clone()
+    }
+
     /// Number of requests whose target or body contains `mark`.
     pub fn count_with(&self, mark: &str) -> usize {
+        self.times_with(mark).len()
+    }
+
+    /// When the requests were read whose target or body contains `mark`.
+    pub fn times_with(&self, mark: &str) -> Vec<Instant> {
         let seen = self.seen.borrow();
         let with_mark = seen.iter().filter(|request| {
             String::from_utf8_lossy(&request.body).contains(mark)
                 || request.head.target.contains(mark)
         });
-        with_mark.count()
+        with_mark.map(|request| request.at).collect()
     }
 }
 
@@ -359,6 +369,14 @@
                 return;
             }
             Act::Reset => return reset(stream),
+            Act::Truncated(announces_close, ending) => {
+                let length = seen.borrow().last().map_or(0, number_in_target);
+                let head = response_head(&id, announces_close);
+                let cut = &head[..length.min(head.len())];
+                let _ = stream.write_all(cut.as_bytes()).await;
+                let _ = stream.write_all(ending.as_bytes()).await;
+                return;
+            }
             Act::ResetAfter(delay) => {
                 sleep(delay).await;
                 return reset(stream);
@@ -416,6 +434,21 @@
     }
 }
 
+/// Returns the number at the end of the target of a request.
+fn number_in_target(request: &Seen) -> usize {
+    let number = request.head.target.rsplit('/').next();
+    number.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Head of a response with a body of nine bytes.
+pub fn response_head(id: &str, announces_close: bool) -> String {
+    let close = match announces_close {
+        true => "Connection: close\r\n",
+        false => "",
+    };
+    format!("HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\n{close}Content-Length: 9\r\n\r\n")
+}
+
 fn not_run(id: &str) -> String {
     format!("HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 }
