A response without a length counts only if its server announced the close

Clients got a 200 with an empty or short body, framed as whole, when a server stopped within the head of its response, ended the head early and closed the connection. A head without a length was taken for a body that the close ends.

Such a body counts now only if the head announces the close, and if any of it has arrived: otherwise nothing tells it from a response that stopped. The attempt fails like any that broke off.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -17,7 +17,7 @@
     Length(u64),
     /// `Transfer-Encoding: chunked`.
     Chunked,
-    /// The body ends when the peer closes the connection.
+    /// The body ends when the peer closes the connection, which it has announced.
     UntilClose,
 }
 
@@ -62,6 +62,8 @@
 pub struct BodyDecoder {
     framing: Framing,
     remaining: u64,
+    /// Whether a part of the body has arrived.
+    has_begun: bool,
     chunk: ChunkState,
     /// Size of the trailer lines so far, in bytes.
     trailer_bytes: usize,
@@ -77,6 +79,7 @@
         Self {
             framing,
             remaining,
+            has_begun: false,
             chunk: ChunkState::Size,
             trailer_bytes: 0,
         }
@@ -87,9 +90,10 @@
         self.framing
     }
 
-    /// Returns whether the body ends when the peer closes the connection.
-    pub fn ends_with_connection(&self) -> bool {
-        self.framing == Framing::UntilClose
+    /// Returns whether the body is complete if the peer closes the connection now. An empty body is
+    /// not: nothing would tell it from a response that stopped.
+    pub fn is_complete_on_close(&self) -> bool {
+        self.framing == Framing::UntilClose && self.has_begun
     }
 
     /// Decodes the next piece from `buffer`.
@@ -101,7 +105,10 @@
             Framing::Empty => Ok(Piece::End),
             Framing::Length(_) => Ok(self.next_sized(buffer)),
             Framing::UntilClose if buffer.is_empty() => Ok(Piece::Incomplete),
-            Framing::UntilClose => Ok(Piece::Data(buffer.split().freeze())),
+            Framing::UntilClose => {
+                self.has_begun = true;
+                Ok(Piece::Data(buffer.split().freeze()))
+            }
             Framing::Chunked => self.next_chunk(buffer),
         }
     }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -216,6 +216,7 @@
     };
     let status = response.code.unwrap_or_default();
     let headers = collect_headers(response.headers);
+    let closes = response.version != Some(1) || headers.contains_token("connection", "close");
     let has_no_body = request_method == "HEAD" || status == 204 || status == 304 || status < 200;
     let framing = match (is_chunked(&headers)?, content_length(&headers)?) {
         _ if has_no_body => Framing::Empty,
@@ -226,15 +227,19 @@
         }
         (true, None) => Framing::Chunked,
         (false, Some(length)) => Framing::Length(length),
-        (false, None) => Framing::UntilClose,
+        (false, None) if closes => Framing::UntilClose,
+        // A server that stopped within the head may have ended it early.
+        (false, None) => {
+            return Err(HeadError::Malformed(
+                "neither a body length nor an announced close",
+            ));
+        }
     };
     let head = ResponseHead {
         status,
         reason: response.reason.unwrap_or_default().to_owned(),
         framing,
-        keep_alive: response.version == Some(1)
-            && framing != Framing::UntilClose
-            && !headers.contains_token("connection", "close"),
+        keep_alive: !closes,
         headers,
     };
     Ok(Some((length, head)))
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -230,7 +230,11 @@
             match decoder.next(&mut self.buffer) {
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) => {}
-                Err(_) => return Err(ExchangeError::InvalidResponse),
+                Err(error) => {
+                    let request = outgoing.id;
+                    tracing::info!(event = "response_head_rejected", request, %error);
+                    return Err(ExchangeError::InvalidResponse);
+                }
             }
             self.buffer.reserve(READ_SIZE);
             let unsent = &outgoing.bytes[*written..];
@@ -273,7 +277,7 @@
             }
             self.buffer.reserve(READ_SIZE);
             match self.stream.read_buf(&mut self.buffer).await {
-                Ok(0) if body.ends_with_connection() => return Ok(Piece::End),
+                Ok(0) if body.is_complete_on_close() => return Ok(Piece::End),
                 Ok(size) if size > 0 => {}
                 _ => return Err(ExchangeError::ConnectionLost),
             }
--- a/crates/gateway/tests/gateway/support/act.rs
+++ b/crates/gateway/tests/gateway/support/act.rs
@@ -26,7 +26,8 @@
     Truncated(bool, &'static str),
     /// Send a response to another request first, then the response to this one.
     OtherResponseFirst(String),
-    /// Respond without a length, and end the body by a close, or by a reset if the flag is set.
+    /// Respond without a length, announce that the connection will close, and end the body by a close,
+    /// or by a reset if the flag is set.
     Unframed(String, bool),
     /// Send a stream of events with these texts, starting after the event that the request names.
     /// Break off within the event with the given number.
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -391,8 +391,9 @@
                 let _ = stream.write_all(both.as_bytes()).await;
             }
             Act::Unframed(body, resets) => {
-                let response =
-                    format!("HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\n\r\n{body}");
+                let response = format!(
+                    "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nConnection: close\r\n\r\n{body}"
+                );
                 let _ = stream.write_all(response.as_bytes()).await;
                 sleep(Duration::from_millis(30)).await;
                 if resets {
