An empty line is not the last chunk of a body

The parser of chunk sizes takes a line without digits for the size 0, so a body that was cut at a chunk and followed by empty lines ended as complete. A size has to begin with a digit now. chunk_size_without_digits_is_malformed failed before.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -128,6 +128,12 @@
     fn next_chunk(&mut self, buffer: &mut BytesMut) -> Result<Piece, InvalidFraming> {
         loop {
             match self.chunk {
+                // The parser takes a line without digits for the last chunk.
+                ChunkState::Size
+                    if buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) =>
+                {
+                    return Err(InvalidFraming);
+                }
                 ChunkState::Size => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((length, size))) => {
                         buffer.advance(length);
