Client of /v1 and of operators: a response without a length is an error

The HTTP library takes a body that ends with its connection for an empty one, so a server that ended its head early gave a 200 with an empty body.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,6 +4,7 @@
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::Method;
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::time::Millis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -103,7 +104,7 @@
     /// cover the response body.
     ///
     /// # Errors
-    /// No response head was received within the timeout.
+    /// No response head was received within the timeout, or none that tells where the body ends.
     pub async fn send(
         &self,
         method: Method,
@@ -116,10 +117,13 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        request
-            .send_body(body)
-            .await
-            .map_err(|error| classify_error(&error))
+        let response = request.send_body(body).await;
+        let response = response.map_err(|error| classify_error(&error))?;
+        if !is_framed(&response) {
+            let cause = "the response has no length";
+            return Err(SendError::Unknown(cause.to_owned()));
+        }
+        Ok(response)
     }
 
     /// Sends a request and reads the complete response, whatever its status.
@@ -220,6 +224,14 @@
     }
 }
 
+/// Whether the head tells where the body ends. The library takes a body that ends with the connection
+/// for an empty one.
+fn is_framed(response: &ClientResponse) -> bool {
+    let headers = response.headers();
+    let has_no_body = matches!(response.status().as_u16(), 204 | 304);
+    has_no_body || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn decode_json<T: DeserializeOwned>(response: TextResponse) -> Result<T, SendError> {
     if !(200..300).contains(&response.status) {
         return Err(SendError::Status {
