An attempt whose server lives is followed until the request can no longer run there

The end of a connection was taken for the end of the request at its server. An attempt whose server stated that it lives gave its place back and was looked at for 0.2 s; a server that goes on with the request after a reset, or after its client left, ends later than that.

What bounds this time is the deadline that the server was handed. Until then, and 1 s longer, the attempt is detached: its daemon keeps a connection open to the process, which closes when that ends, reports the end whenever it comes, and asks the process once more at the end. The owner knows detached attempts. They take no place while all servers live, so clients that leave early and servers that reset connections have nothing refused; once a server has ended, each process takes one. Without a renewal for 2.5 s nobody follows the process, and the outcome is open.

The process of an attempt may not be the one that its entry names: the start of a process that was known before the send identifies it, and an entry that catches up is no sign of an end.

--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -6,6 +6,7 @@
 use super::held::HeldPartition;
 use super::owner::{OWNERS_TOPIC, Owner};
 use super::peer::PeerConnection;
+use crate::daemon::unix_ms;
 use fieldhook_ledger::crashes::{SendDecision, WatchLevel};
 use fieldhook_ledger::message::{
     CrashWatch, LedgerReply, LedgerRequest, ReportAttempt, RequestSend,
@@ -308,9 +309,11 @@
     /// Renews the watches of partitions in which servers have ended under requests.
     pub(super) fn renew_crash_watches(self: &Rc<Self>) {
         let held = self.held.borrow();
+        let now_ms = unix_ms();
         let watched = held.iter().filter_map(|(partition, held)| match held {
-            HeldPartition::Serving(served) if !served.state.borrow().crashes().is_empty() => {
-                Some(*partition)
+            HeldPartition::Serving(served) => {
+                let level = served.state.borrow().crashes().watch_level(now_ms);
+                (level == WatchLevel::Watched).then_some(*partition)
             }
             _ => None,
         });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub attempts: IntCounterVec,
     /// Attempts that broke off, by what became of the server.
     pub broken_attempts: IntCounterVec,
+    /// Attempts that are over and may still end their servers.
+    pub followed_attempts: IntGauge,
     /// Questions to servers which process they are, by answer.
     pub identity_checks: IntCounterVec,
     /// Permits for sending a request to a server, by outcome.
@@ -128,6 +130,10 @@
                 "Attempts that broke off, by what became of the server",
                 "fate",
             ),
+            followed_attempts: b.gauge(
+                "fieldhook_followed_attempts",
+                "Attempts that are over and may still end their servers",
+            ),
             identity_checks: b.counters(
                 "fieldhook_identity_checks_total",
                 "Questions to servers which process they are",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -38,6 +38,7 @@
 pub mod selection;
 pub mod send_check;
 pub mod send_permit;
+mod server_check;
 mod silence;
 pub mod software;
 pub mod stream;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -7,7 +7,6 @@
 use super::send_permit::SendPermit;
 use crate::upstream::connection::{ExchangeError, ServerConnection, ServerResponse};
 use crate::upstream::pool::InFlightGuard;
-use fieldhook_ledger::crashes::AttemptEnd;
 use fieldhook_traffic::attempt::AttemptFailure;
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::Observation;
@@ -195,7 +194,6 @@
         }
         if is_success && (!response.meta.signed || response.head.headers.has("content-encoding")) {
             observe(context, server, Observation::Failed, "unsigned");
-            self.monitor.end(AttemptEnd::ServerAlive);
             return Err(DispatchFailure::Attempt(AttemptFailure::MayHaveRun));
         }
         tracing::info!(
@@ -220,7 +218,7 @@
     pub fn finish(self, context: &RequestContext) {
         observe(context, &self.server, Observation::Completed, "answered");
         context.daemon.retry_budget.borrow_mut().record_completed();
-        self.monitor.end(AttemptEnd::Completed);
+        self.monitor.complete();
         let keep_alive = self.response.meta.keep_alive_ms.map(Duration::from_millis);
         context
             .daemon
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -1,7 +1,7 @@
 //! Makes one attempt: selects a server, connects, sends the request and reads the response head.
 
 use super::attempt::{Attempt, AttemptHistory, DispatchFailure, Stage, observe};
-use super::attempt_monitor::{self, AttemptMonitor};
+use super::attempt_monitor::AttemptMonitor;
 use super::cold;
 use super::homes;
 use super::process_check::{self, Process};
@@ -9,6 +9,7 @@
 use super::selection::choose;
 use super::send_check;
 use super::send_permit::SendPermit;
+use super::server_check;
 use super::silence;
 use super::software;
 use crate::dialect::Forwarding;
@@ -151,7 +152,7 @@
             if probe::is_unreachable(error.kind()) {
                 probe::record(daemon, server, ProbeOutcome::Unreachable);
             }
-            if let Some(contact) = attempt_monitor::contact_of(&error) {
+            if let Some(contact) = server_check::contact_of(&error) {
                 daemon.pools.record_contact(&server.id, contact);
             }
             observe(context, server, Observation::Failed, "not_sent");
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -25,7 +25,7 @@
     /// Number of the attempt.
     attempt: u64,
     /// Servers that were known to have ended under the request when the permit was granted.
-    known: Vec<String>,
+    pub known: Vec<String>,
     /// Whether the owner holds a place for the attempt until its end is reported.
     pub is_held: bool,
     /// How long clients may send the request again, in milliseconds.
@@ -51,7 +51,7 @@
         end: AttemptEnd,
         hold_ms: u64,
     ) -> oneshot::Receiver<()> {
-        self.is_held = end == AttemptEnd::Unresolved;
+        self.is_held = matches!(end, AttemptEnd::Unresolved | AttemptEnd::Detached);
         let report = ReportAttempt {
             request: self.content.clone(),
             attempt: self.attempt,
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -130,6 +130,11 @@
         would_block && self.buffer.is_empty()
     }
 
+    /// Waits until the server closes the idle connection or sends anything on it.
+    pub async fn wait_for_input(&self) {
+        let _ = self.stream.peek(&mut [0]).await;
+    }
+
     /// Returns whether the connection may serve another request.
     pub fn is_reusable(&self) -> bool {
         self.reusable && self.buffer.is_empty()
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -5,12 +5,11 @@
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::{Health, Observation};
 use fieldhook_traffic::idle_limit::IdleLimit;
-use fieldhook_traffic::process_identity::ProcessIdentity;
 use fieldhook_traffic::server_fate::Contact;
 use fieldhook_traffic::silence::SilenceDetector;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -44,6 +43,8 @@
     last_contact: Option<(Instant, Contact)>,
     /// Start that the process at the address stated, and since when it has stated the same.
     stated_start: Option<(u64, Instant)>,
+    /// Connection that is kept open because it closes when its process ends.
+    watched: Weak<ServerConnection>,
 }
 
 impl ServerState {
@@ -181,16 +182,19 @@
         answer.is_some_and(|(sent, first)| sent > since && first < broke)
     }
 
-    /// Returns whether a connection is idle and still open, which it is only while its process lives,
-    /// that leads to the process which listened before this time or which the entry names.
-    pub fn has_open_connection_from_before(&self, id: &str, time: Instant) -> bool {
+    /// Keeps a connection open to notice the end of its process, for as long as it is in use.
+    pub fn watch(&self, id: &str, connection: ServerConnection) -> Rc<ServerConnection> {
+        let connection = Rc::new(connection);
+        let mut servers = self.servers.borrow_mut();
+        servers.entry(id.to_owned()).or_default().watched = Rc::downgrade(&connection);
+        connection
+    }
+
+    /// Returns the connection that is kept open to a server, unless its process has ended.
+    pub fn watched(&self, id: &str) -> Option<Rc<ServerConnection>> {
         let servers = self.servers.borrow();
-        let idle = servers.get(id).map_or(&[][..], |state| &state.idle);
-        idle.iter().any(|connection| {
-            let is_from_before = connection.first_answer.is_some_and(|at| at < time);
-            let is_same = connection.identity == Some(ProcessIdentity::Same);
-            (is_from_before || is_same) && connection.has_no_input()
-        })
+        let connection = servers.get(id)?.watched.upgrade()?;
+        connection.has_no_input().then_some(connection)
     }
 
     /// Records the start that the process at the address of a server stated.
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -6,14 +6,15 @@
 //! whose outcome is open: they hold a place until it is known.
 
 mod attempt_order;
+mod detached;
 mod record;
 
-pub use record::{CrashRecord, OpenAttempt, identity_of_end};
+pub use detached::{DETACHED_LEASE_MS, DETACHED_RENEWAL_MS};
+pub use record::{CrashRecord, OpenAttempt, identity_of_end, successors};
 
 use crate::message::RequestKey;
 use crate::name::QualifiedName;
 use crate::tenant_map::{Bounds, TenantMap};
-use attempt_order::AttemptOrder;
 use nanoserde::{DeBin, SerBin};
 use record::Request;
 use std::collections::BTreeSet;
@@ -28,7 +29,8 @@
 pub const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of requests of one tenant in a partition.
 pub const MAX_REQUESTS_PER_TENANT: usize = 1_024;
-/// Maximum number of attempts in a record. More than [`MAX_ENDED_SERVERS`] change no decision.
+/// Maximum number of attempts in a record whose outcome is open, and of detached ones. More than
+/// [`MAX_ENDED_SERVERS`] change no decision.
 pub const MAX_OPEN_ATTEMPTS: usize = 8;
 /// Places that are held for a shorter time than this, in milliseconds, are not recorded: attempts
 /// that were abandoned and are most likely given back soon.
@@ -97,12 +99,20 @@
     ServerAlive,
     /// The response was complete.
     Completed,
+    /// The attempt is over, and its server lives and may still run the request. The attempt holds a
+    /// place once a server has ended under the request.
+    Detached,
 }
 
 impl AttemptEnd {
     /// Whether the attempt or the server's end counts from now on.
     fn counts(self) -> bool {
-        matches!(self, Self::ServerEnded | Self::Unresolved)
+        matches!(self, Self::ServerEnded | Self::Unresolved | Self::Detached)
+    }
+
+    /// Whether the attempt may still end its server.
+    fn is_open(self) -> bool {
+        matches!(self, Self::Unresolved | Self::Detached)
     }
 
     /// What other daemons have to do before they send the request again, if the attempt holds a
@@ -111,7 +121,7 @@
         match self {
             Self::Unresolved if hold_ms < MIN_RECORDED_HOLD_MS => Some(WatchLevel::Suspected),
             Self::ServerEnded | Self::Unresolved => Some(WatchLevel::Watched),
-            Self::ServerAlive | Self::Completed => None,
+            Self::ServerAlive | Self::Completed | Self::Detached => None,
         }
     }
 
@@ -122,6 +132,7 @@
             Self::Unresolved => "unresolved",
             Self::ServerAlive => "server_alive",
             Self::Completed => "completed",
+            Self::Detached => "detached",
         }
     }
 }
@@ -131,7 +142,7 @@
 pub struct EndedAttempt<'a> {
     /// Number of the attempt.
     pub attempt: u64,
-    /// Identity of the server.
+    /// Identity of the server; that of its process if the attempt is detached.
     pub server: &'a str,
     /// How it ended.
     pub end: AttemptEnd,
@@ -188,20 +199,23 @@
 
     /// What is recorded durably about a request.
     pub fn recorded(&self, name: &QualifiedName, now_ms: u64) -> Option<&CrashRecord> {
-        let record = self.requests.get(name).map(|request| &request.record);
-        record.filter(|record| record.is_recorded(now_ms))
+        let request = self.requests.get(name);
+        let request = request.filter(|request| request.is_recorded(now_ms));
+        request.map(|request| &request.record)
     }
 
     /// What daemons have to do before they send a request of the partition.
     pub fn watch_level(&self, now_ms: u64) -> WatchLevel {
-        let mut requests = self.requests.values();
-        match self.is_empty() {
-            true => WatchLevel::None,
-            false if requests.any(|request| request.record.is_recorded(now_ms)) => {
+        let levels = self.requests.values().map(|request| {
+            if request.is_recorded(now_ms) {
                 WatchLevel::Watched
+            } else if request.places(now_ms) > 0 {
+                WatchLevel::Suspected
+            } else {
+                WatchLevel::None
             }
-            false => WatchLevel::Suspected,
-        }
+        });
+        levels.max().unwrap_or(WatchLevel::None)
     }
 
     /// The servers that have ended under a request, as a daemon may tell others. The count of shared
@@ -266,7 +280,7 @@
         if servers.len() >= MAX_ENDED_SERVERS {
             return SendDecision::Blocked { servers };
         }
-        if servers.len() + request.record.open.len() >= MAX_ENDED_SERVERS {
+        if servers.len() + request.places(now_ms) >= MAX_ENDED_SERVERS {
             return SendDecision::Busy { servers };
         }
         request.order.grant(attempt);
@@ -294,8 +308,7 @@
             self.merge(name, ended.known, ended.retention_ms, now_ms);
         }
         if self.requests.get(name).is_none() {
-            let is_dropped =
-                ended.end == AttemptEnd::Unresolved && self.requests.is_full_for(&name.tenant);
+            let is_dropped = ended.end.is_open() && self.requests.is_full_for(&name.tenant);
             if !ended.end.counts() || is_dropped {
                 return CrashChange::default();
             }
@@ -305,10 +318,14 @@
             return CrashChange::default();
         };
         request.close_expired(now_ms);
-        // The place was held by an earlier owner if there is none.
-        let place = request.record.take_place(ended.attempt);
+        // The place was held by an earlier owner if there is none. A detached attempt keeps it.
+        let place = match ended.end {
+            AttemptEnd::Detached => None,
+            _ => request.record.take_place(ended.attempt),
+        };
         let ended_before = place.unwrap_or(ended.known.len() as u64);
         let is_restored = place.is_some() && !request.order.knows(ended.attempt);
+        request.detached.remove(ended.attempt);
         match ended.end {
             // The previous owner's order of attempts is not recorded.
             AttemptEnd::ServerEnded if is_restored => {
@@ -318,16 +335,12 @@
                 let span = request.order.take(ended.attempt);
                 request.add_server(ended, ended_before, Some(span), now_ms);
             }
-            AttemptEnd::Unresolved if request.record.open.len() >= MAX_OPEN_ATTEMPTS => {}
+            AttemptEnd::Unresolved if request.is_full() => {}
             AttemptEnd::Unresolved => {
                 if !is_restored {
                     request.order.break_off(ended.attempt);
                 }
-                request.record.open.push(OpenAttempt {
-                    attempt: ended.attempt,
-                    until_ms: now_ms + ended.hold_ms.min(MAX_RETENTION_MS),
-                    ended_before,
-                });
+                request.hold(ended, ended_before, now_ms);
             }
             AttemptEnd::Completed if request.record.servers(now_ms).len() < MAX_ENDED_SERVERS => {
                 request.order.take(ended.attempt);
@@ -336,6 +349,7 @@
             AttemptEnd::Completed | AttemptEnd::ServerAlive => {
                 request.order.take(ended.attempt);
             }
+            AttemptEnd::Detached => request.detach(ended, now_ms),
         }
         if request.record.open.is_empty() && !request.record.has_ends() {
             self.requests.remove(name);
@@ -352,7 +366,7 @@
     pub fn restore(&mut self, name: &QualifiedName, record: CrashRecord) {
         let request = Request {
             record,
-            order: AttemptOrder::default(),
+            ..Request::default()
         };
         self.requests.insert(name, request);
     }
--- a/crates/ledger/src/crashes/attempt_order.rs
+++ b/crates/ledger/src/crashes/attempt_order.rs
@@ -51,6 +51,14 @@
         self.broke.entry(attempt).or_insert(position);
     }
 
+    /// An attempt that is over goes on at its process, which was alive until now.
+    pub(super) fn detach(&mut self, attempt: u64) {
+        self.broke.remove(&attempt);
+        if !self.knows(attempt) {
+            self.grant(attempt);
+        }
+    }
+
     /// Whether an attempt was reported to this owner.
     pub(super) fn knows(&self, attempt: u64) -> bool {
         self.granted.contains_key(&attempt)
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -1,7 +1,11 @@
 //! What is known about one request.
 
 use super::attempt_order::{AttemptOrder, Span};
-use super::{BLOCK_MS, EndedAttempt, MAX_ENDED_SERVERS, MAX_RETENTION_MS, MIN_RECORDED_HOLD_MS};
+use super::detached::{DETACHED_LEASE_MS, DetachedAttempts};
+use super::{
+    BLOCK_MS, EndedAttempt, MAX_ENDED_SERVERS, MAX_OPEN_ATTEMPTS, MAX_RETENTION_MS,
+    MIN_RECORDED_HOLD_MS,
+};
 use nanoserde::{DeBin, SerBin};
 
 /// Maximum number of servers in a record. More than [`MAX_ENDED_SERVERS`] end only if attempts were
@@ -32,6 +36,15 @@
     }
 }
 
+/// Starts of the processes that were found at the address of a server after one that ended.
+pub fn successors<'a>(ends: &'a [String], server: &'a str) -> impl Iterator<Item = u64> + 'a {
+    let successors = ends
+        .iter()
+        .filter_map(|end| end.split_once(SUCCESSOR_MARK))
+        .filter(move |(ended, _)| *ended == server);
+    successors.filter_map(|(_, successor)| successor.parse().ok())
+}
+
 fn names_successor(end: &str) -> bool {
     end.contains(SUCCESSOR_MARK)
 }
@@ -60,13 +73,6 @@
         !self.servers.is_empty()
     }
 
-    /// Whether the next owner has to know of it.
-    pub(super) fn is_recorded(&self, now_ms: u64) -> bool {
-        let is_held_long =
-            |open: &OpenAttempt| open.until_ms >= now_ms.saturating_add(MIN_RECORDED_HOLD_MS);
-        self.has_ends() || self.open.iter().any(is_held_long)
-    }
-
     pub(super) fn is_expired(&self, now_ms: u64) -> bool {
         now_ms >= self.last_ms.saturating_add(self.retention_ms)
     }
@@ -92,6 +98,7 @@
 pub(super) struct Request {
     pub(super) record: CrashRecord,
     pub(super) order: AttemptOrder,
+    pub(super) detached: DetachedAttempts,
 }
 
 impl Request {
@@ -100,6 +107,68 @@
         open.retain(|open| now_ms < open.until_ms);
         let holds_place = |attempt| open.iter().any(|open| open.attempt == attempt);
         self.order.retain(holds_place);
+        self.detached.retain(now_ms, holds_place);
+    }
+
+    /// Attempts in progress and those whose outcome is open, without the detached ones.
+    fn held(&self, now_ms: u64) -> impl Iterator<Item = &OpenAttempt> {
+        let open = self.record.open.iter();
+        open.filter(move |open| !self.detached.is_followed(open.attempt, now_ms))
+    }
+
+    /// Number of places that are taken. Processes of detached attempts take one only once servers
+    /// have ended: as long as all live, the request may be sent again.
+    pub(super) fn places(&self, now_ms: u64) -> usize {
+        let held = self.held(now_ms).count();
+        match self.record.servers(now_ms).is_empty() {
+            true => held,
+            false => held + self.detached.processes(),
+        }
+    }
+
+    /// Whether the next owner has to know of it.
+    pub(super) fn is_recorded(&self, now_ms: u64) -> bool {
+        let min_until_ms = now_ms.saturating_add(MIN_RECORDED_HOLD_MS);
+        let has_ends = self.record.has_ends();
+        has_ends || self.held(now_ms).any(|open| open.until_ms >= min_until_ms)
+    }
+
+    /// Whether no other attempt with an open outcome is recorded.
+    pub(super) fn is_full(&self) -> bool {
+        self.record.open.len() >= MAX_OPEN_ATTEMPTS + self.detached.len()
+    }
+
+    /// Holds a place for an attempt whose outcome is open.
+    pub(super) fn hold(&mut self, ended: &EndedAttempt<'_>, ended_before: u64, now_ms: u64) {
+        self.record.open.push(OpenAttempt {
+            attempt: ended.attempt,
+            until_ms: now_ms + ended.hold_ms.min(MAX_RETENTION_MS),
+            ended_before,
+        });
+    }
+
+    /// Records that an attempt is detached, or that it still is. Its process is alive, so servers that
+    /// have ended since an earlier owner granted the attempt were others.
+    pub(super) fn detach(&mut self, ended: &EndedAttempt<'_>, now_ms: u64) {
+        let is_known = self.order.knows(ended.attempt);
+        let ended_before = self.record.servers(now_ms).len() as u64;
+        let open = &mut self.record.open;
+        let place = open.iter_mut().find(|open| open.attempt == ended.attempt);
+        match place {
+            Some(place) => {
+                // The record of a place changes no more often than necessary.
+                if place.until_ms < now_ms + DETACHED_LEASE_MS {
+                    place.until_ms = now_ms + ended.hold_ms.min(MAX_RETENTION_MS);
+                }
+                if !is_known {
+                    place.ended_before = ended_before;
+                }
+            }
+            None if self.detached.len() >= MAX_OPEN_ATTEMPTS => return,
+            None => self.hold(ended, ended_before, now_ms),
+        }
+        self.order.detach(ended.attempt);
+        self.detached.renew(ended.attempt, ended.server, now_ms);
     }
 
     /// Adds a server that ended under an attempt with this span. Copies of the request that ran
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -2,11 +2,11 @@
 
 use super::{HOLD_MS, LONG_HOLD_MS, ended, name};
 use fieldhook_ledger::crashes::{
-    AttemptEnd, CrashTable, EndedAttempt, MAX_ENDED_SERVERS, MAX_OPEN_ATTEMPTS,
+    AttemptEnd, CrashTable, DETACHED_LEASE_MS, EndedAttempt, MAX_ENDED_SERVERS, MAX_OPEN_ATTEMPTS,
     MIN_RECORDED_HOLD_MS, SendDecision,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// A step of the random test; times are in milliseconds.
 #[derive(Clone, Debug)]
@@ -37,7 +37,7 @@
             },
             4..7 => Self::End {
                 open: random(source, 16) as usize,
-                end: random(source, 5) as u8,
+                end: random(source, 7) as u8,
                 server: random(source, 6) as u8,
             },
             _ if bool::arbitrary(source) => Self::Lose,
@@ -72,6 +72,8 @@
     granted: u64,
     /// Number of the owner that granted it.
     owner: u64,
+    /// Server that lives and may still run the request, and until when it is followed.
+    detached: Option<(u8, u64)>,
 }
 
 /// A request as the oracle sees it.
@@ -86,16 +88,33 @@
 impl Expected {
     fn close_expired(&mut self, now_ms: u64) {
         self.places.retain(|_, place| now_ms < place.until_ms);
+        for place in self.places.values_mut() {
+            place.detached = place.detached.filter(|(_, until_ms)| now_ms < *until_ms);
+        }
         self.broke
             .retain(|attempt, _| self.places.contains_key(attempt));
     }
 
     fn is_recorded(&self, now_ms: u64) -> bool {
         let mut places = self.places.values();
-        let is_long = |place: &Place| place.until_ms >= now_ms + MIN_RECORDED_HOLD_MS;
+        let is_long = |place: &Place| {
+            place.detached.is_none() && place.until_ms >= now_ms + MIN_RECORDED_HOLD_MS
+        };
         !self.ends.is_empty() || places.any(is_long)
     }
 
+    fn held(&self) -> usize {
+        let places = self.places.values();
+        places.filter(|place| place.detached.is_none()).count()
+    }
+
+    fn taken(&self) -> usize {
+        let detached = self.places.values().filter_map(|place| place.detached);
+        let alive: HashSet<u8> = detached.map(|(server, _)| server).collect();
+        let alive = if self.ends.is_empty() { 0 } else { alive.len() };
+        self.ends.len() + self.held() + alive
+    }
+
     /// Counts the end of a server unless it was counted for an attempt that ran beside this one, or,
     /// by an earlier owner, after this one was granted.
     fn count(&mut self, server: u8, attempt: u64, place: Option<Place>, step: u64, owner: u64) {
@@ -142,12 +161,16 @@
                 for (request, state) in &mut expected {
                     state.close_expired(now_ms);
                     state.broke.clear();
+                    let was_recorded = state.is_recorded(now_ms);
+                    for place in state.places.values_mut() {
+                        place.detached = None;
+                    }
                     let name = name(&request.to_string());
                     match table.recorded(&name, now_ms) {
-                        Some(record) if state.is_recorded(now_ms) => {
+                        Some(record) if was_recorded => {
                             next.restore(&name, record.clone());
                         }
-                        None if !state.is_recorded(now_ms) => state.places.clear(),
+                        None if !was_recorded => state.places.clear(),
                         _ => return false,
                     }
                 }
@@ -158,7 +181,7 @@
                 let decision = table.request_send(&name, step, hold_ms, now_ms);
                 let state = expected.entry(request).or_default();
                 state.close_expired(now_ms);
-                let taken = state.ends.len() + state.places.len();
+                let taken = state.taken();
                 let may_send = taken < MAX_ENDED_SERVERS;
                 if matches!(decision, SendDecision::Granted { .. }) != may_send {
                     return false;
@@ -176,6 +199,7 @@
                             until_ms: now_ms + hold_ms,
                             granted: step,
                             owner,
+                            detached: None,
                         };
                         state.places.insert(step, place);
                     } else if taken > 0 {
@@ -193,8 +217,10 @@
                     (AttemptEnd::Unresolved, LONG_HOLD_MS),
                     (AttemptEnd::ServerAlive, HOLD_MS),
                     (AttemptEnd::Completed, HOLD_MS),
+                    (AttemptEnd::Detached, HOLD_MS),
+                    (AttemptEnd::Detached, LONG_HOLD_MS),
                 ][usize::from(end)];
-                if end != AttemptEnd::Unresolved {
+                if !matches!(end, AttemptEnd::Unresolved | AttemptEnd::Detached) {
                     sent.swap_remove(position);
                 }
                 let id = server.to_string();
@@ -208,17 +234,38 @@
                 let place = state.places.remove(&attempt);
                 match end {
                     AttemptEnd::ServerEnded => state.count(server, attempt, place, step, owner),
-                    AttemptEnd::Unresolved if state.places.len() >= MAX_OPEN_ATTEMPTS => {}
+                    AttemptEnd::Unresolved if state.held() >= MAX_OPEN_ATTEMPTS => {}
                     AttemptEnd::Unresolved => {
                         let place = place.unwrap_or(Place {
                             until_ms: 0,
                             granted: 0,
                             owner,
+                            detached: None,
                         });
-                        let until_ms = now_ms + open_ms;
-                        state.places.insert(attempt, Place { until_ms, ..place });
+                        let place = Place {
+                            until_ms: now_ms + open_ms,
+                            detached: None,
+                            ..place
+                        };
+                        state.places.insert(attempt, place);
                         state.broke.entry(attempt).or_insert(step);
                     }
+                    AttemptEnd::Detached
+                        if place.is_none()
+                            && state.places.len() - state.held() >= MAX_OPEN_ATTEMPTS => {}
+                    AttemptEnd::Detached => {
+                        let known = place.filter(|place| place.owner == owner);
+                        let kept_ms = place.map(|place| place.until_ms);
+                        let is_long = |until_ms: &u64| *until_ms >= now_ms + DETACHED_LEASE_MS;
+                        let place = Place {
+                            until_ms: kept_ms.filter(is_long).unwrap_or(now_ms + open_ms),
+                            granted: known.map_or(step, |place| place.granted),
+                            owner,
+                            detached: Some((server, now_ms + DETACHED_LEASE_MS)),
+                        };
+                        state.places.insert(attempt, place);
+                        state.broke.remove(&attempt);
+                    }
                     AttemptEnd::Completed if state.ends.len() < MAX_ENDED_SERVERS => {
                         state.ends.clear();
                         for place in state.places.values_mut() {
--- a/crates/ledger/tests/crashes/main.rs
+++ b/crates/ledger/tests/crashes/main.rs
@@ -3,8 +3,8 @@
 mod fuzz;
 
 use fieldhook_ledger::crashes::{
-    AttemptEnd, BLOCK_MS, CrashTable, EndedAttempt, MAX_OPEN_ATTEMPTS, MAX_REQUESTS,
-    MAX_REQUESTS_PER_TENANT, SendDecision, identity_of_end,
+    AttemptEnd, BLOCK_MS, CrashTable, DETACHED_LEASE_MS, EndedAttempt, MAX_OPEN_ATTEMPTS,
+    MAX_REQUESTS, MAX_REQUESTS_PER_TENANT, SendDecision, WatchLevel, identity_of_end, successors,
 };
 use fieldhook_ledger::message::{ReportAttempt, RequestKey, RequestSend};
 use fieldhook_ledger::name::QualifiedName;
@@ -385,3 +385,106 @@
     let again = table.request_send(&name("r"), 1_000, HOLD_MS, 0);
     assert_eq!(again, busy(&[]));
 }
+
+/// Reports an attempt as detached from this process.
+fn detach(table: &mut CrashTable, attempt: u64, process: &str, now_ms: u64) {
+    let detached = EndedAttempt {
+        hold_ms: RETENTION_MS,
+        ..ended(attempt, process, AttemptEnd::Detached)
+    };
+    let change = table.end_attempt(&name("r"), &detached, now_ms);
+    assert!(change.forgotten.is_empty());
+}
+
+/// Guards against requests that are refused because their clients left early, or because servers that
+/// live on reset their connections.
+#[test]
+fn detached_attempts_take_no_place_while_all_servers_live() {
+    let mut table = CrashTable::default();
+    for attempt in 0..3 * MAX_OPEN_ATTEMPTS as u64 {
+        detach(&mut table, attempt, &format!("s{attempt}"), 0);
+    }
+    assert_eq!(table.recorded(&name("r"), 0), None);
+    assert_eq!(table.watch_level(0), WatchLevel::None);
+    assert_eq!(table.request_send(&name("r"), 99, HOLD_MS, 0), granted(&[]));
+}
+
+/// Guards against a request that is sent on while servers that it was sent to before may still end.
+#[test]
+fn processes_of_detached_attempts_take_a_place_each_once_a_server_has_ended() {
+    let mut table = CrashTable::default();
+    for attempt in 1..4 {
+        detach(&mut table, attempt, "b~7", 0);
+    }
+    end_server(&mut table, "r", "a", 0);
+    assert_eq!(
+        table.request_send(&name("r"), 4, HOLD_MS, 0),
+        granted(&["a"])
+    );
+    table.end_attempt(&name("r"), &ended(4, "d", AttemptEnd::ServerAlive), 0);
+    detach(&mut table, 5, "b~8", 0);
+    assert_eq!(table.request_send(&name("r"), 6, HOLD_MS, 0), busy(&["a"]));
+    table.end_attempt(&name("r"), &ended(5, "b", AttemptEnd::ServerAlive), 0);
+    assert_eq!(
+        table.request_send(&name("r"), 6, HOLD_MS, 0),
+        granted(&["a"])
+    );
+}
+
+/// Guards against ends that nobody sees because the daemon that made the attempts was lost.
+#[test]
+fn detached_attempts_that_nobody_follows_take_places() {
+    let mut table = CrashTable::default();
+    for attempt in 0..3 {
+        detach(&mut table, attempt, &format!("s{attempt}"), 0);
+    }
+    let lapsed = DETACHED_LEASE_MS;
+    assert_eq!(
+        table.request_send(&name("r"), 9, HOLD_MS, lapsed),
+        busy(&[])
+    );
+    assert_eq!(table.watch_level(lapsed), WatchLevel::Watched);
+    detach(&mut table, 0, "s0", lapsed);
+    assert_eq!(
+        table.request_send(&name("r"), 9, HOLD_MS, lapsed),
+        granted(&[])
+    );
+}
+
+/// Guards against the end of one process that counts for a detached attempt and for a later one there.
+#[test]
+fn end_of_a_process_counts_once_for_a_detached_attempt_and_a_later_one() {
+    let mut table = CrashTable::default();
+    detach(&mut table, 1, "a", 0);
+    table.request_send(&name("r"), 2, HOLD_MS, 0);
+    for attempt in [2, 1] {
+        let end = ended(attempt, "a", AttemptEnd::ServerEnded);
+        table.end_attempt(&name("r"), &end, 10);
+    }
+    assert_eq!(table.servers(&name("r"), 10), ["a"]);
+}
+
+/// Guards against an append for every renewal.
+#[test]
+fn renewal_of_a_detached_attempt_changes_no_record() {
+    let mut table = CrashTable::default();
+    end_server(&mut table, "r", "a", 0);
+    for attempt in 1..3 {
+        detach(&mut table, attempt, &format!("s{attempt}"), 0);
+    }
+    let record = table.recorded(&name("r"), 0).expect("a record").clone();
+    assert_eq!(record.open.len(), 2);
+    for now_ms in [1_000, 2_000, 3_000] {
+        for attempt in 1..3 {
+            detach(&mut table, attempt, &format!("s{attempt}"), now_ms);
+        }
+    }
+    assert_eq!(table.recorded(&name("r"), 3_000), Some(&record));
+}
+
+#[test]
+fn successors_are_those_of_the_server_alone() {
+    let ends = ["a~1>2", "b~1>3", "a~1", "a~1>4"].map(str::to_owned);
+    let starts: Vec<u64> = successors(&ends, "a~1").collect();
+    assert_eq!(starts, [2, 4]);
+}
--- a/crates/traffic/src/server_fate.rs
+++ b/crates/traffic/src/server_fate.rs
@@ -47,6 +47,9 @@
     pub contact: Option<Contact>,
     /// Whether it has answered a request after that, on a connection from before the break.
     pub has_answered: bool,
+    /// Whether a connection is open that leads to the process of the attempt. It stays open if the
+    /// machine falls silent.
+    pub is_connected: bool,
 }
 
 /// What became of a server.
@@ -84,6 +87,9 @@
             (_, Some(Contact::OtherProcess)) => (Fate::Ended, "stated"),
             (_, Some(Contact::Confirmed)) => (Fate::Alive, "stated"),
             _ if self.has_answered => (Fate::Alive, "answer"),
+            (_, contact) if self.is_connected && contact != Some(Contact::Silent) => {
+                (Fate::Alive, "open_connection")
+            }
             // The entry of a leaving server goes while it still serves.
             (EntryState::Removed, _) if self.is_discovery_current && !self.was_leaving => {
                 (Fate::Ended, "entry_removed")
--- a/crates/traffic/tests/server_fate.rs
+++ b/crates/traffic/tests/server_fate.rs
@@ -10,6 +10,7 @@
     is_discovery_current: true,
     contact: None,
     has_answered: false,
+    is_connected: false,
 };
 
 #[test]
@@ -126,3 +127,29 @@
     };
     assert_eq!(replaced.judge().0, Fate::Ended);
 }
+
+/// A machine that lost power closes no connection.
+#[test]
+fn open_connection_to_the_process_shows_life_unless_its_machine_is_silent() {
+    let connected = Evidence {
+        is_connected: true,
+        ..LISTED
+    };
+    for contact in [None, Some(Contact::Established)] {
+        let evidence = Evidence {
+            contact,
+            ..connected
+        };
+        assert_eq!(evidence.judge(), (Fate::Alive, "open_connection"));
+    }
+    let silent = Evidence {
+        contact: Some(Contact::Silent),
+        ..connected
+    };
+    assert_eq!(silent.judge().0, Fate::Unresolved);
+    let refused = Evidence {
+        contact: Some(Contact::Refused),
+        ..connected
+    };
+    assert_eq!(refused.judge().0, Fate::Ended);
+}
