Detached attempts take places only once the next end reaches the limit

The limit counts what is sent after three servers have ended; with one known end, two more have to end at the same moment before anything is sent too late. So detached attempts take places from the second end on, and which process they run in need not be known.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -193,8 +193,8 @@
         if self.counted.content.is_shared() {
             return self.release(AttemptEnd::ServerAlive);
         }
-        let process = self.check.identity_of_process();
-        drop(self.counted.report(&process, AttemptEnd::Detached));
+        let id = &self.check.server.id;
+        drop(self.counted.report(id, AttemptEnd::Detached));
     }
 
     fn release(&mut self, end: AttemptEnd) {
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -231,7 +231,7 @@
 
     /// Returns the identity of the process of the attempt: the one that the entry names, unless another
     /// one was at the address already.
-    pub fn identity_of_process(&self) -> String {
+    fn identity_of_process(&self) -> String {
         match self.process_start {
             Some(start) => directory::identity(&self.server.name, Some(start)),
             None => self.server.id.clone(),
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -100,7 +100,7 @@
     /// The response was complete.
     Completed,
     /// The attempt is over, and its server lives and may still run the request. The attempt holds a
-    /// place once a server has ended under the request.
+    /// place once the next end reaches the limit.
     Detached,
 }
 
@@ -142,7 +142,7 @@
 pub struct EndedAttempt<'a> {
     /// Number of the attempt.
     pub attempt: u64,
-    /// Identity of the server; that of its process if the attempt is detached.
+    /// Identity of the server.
     pub server: &'a str,
     /// How it ended.
     pub end: AttemptEnd,
@@ -349,7 +349,7 @@
             AttemptEnd::Completed | AttemptEnd::ServerAlive => {
                 request.order.take(ended.attempt);
             }
-            AttemptEnd::Detached => request.detach(ended, now_ms),
+            AttemptEnd::Detached => request.detach(ended, ended_before, now_ms),
         }
         if request.record.open.is_empty() && !request.record.has_ends() {
             self.requests.remove(name);
--- a/crates/ledger/src/crashes/detached.rs
+++ b/crates/ledger/src/crashes/detached.rs
@@ -4,22 +4,16 @@
 //! and renews its report meanwhile. Without a renewal nobody may have noticed an end, so the outcome
 //! of the attempt counts as open.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// Interval at which the report of a detached attempt is renewed, in milliseconds.
 pub const DETACHED_RENEWAL_MS: u64 = 1_000;
 /// How long a report of a detached attempt holds, in milliseconds: a renewal may be late or lost.
 pub const DETACHED_LEASE_MS: u64 = 2_500;
 
-#[derive(Clone, Debug)]
-struct Detached {
-    process: String,
-    until_ms: u64,
-}
-
-/// The detached attempts of a request.
+/// The detached attempts of a request, and until when their reports hold, in Unix milliseconds.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DetachedAttempts(HashMap<u64, Detached>);
+pub(super) struct DetachedAttempts(HashMap<u64, u64>);
 
 impl DetachedAttempts {
     pub(super) fn len(&self) -> usize {
@@ -27,12 +21,8 @@
     }
 
     /// Records that the process of an attempt was alive, and is followed.
-    pub(super) fn renew(&mut self, attempt: u64, process: &str, now_ms: u64) {
-        let detached = Detached {
-            process: process.to_owned(),
-            until_ms: now_ms + DETACHED_LEASE_MS,
-        };
-        self.0.insert(attempt, detached);
+    pub(super) fn renew(&mut self, attempt: u64, now_ms: u64) {
+        self.0.insert(attempt, now_ms + DETACHED_LEASE_MS);
     }
 
     pub(super) fn remove(&mut self, attempt: u64) {
@@ -42,18 +32,12 @@
     /// Forgets those whose report was not renewed, and all that hold no place.
     pub(super) fn retain(&mut self, now_ms: u64, holds_place: impl Fn(u64) -> bool) {
         self.0
-            .retain(|attempt, detached| now_ms < detached.until_ms && holds_place(*attempt));
+            .retain(|attempt, until_ms| now_ms < *until_ms && holds_place(*attempt));
     }
 
     /// Whether an attempt is detached and its process is followed.
     pub(super) fn is_followed(&self, attempt: u64, now_ms: u64) -> bool {
-        let detached = self.0.get(&attempt);
-        detached.is_some_and(|detached| now_ms < detached.until_ms)
-    }
-
-    /// Number of processes that may still end: attempts at the same process share its end.
-    pub(super) fn processes(&self) -> usize {
-        let processes: HashSet<&str> = self.0.values().map(|at| &*at.process).collect();
-        processes.len()
+        let until_ms = self.0.get(&attempt);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
     }
 }
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -116,13 +116,12 @@
         open.filter(move |open| !self.detached.is_followed(open.attempt, now_ms))
     }
 
-    /// Number of places that are taken. Processes of detached attempts take one only once servers
-    /// have ended: as long as all live, the request may be sent again.
+    /// Number of places that are taken. Detached attempts take theirs once the next end reaches the
+    /// limit: until then the request may be sent again while their servers live.
     pub(super) fn places(&self, now_ms: u64) -> usize {
-        let held = self.held(now_ms).count();
-        match self.record.servers(now_ms).is_empty() {
-            true => held,
-            false => held + self.detached.processes(),
+        match self.record.servers(now_ms).len() + 1 >= MAX_ENDED_SERVERS {
+            true => self.record.open.len(),
+            false => self.held(now_ms).count(),
         }
     }
 
@@ -147,28 +146,36 @@
         });
     }
 
-    /// Records that an attempt is detached, or that it still is. Its process is alive, so servers that
-    /// have ended since an earlier owner granted the attempt were others.
-    pub(super) fn detach(&mut self, ended: &EndedAttempt<'_>, now_ms: u64) {
-        let is_known = self.order.knows(ended.attempt);
-        let ended_before = self.record.servers(now_ms).len() as u64;
-        let open = &mut self.record.open;
-        let place = open.iter_mut().find(|open| open.attempt == ended.attempt);
-        match place {
-            Some(place) => {
-                // The record of a place changes no more often than necessary.
-                if place.until_ms < now_ms + DETACHED_LEASE_MS {
-                    place.until_ms = now_ms + ended.hold_ms.min(MAX_RETENTION_MS);
-                }
-                if !is_known {
-                    place.ended_before = ended_before;
-                }
-            }
-            None if self.detached.len() >= MAX_OPEN_ATTEMPTS => return,
-            None => self.hold(ended, ended_before, now_ms),
+    /// The process of an attempt lived when it was over for the client, so servers that have ended
+    /// since an earlier owner granted the attempt were others, and an end from now on may be its own.
+    /// Returns how many had ended before the attempt.
+    pub(super) fn goes_on(&mut self, attempt: u64, ended_before: u64, now_ms: u64) -> u64 {
+        let ended_before = match self.order.knows(attempt) {
+            true => ended_before,
+            false => self.record.servers(now_ms).len() as u64,
+        };
+        self.order.detach(attempt);
+        ended_before
+    }
+
+    /// Records that an attempt is detached, or that it still is.
+    pub(super) fn detach(&mut self, ended: &EndedAttempt<'_>, ended_before: u64, now_ms: u64) {
+        let open = &self.record.open;
+        let place = open.iter().position(|open| open.attempt == ended.attempt);
+        if place.is_none() && self.detached.len() >= MAX_OPEN_ATTEMPTS {
+            return;
+        }
+        let ended_before = place.map_or(ended_before, |place| open[place].ended_before);
+        let ended_before = self.goes_on(ended.attempt, ended_before, now_ms);
+        self.detached.renew(ended.attempt, now_ms);
+        let Some(place) = place.and_then(|place| self.record.open.get_mut(place)) else {
+            return self.hold(ended, ended_before, now_ms);
+        };
+        place.ended_before = ended_before;
+        // The record of a place changes no more often than necessary.
+        if place.until_ms < now_ms + DETACHED_LEASE_MS {
+            place.until_ms = now_ms + ended.hold_ms.min(MAX_RETENTION_MS);
         }
-        self.order.detach(ended.attempt);
-        self.detached.renew(ended.attempt, ended.server, now_ms);
     }
 
     /// Adds a server that ended under an attempt with this span. Copies of the request that ran
--- a/crates/ledger/src/message/crash.rs
+++ b/crates/ledger/src/message/crash.rs
@@ -37,7 +37,7 @@
     pub request: RequestKey,
     /// Number of the attempt.
     pub attempt: u64,
-    /// Identity of the server; that of its process if the attempt is detached.
+    /// Identity of the server.
     pub server: String,
     /// How the attempt ended.
     pub end: AttemptEnd,
