The count of a request settles before it is decided whether to send it again

The first copies hold no place, their servers end at the same moment, and the first report of an end had its copy sent again before the others had arrived. The owner decides 25 ms after the last end that it counted, unless the limit is reached.

--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A reply that is sent once everything queued before it is durable.
 struct PendingReply {
@@ -293,6 +293,16 @@
     /// fails, no owner can be certain of that.
     fn request_send(&self, mut request: RequestSend, sender: mpsc::UnboundedSender<LedgerReply>) {
         let now_ms = unix_ms();
+        let name = &request.request.name;
+        let settling_ms = self.state.borrow().crashes().settling_ms(name, now_ms);
+        if settling_ms > 0 {
+            let served = self.clone();
+            ntex::rt::spawn(async move {
+                sleep(Duration::from_millis(settling_ms)).await;
+                served.request_send(request, sender);
+            });
+            return;
+        }
         let known = self.known_crashes.borrow();
         let own = known.servers_to_tell(&request.request, now_ms);
         drop(known);
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -32,6 +32,9 @@
 /// Maximum number of attempts in a record whose outcome is open, and of detached ones. More than
 /// [`MAX_ENDED_SERVERS`] change no decision.
 pub const MAX_OPEN_ATTEMPTS: usize = 8;
+/// How long the count of a request settles after a server has ended, in milliseconds: copies side by
+/// side may end several at once, and each end takes a moment to be found and reported.
+pub const SETTLE_MS: u64 = 25;
 /// Places that are held for a shorter time than this, in milliseconds, are not recorded: attempts
 /// that were abandoned and are most likely given back soon.
 pub const MIN_RECORDED_HOLD_MS: u64 = 2_000;
@@ -262,6 +265,18 @@
         Some(request.record.clone())
     }
 
+    /// Returns how long a decision about a request has to wait until its count has settled, in
+    /// milliseconds.
+    pub fn settling_ms(&self, name: &QualifiedName, now_ms: u64) -> u64 {
+        let ended = self.servers(name, now_ms).len();
+        let is_decided = ended == 0 || ended >= MAX_ENDED_SERVERS;
+        let Some(request) = self.requests.get(name).filter(|_| !is_decided) else {
+            return 0;
+        };
+        let settled_ms = request.record.last_ms + SETTLE_MS;
+        settled_ms.saturating_sub(now_ms).min(SETTLE_MS)
+    }
+
     /// Decides whether a request may be sent to a server. If servers have ended under it, or may
     /// have, the attempt holds a place for `hold_ms` at most.
     pub fn request_send(
--- a/crates/ledger/tests/crashes/main.rs
+++ b/crates/ledger/tests/crashes/main.rs
@@ -4,7 +4,8 @@
 
 use fieldhook_ledger::crashes::{
     AttemptEnd, BLOCK_MS, CrashTable, DETACHED_LEASE_MS, EndedAttempt, MAX_OPEN_ATTEMPTS,
-    MAX_REQUESTS, MAX_REQUESTS_PER_TENANT, SendDecision, WatchLevel, identity_of_end, successors,
+    MAX_REQUESTS, MAX_REQUESTS_PER_TENANT, SETTLE_MS, SendDecision, WatchLevel, identity_of_end,
+    successors,
 };
 use fieldhook_ledger::message::{ReportAttempt, RequestKey, RequestSend};
 use fieldhook_ledger::name::QualifiedName;
@@ -489,3 +490,17 @@
     let starts: Vec<u64> = successors(&ends, "a~1").collect();
     assert_eq!(starts, [2, 4]);
 }
+
+/// Guards against a decision that is made while the ends of other copies are still reported.
+#[test]
+fn count_settles_after_each_end_below_the_limit() {
+    let mut table = CrashTable::default();
+    assert_eq!(table.settling_ms(&name("r"), 0), 0);
+    end_server(&mut table, "r", "a", 100);
+    assert_eq!(table.settling_ms(&name("r"), 100), SETTLE_MS);
+    end_server(&mut table, "r", "b", 110);
+    assert_eq!(table.settling_ms(&name("r"), 110), SETTLE_MS);
+    assert_eq!(table.settling_ms(&name("r"), 110 + SETTLE_MS), 0);
+    end_server(&mut table, "r", "c", 120);
+    assert_eq!(table.settling_ms(&name("r"), 120), 0);
+}
