An abandoned attempt goes on beside those that follow at the same process

The first attempt was taken to be over when its client left, so the second counted as one after it. A client that leaves shows nothing of the process, which lived until then: the attempt goes on until its outcome is known, and both run side by side.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -351,6 +351,10 @@
                 request.add_server(ended, ended_before, Some(span), now_ms);
             }
             AttemptEnd::Unresolved if request.is_full() => {}
+            AttemptEnd::Unresolved if ended.hold_ms < MIN_RECORDED_HOLD_MS => {
+                let ended_before = request.goes_on(ended.attempt, ended_before, now_ms);
+                request.hold(ended, ended_before, now_ms);
+            }
             AttemptEnd::Unresolved => {
                 if !is_restored {
                     request.order.break_off(ended.attempt);
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -238,6 +238,17 @@
                 match end {
                     AttemptEnd::ServerEnded => state.count(server, attempt, place, step, owner),
                     AttemptEnd::Unresolved if state.held() >= MAX_OPEN_ATTEMPTS => {}
+                    AttemptEnd::Unresolved if open_ms < MIN_RECORDED_HOLD_MS => {
+                        let known = place.filter(|place| place.owner == owner);
+                        let place = Place {
+                            until_ms: now_ms + open_ms,
+                            granted: known.map_or(step, |place| place.granted),
+                            owner,
+                            detached: None,
+                        };
+                        state.places.insert(attempt, place);
+                        state.broke.remove(&attempt);
+                    }
                     AttemptEnd::Unresolved => {
                         let place = place.unwrap_or(Place {
                             until_ms: 0,
