A server that stated nothing when an attempt broke is connected to once more

The connection by which a server is checked may be accepted by a listener that is about to close; the process states nothing, and where entries tell no start it passed as alive.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -104,7 +104,7 @@
         let (sender, recorded) = oneshot::channel();
         ntex::rt::spawn(async move {
             let mut fate = subject.check_break(error).await;
-            if fate == Fate::Alive {
+            if matches!(fate, Fate::Alive | Fate::PresumedAlive) {
                 fate = subject.check_again(fate, ALIVE_RECHECK_AFTER).await;
             }
             subject.report(fate).await;
@@ -161,10 +161,11 @@
         fate
     }
 
-    /// Returns the fate of a server this long after the break.
+    /// Returns the fate of a server this long after the break. One that has stated nothing may have
+    /// ended while it was asked.
     async fn check_again(&mut self, fate: Fate, after: Duration) -> Fate {
         let until = self.check.broke + after;
-        if !self.check.wait_for_sign(fate, until).await {
+        if !self.check.wait_for_sign(fate, until).await && fate == Fate::Alive {
             return fate;
         }
         self.check.contact(Instant::now()).await;
