--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -104,7 +104,7 @@
         let (sender, recorded) = oneshot::channel();
         ntex::rt::spawn(async move {
             let mut fate = subject.check_break(error).await;
-            if matches!(fate, Fate::Alive | Fate::PresumedAlive) {
+            if lives(fate) {
                 fate = subject.check_again(fate, ALIVE_RECHECK_AFTER).await;
             }
             subject.report(fate).await;
@@ -124,6 +124,11 @@
     }
 }
 
+/// Whether a server is alive, as far as its contact shows.
+fn lives(fate: Fate) -> bool {
+    matches!(fate, Fate::Alive | Fate::PresumedAlive)
+}
+
 /// Counts an attempt as followed until dropped.
 struct FollowGuard(Rc<Daemon>);
 
@@ -214,7 +219,7 @@
             self.check.contact(self.check.broke).await;
         }
         let mut fate = self.check.judge().0;
-        if matches!(fate, Fate::Alive | Fate::PresumedAlive) {
+        if lives(fate) {
             fate = self.check_again(fate, ABANDONED_CHECK_TIME).await;
         }
         let known_by = self.check.judge().1;
@@ -226,33 +231,44 @@
 
     /// Follows the server until its fate is known and the request can no longer run there, or until
     /// nothing more can be expected.
-    async fn follow(&mut self, fate: Fate) {
+    async fn follow(&mut self, mut fate: Fate) {
         let Some(_guard) = FollowGuard::new(&self.counted.daemon) else {
-            tracing::info!(event = "attempt_not_followed", request = self.request);
-            return self.release(AttemptEnd::ServerAlive);
+            return self.give_up(fate);
         };
-        let mut fate = fate;
-        let until = Instant::now() + FOLLOW_TIME;
         loop {
             let next = match fate {
                 Fate::Ended => return,
                 Fate::Alive | Fate::PresumedAlive => self.follow_alive(fate).await,
-                Fate::Unresolved => self.follow_unresolved(until).await,
+                Fate::Unresolved => self.follow_unresolved().await,
             };
-            let (next, known_by) = (next, self.check.judge().1);
+            let (_, known_by) = self.check.judge();
             self.log("attempt_fate", next, known_by, None);
-            match (fate, next) {
-                (Fate::Alive | Fate::PresumedAlive, Fate::Alive | Fate::PresumedAlive) => {
-                    return self.release(AttemptEnd::ServerAlive);
-                }
-                (Fate::Unresolved, Fate::Unresolved) => return,
-                _ => self.report(next).await,
+            if lives(fate) && lives(next) {
+                return self.release(AttemptEnd::ServerAlive);
+            }
+            if (fate, next) == (Fate::Unresolved, Fate::Unresolved) {
+                return;
             }
             self.count(next);
+            self.report(next).await;
             fate = next;
         }
     }
 
+    /// Leaves an attempt because too many are followed. An open outcome keeps its place.
+    fn give_up(&mut self, fate: Fate) {
+        tracing::info!(
+            event = "attempt_not_followed",
+            request = self.request,
+            program = self.program,
+            server = self.check.server.id,
+            fate = fate.name()
+        );
+        if lives(fate) {
+            self.release(AttemptEnd::ServerAlive);
+        }
+    }
+
     /// Follows a server that lives for as long as it may run the request. Returns its fate then, or
     /// once it is another one.
     async fn follow_alive(&mut self, fate: Fate) -> Fate {
@@ -281,11 +297,11 @@
         self.check.judge().0
     }
 
-    /// Judges the evidence until the fate of the server is known, or until the given time.
-    async fn follow_unresolved(&mut self, until: Instant) -> Fate {
+    /// Judges the evidence until the fate of the server is known, for a limited time.
+    async fn follow_unresolved(&mut self) -> Fate {
         let started = Instant::now();
         let mut next_check = SECOND_CHECK_AFTER;
-        while Instant::now() < until {
+        while started.elapsed() < FOLLOW_TIME {
             sleep(JUDGE_PERIOD).await;
             if started.elapsed() >= next_check {
                 next_check *= 2;
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -132,7 +132,7 @@
         has_ends || self.held(now_ms).any(|open| open.until_ms >= min_until_ms)
     }
 
-    /// Whether no other attempt with an open outcome is recorded.
+    /// Whether as many attempts with an open outcome are recorded as may be.
     pub(super) fn is_full(&self) -> bool {
         self.record.open.len() >= MAX_OPEN_ATTEMPTS + self.detached.len()
     }
