Detached attempts hold a place for 0.3 s after the first end

Most servers that end under a request do so soon, so a detached attempt holds its place for a short time after the first end, and again once the next end reaches the limit. While all servers live it holds none.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -9,7 +9,7 @@
 mod detached;
 mod record;
 
-pub use detached::{DETACHED_LEASE_MS, DETACHED_RENEWAL_MS};
+pub use detached::{DETACHED_HOLD_MS, DETACHED_LEASE_MS, DETACHED_RENEWAL_MS};
 pub use record::{CrashRecord, OpenAttempt, identity_of_end, successors};
 
 use crate::message::RequestKey;
@@ -102,8 +102,7 @@
     ServerAlive,
     /// The response was complete.
     Completed,
-    /// The attempt is over, and its server lives and may still run the request. The attempt holds a
-    /// place once the next end reaches the limit.
+    /// The attempt is over, and its server lives and may still run the request.
     Detached,
 }
 
@@ -340,7 +339,9 @@
         };
         let ended_before = place.unwrap_or(ended.known.len() as u64);
         let is_restored = place.is_some() && !request.order.knows(ended.attempt);
-        request.detached.remove(ended.attempt);
+        if ended.end != AttemptEnd::Detached {
+            request.detached.remove(ended.attempt);
+        }
         match ended.end {
             // The previous owner's order of attempts is not recorded.
             AttemptEnd::ServerEnded if is_restored => {
--- a/crates/ledger/src/crashes/detached.rs
+++ b/crates/ledger/src/crashes/detached.rs
@@ -10,10 +10,21 @@
 pub const DETACHED_RENEWAL_MS: u64 = 1_000;
 /// How long a report of a detached attempt holds, in milliseconds: a renewal may be late or lost.
 pub const DETACHED_LEASE_MS: u64 = 2_500;
+/// How long a detached attempt holds a place after the first end, in milliseconds: most servers that
+/// end under a request do so soon, and the daemon may be far from them.
+pub const DETACHED_HOLD_MS: u64 = 300;
 
-/// The detached attempts of a request, and until when their reports hold, in Unix milliseconds.
+/// Unix times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Detached {
+    since_ms: u64,
+    /// When the report lapses.
+    until_ms: u64,
+}
+
+/// The detached attempts of a request.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DetachedAttempts(HashMap<u64, u64>);
+pub(super) struct DetachedAttempts(HashMap<u64, Detached>);
 
 impl DetachedAttempts {
     pub(super) fn len(&self) -> usize {
@@ -22,7 +33,12 @@
 
     /// Records that the process of an attempt was alive, and is followed.
     pub(super) fn renew(&mut self, attempt: u64, now_ms: u64) {
-        self.0.insert(attempt, now_ms + DETACHED_LEASE_MS);
+        let known = self.0.get(&attempt);
+        let detached = Detached {
+            since_ms: known.map_or(now_ms, |known| known.since_ms),
+            until_ms: now_ms + DETACHED_LEASE_MS,
+        };
+        self.0.insert(attempt, detached);
     }
 
     pub(super) fn remove(&mut self, attempt: u64) {
@@ -32,12 +48,19 @@
     /// Forgets those whose report was not renewed, and all that hold no place.
     pub(super) fn retain(&mut self, now_ms: u64, holds_place: impl Fn(u64) -> bool) {
         self.0
-            .retain(|attempt, until_ms| now_ms < *until_ms && holds_place(*attempt));
+            .retain(|attempt, detached| now_ms < detached.until_ms && holds_place(*attempt));
     }
 
     /// Whether an attempt is detached and its process is followed.
     pub(super) fn is_followed(&self, attempt: u64, now_ms: u64) -> bool {
-        let until_ms = self.0.get(&attempt);
-        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+        let detached = self.0.get(&attempt);
+        detached.is_some_and(|detached| now_ms < detached.until_ms)
+    }
+
+    /// Whether an attempt has been detached for so long that it holds a place only if its server
+    /// would be the last that may end.
+    pub(super) fn is_settled(&self, attempt: u64, now_ms: u64) -> bool {
+        let detached = self.0.get(&attempt);
+        detached.is_some_and(|detached| now_ms >= detached.since_ms + DETACHED_HOLD_MS)
     }
 }
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -116,13 +116,18 @@
         open.filter(move |open| !self.detached.is_followed(open.attempt, now_ms))
     }
 
-    /// Number of places that are taken. Detached attempts take theirs once the next end reaches the
-    /// limit: until then the request may be sent again while their servers live.
+    /// Number of places that are taken. Detached attempts take none while all servers live, take one
+    /// for a short time after the first end, and all once the next end reaches the limit.
     pub(super) fn places(&self, now_ms: u64) -> usize {
-        match self.record.servers(now_ms).len() + 1 >= MAX_ENDED_SERVERS {
-            true => self.record.open.len(),
-            false => self.held(now_ms).count(),
-        }
+        let ended = self.record.servers(now_ms).len();
+        let is_free = |open: &&OpenAttempt| {
+            let attempt = open.attempt;
+            self.detached.is_followed(attempt, now_ms)
+                && ended + 1 < MAX_ENDED_SERVERS
+                && (ended == 0 || self.detached.is_settled(attempt, now_ms))
+        };
+        let open = &self.record.open;
+        open.len() - open.iter().filter(is_free).count()
     }
 
     /// Whether the next owner has to know of it.
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -2,8 +2,8 @@
 
 use super::{HOLD_MS, LONG_HOLD_MS, ended, name};
 use fieldhook_ledger::crashes::{
-    AttemptEnd, CrashTable, DETACHED_LEASE_MS, EndedAttempt, MAX_ENDED_SERVERS, MAX_OPEN_ATTEMPTS,
-    MIN_RECORDED_HOLD_MS, SendDecision,
+    AttemptEnd, CrashTable, DETACHED_HOLD_MS, DETACHED_LEASE_MS, EndedAttempt, MAX_ENDED_SERVERS,
+    MAX_OPEN_ATTEMPTS, MIN_RECORDED_HOLD_MS, SendDecision,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::HashMap;
@@ -72,8 +72,8 @@
     granted: u64,
     /// Number of the owner that granted it.
     owner: u64,
-    /// Until when the server is followed, if it lives and may still run the request.
-    detached: Option<u64>,
+    /// Since when the server lives and may still run the request, and until when it is followed.
+    detached: Option<(u64, u64)>,
 }
 
 /// A request as the oracle sees it.
@@ -89,7 +89,7 @@
     fn close_expired(&mut self, now_ms: u64) {
         self.places.retain(|_, place| now_ms < place.until_ms);
         for place in self.places.values_mut() {
-            place.detached = place.detached.filter(|until_ms| now_ms < *until_ms);
+            place.detached = place.detached.filter(|(_, until_ms)| now_ms < *until_ms);
         }
         self.broke
             .retain(|attempt, _| self.places.contains_key(attempt));
@@ -108,14 +108,16 @@
         places.filter(|place| place.detached.is_none()).count()
     }
 
-    fn taken(&self) -> usize {
-        let is_last = self.ends.len() + 1 >= MAX_ENDED_SERVERS;
-        let places = if is_last {
-            self.places.len()
-        } else {
-            self.held()
-        };
-        self.ends.len() + places
+    fn taken(&self, now_ms: u64) -> usize {
+        let places = self.places.values().filter(|place| match place.detached {
+            None => true,
+            Some((since_ms, _)) => match self.ends.len() {
+                0 => false,
+                1 => now_ms < since_ms + DETACHED_HOLD_MS,
+                _ => true,
+            },
+        });
+        self.ends.len() + places.count()
     }
 
     /// Counts the end of a server unless it was counted for an attempt that ran beside this one, or,
@@ -184,7 +186,7 @@
                 let decision = table.request_send(&name, step, hold_ms, now_ms);
                 let state = expected.entry(request).or_default();
                 state.close_expired(now_ms);
-                let taken = state.taken();
+                let taken = state.taken(now_ms);
                 let may_send = taken < MAX_ENDED_SERVERS;
                 if matches!(decision, SendDecision::Granted { .. }) != may_send {
                     return false;
@@ -270,12 +272,16 @@
                     AttemptEnd::Detached => {
                         let known = place.filter(|place| place.owner == owner);
                         let kept_ms = place.map(|place| place.until_ms);
+                        let since_ms = place.and_then(|place| place.detached).map(|(at, _)| at);
                         let is_long = |until_ms: &u64| *until_ms >= now_ms + DETACHED_LEASE_MS;
                         let place = Place {
                             until_ms: kept_ms.filter(is_long).unwrap_or(now_ms + open_ms),
                             granted: known.map_or(step, |place| place.granted),
                             owner,
-                            detached: Some(now_ms + DETACHED_LEASE_MS),
+                            detached: Some((
+                                since_ms.unwrap_or(now_ms),
+                                now_ms + DETACHED_LEASE_MS,
+                            )),
                         };
                         state.places.insert(attempt, place);
                         state.broke.remove(&attempt);
--- a/crates/ledger/tests/crashes/main.rs
+++ b/crates/ledger/tests/crashes/main.rs
@@ -3,9 +3,9 @@
 mod fuzz;
 
 use fieldhook_ledger::crashes::{
-    AttemptEnd, BLOCK_MS, CrashTable, DETACHED_LEASE_MS, EndedAttempt, MAX_OPEN_ATTEMPTS,
-    MAX_REQUESTS, MAX_REQUESTS_PER_TENANT, SETTLE_MS, SendDecision, WatchLevel, identity_of_end,
-    successors,
+    AttemptEnd, BLOCK_MS, CrashTable, DETACHED_HOLD_MS, DETACHED_LEASE_MS, EndedAttempt,
+    MAX_OPEN_ATTEMPTS, MAX_REQUESTS, MAX_REQUESTS_PER_TENANT, SETTLE_MS, SendDecision, WatchLevel,
+    identity_of_end, successors,
 };
 use fieldhook_ledger::message::{ReportAttempt, RequestKey, RequestSend};
 use fieldhook_ledger::name::QualifiedName;
@@ -419,17 +419,21 @@
         detach(&mut table, attempt, "c", 0);
     }
     end_server(&mut table, "r", "a", 0);
-    let decision = table.request_send(&name("r"), 4, HOLD_MS, 0);
+    let now_ms = DETACHED_HOLD_MS;
+    let early = table.request_send(&name("r"), 4, HOLD_MS, now_ms - 1);
+    assert_eq!(early, busy(&["a"]));
+    let decision = table.request_send(&name("r"), 4, HOLD_MS, now_ms);
     assert_eq!(decision, granted(&["a"]));
-    table.end_attempt(&name("r"), &ended(4, "b", AttemptEnd::ServerEnded), 0);
+    let end = ended(4, "b", AttemptEnd::ServerEnded);
+    table.end_attempt(&name("r"), &end, now_ms);
     let busy = busy(&["a", "b"]);
-    assert_eq!(table.request_send(&name("r"), 5, HOLD_MS, 0), busy);
+    assert_eq!(table.request_send(&name("r"), 5, HOLD_MS, now_ms), busy);
     for attempt in 1..4 {
-        assert_eq!(table.request_send(&name("r"), 5, HOLD_MS, 0), busy);
+        assert_eq!(table.request_send(&name("r"), 5, HOLD_MS, now_ms), busy);
         let alive = ended(attempt, "c", AttemptEnd::ServerAlive);
-        table.end_attempt(&name("r"), &alive, 0);
+        table.end_attempt(&name("r"), &alive, now_ms);
     }
-    let decision = table.request_send(&name("r"), 5, HOLD_MS, 0);
+    let decision = table.request_send(&name("r"), 5, HOLD_MS, now_ms);
     assert_eq!(decision, granted(&["a", "b"]));
 }
 
