A request waits for the checks of its copies at the same daemon

A daemon knows which of its attempts of a request broke and are being checked; the next one waits for them, 160 ms at most.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::relay::{self, Relay};
+use crate::serve::open_checks::OpenChecks;
 use crate::serve::response_times::ResponseTimes;
 use crate::serve::software::Registrations;
 use crate::settings::GatewaySettings;
@@ -76,6 +77,8 @@
     pub stream_gaps: ResponseTimes,
     /// Connections to servers.
     pub pools: Rc<Pools>,
+    /// Broken attempts whose servers are being checked.
+    pub open_checks: Rc<OpenChecks>,
     /// Limits retries over all requests.
     pub retry_budget: RefCell<retry_budget::RetryBudget>,
     /// Ledger partitions owned by this daemon.
@@ -168,6 +171,7 @@
             response_times: ResponseTimes::default(),
             stream_gaps: ResponseTimes::default(),
             pools,
+            open_checks: Rc::default(),
             retry_budget: RefCell::default(),
             owner,
             ledger,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -29,6 +29,7 @@
 pub mod homes;
 pub mod listener;
 pub mod local_response;
+pub mod open_checks;
 mod process_check;
 pub mod quota;
 pub mod reader;
--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long the next step of a request waits for the check and for its record.
-const MAX_WAIT: Duration = Duration::from_millis(160);
+pub(super) const MAX_WAIT: Duration = Duration::from_millis(160);
 /// How long the fate of a server is followed. After that the attempt keeps its place for as long as
 /// ended servers count: that nothing was heard does not show that the server lives.
 const FOLLOW_TIME: Duration = Duration::from_secs(20);
@@ -101,6 +101,8 @@
             return;
         };
         subject.check.mark_broken();
+        let checks = &subject.counted.daemon.open_checks;
+        let guard = checks.begin(&subject.counted.content.name.name);
         let (sender, recorded) = oneshot::channel();
         ntex::rt::spawn(async move {
             let mut fate = subject.check_break(error).await;
@@ -108,6 +110,7 @@
                 fate = subject.check_again(fate, ALIVE_RECHECK_AFTER).await;
             }
             subject.report(fate).await;
+            drop(guard);
             let _ = sender.send(());
             subject.follow(fate).await;
         });
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -2,6 +2,7 @@
 //! many as it takes to reach the limit, over all attempts of its client at all daemons.
 
 use super::attempt::DispatchFailure;
+use super::attempt_monitor;
 use super::request::RequestContext;
 use crate::daemon::{Daemon, unix_ms};
 use crate::ledger::crashes::SendAnswer;
@@ -12,6 +13,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// How long a request waits for the checks of broken attempts with the same content: as long as the
+/// next step of such an attempt does.
+const MAX_CHECK_WAIT: Duration = attempt_monitor::MAX_WAIT;
 /// Minimum time for which the servers that ended under a request are remembered, in milliseconds.
 const MIN_RETENTION_MS: u64 = 60_000;
 /// Number of times that a program may send a turn, each with the attempts of its client.
@@ -96,6 +100,12 @@
     /// The request may not be sent now, or not at all.
     pub async fn request(context: &RequestContext) -> Result<Self, DispatchFailure> {
         let asked = Instant::now();
+        let checks = &context.daemon.open_checks;
+        let content = &context.content.name.name;
+        // Unrelated requests share no servers that they have ended.
+        if !context.content.is_shared() {
+            checks.wait_closed(content, asked + MAX_CHECK_WAIT).await;
+        }
         let attempt = fastrand::u64(..);
         let decision = decide(context, attempt).await;
         let outcome = outcome_of(&decision);
