A detached attempt is renewed in time, also at servers that keep no connection open

By reading: where a server closes the connection by which it is followed more often than once a second, the report of the attempt was never renewed, so it took a place after 2.5 s; and where it closes each connection after it has answered, an end was seen only when the span was over. Such a server is checked again, at growing intervals of 50 ms to 1 s. The new test covers the second.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -38,8 +38,8 @@
 const ALIVE_RECHECK_AFTER: Duration = Duration::from_millis(20);
 /// Time after the break of the second check of a server; the time of each further one is doubled.
 const SECOND_CHECK_AFTER: Duration = Duration::from_millis(500);
-/// Minimum time between two checks of a server that closes the connections by which it is followed,
-/// doubled each time up to the maximum.
+/// Minimum time between two checks of a server that keeps no connection open by which it could be
+/// followed, doubled each time up to the maximum.
 const MIN_CHECK_PAUSE: Duration = Duration::from_millis(50);
 const MAX_CHECK_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the report of a detached attempt is renewed.
@@ -279,12 +279,18 @@
         if fate == Fate::PresumedAlive {
             until = until.max(self.check.broke + FOLLOW_CONNECTED_TIME);
         }
+        let mut renewal = Instant::now() + RENEWAL;
         let mut checked = self.check.broke;
         let mut pause = MIN_CHECK_PAUSE;
         while Instant::now() < until {
-            let renewal = until.min(Instant::now() + RENEWAL);
-            if self.check.wait_for_sign(fate, renewal).await {
-                sleep_until(checked + pause).await;
+            let next_check = checked + pause;
+            let wake = match self.check.is_connected() {
+                true => until.min(renewal),
+                false => until.min(renewal).min(next_check),
+            };
+            let is_sign = self.check.wait_for_sign(fate, wake).await;
+            if is_sign || !self.check.is_connected() && Instant::now() >= next_check {
+                sleep_until(next_check).await;
                 pause = MAX_CHECK_PAUSE.min(pause * 2);
                 checked = Instant::now();
                 self.check.contact(checked).await;
@@ -292,8 +298,10 @@
                 if next != fate {
                     return next;
                 }
-            } else if renewal < until {
+            }
+            if Instant::now() >= renewal {
                 self.report_detached();
+                renewal += RENEWAL;
             }
         }
         self.check.contact(until).await;
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -102,7 +102,7 @@
         let asked = Instant::now();
         let checks = &context.daemon.open_checks;
         let content = &context.content.name.name;
-        // Unrelated requests share no servers that they have ended.
+        // Unrelated requests with the same content are not copies of one.
         if !context.content.is_shared() {
             checks.wait_closed(content, asked + MAX_CHECK_WAIT).await;
         }
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -123,7 +123,8 @@
         pools.stated_start(id).is_some_and(is_known) || pools.is_same_process_since(id, self.sent)
     }
 
-    fn is_connected(&self) -> bool {
+    /// Whether a connection to the process of the attempt is open.
+    pub fn is_connected(&self) -> bool {
         let process = self.process.as_ref();
         process.is_some_and(|connection| connection.has_no_input())
     }
--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -4,7 +4,7 @@
 use crate::support::{Act, run};
 use futures_util::future::join_all;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Number of servers that may end under a request before it is not sent to any other.
 const MAX_ENDED: usize = 3;
@@ -16,7 +16,7 @@
 enum Detachment {
     /// The server resets it at once.
     Reset,
-    /// The client leaves after this time.
+    /// The client leaves this long after a server has read the request.
     ClientLeaves(Duration),
 }
 
@@ -49,19 +49,31 @@
             let fields = format!(
                 "Request: r{number}\r\nProgram: p\r\nSession: s\r\nDeadline: 2000\r\nBudget: 90000\r\nMost: 10\r\n"
             );
+            let sent = self.sent();
             let mut client = gateway.client().await;
             let Repetition { path, body, .. } = repetition;
             client.send("POST", path, &fields, body).await;
             let reply = client.reply_unless_closed();
             match repetition.detachment {
                 Detachment::Reset => drop(reply.await),
-                Detachment::ClientLeaves(after) => drop(timeout(after, reply).await),
+                Detachment::ClientLeaves(after) => tokio::select! {
+                    _ = reply => {}
+                    () = self.wait_sent(sent, after) => {}
+                },
             }
             drop(client);
             sleep(repetition.pause).await;
         }
     }
 
+    /// Waits until this long after another request has reached a server.
+    async fn wait_sent(&self, before: usize, after: Duration) {
+        while self.sent() <= before {
+            sleep(milliseconds(1)).await;
+        }
+        sleep(after).await;
+    }
+
     /// Number of times that a request with the mark was sent after three servers had ended.
     fn sent_after_limit(&self) -> usize {
         let mut ends: Vec<Instant> = self
@@ -156,6 +168,26 @@
     });
 }
 
+/// Guards against ends that are not seen because no connection to the process stays open.
+#[test]
+fn request_is_not_sent_after_three_ends_of_servers_that_keep_no_connection_open() {
+    run(async {
+        let fleet = Fleet::ending_after(milliseconds(400), Detachment::Reset).await;
+        for server in &fleet.servers {
+            server.close_after_statement();
+        }
+        let repetition = Repetition {
+            path: "/chat/1",
+            body: MARK,
+            detachment: Detachment::Reset,
+            pause: milliseconds(800),
+            tries: 8,
+        };
+        fleet.repeat(repetition).await;
+        assert_eq!(fleet.sent_after_limit(), 0);
+    });
+}
+
 /// Guards against requests that are refused although all of their servers live.
 #[test]
 fn request_is_sent_after_eight_attempts_that_living_servers_go_on_with() {
@@ -175,7 +207,7 @@
                 tries: 8,
             };
             fleet.repeat(repetition).await;
-            let sent: usize = fleet.servers.iter().map(|server| server.count()).sum();
+            let sent = fleet.sent();
             assert!(sent >= 8, "{repetition:?}: {sent}");
             for server in &fleet.servers {
                 let texts = vec!["word".to_owned(); 4];
--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -100,7 +100,7 @@
         self.servers.iter().map(|server| server.restarts()).sum()
     }
 
-    fn sent(&self) -> usize {
+    pub fn sent(&self) -> usize {
         self.servers.iter().map(|server| server.count()).sum()
     }
 }
--- a/crates/gateway/tests/gateway/support/process.rs
+++ b/crates/gateway/tests/gateway/support/process.rs
@@ -33,6 +33,8 @@
     /// Name of the server.
     name: String,
     pub states_identity: Cell<bool>,
+    /// Whether the process closes the connection after it has stated which one it is.
+    pub closes_after_statement: Cell<bool>,
     /// Whether the process states its start, which is one more than its number.
     pub states_start: Cell<bool>,
     /// How long the output on other connections than that of the request that ended the process is
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -172,6 +172,11 @@
         self.process.states_identity.set(false);
     }
 
+    /// Makes the server close connections on which it has stated which process it is.
+    pub fn close_after_statement(&self) {
+        self.process.closes_after_statement.set(true);
+    }
+
     /// Makes what the process sent on other connections than that of the request that ends it arrive
     /// for this long after the end.
     pub fn delay_output(&self, delay: Duration) {
@@ -290,6 +295,9 @@
                 return reset(stream);
             }
             let _ = stream.write_all(process.statement().as_bytes()).await;
+            if process.closes_after_statement.get() {
+                return;
+            }
             continue;
         }
         let id = request
