Tests of late ends: 0.1 to 3 s, tries 0.15 to 1.5 s apart, timeouts, one gateway, a disturbed log

The limit holds in 60 cases: resets and early leaves with ends after 0.1, 0.4, 1 and 3 s, timeouts with ends after 0.4 and 1 s, each with three pauses at one gateway and at two.

--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -1,6 +1,6 @@
 //! Servers that go on with a request after its connection was closed, and end under it.
 
-use crate::restarted_servers::{Fleet, MARK, SERVERS};
+use crate::restarted_servers::{Disturbance, Fleet, MARK, SERVERS};
 use crate::support::{Act, run};
 use futures_util::future::join_all;
 use std::time::Duration;
@@ -18,6 +18,18 @@
     Reset,
     /// The client leaves this long after a server has read the request.
     ClientLeaves(Duration),
+    /// The server does not respond before the deadline.
+    TimesOut,
+}
+
+impl Detachment {
+    /// Deadline of the requests, in milliseconds.
+    fn deadline_ms(self) -> u64 {
+        match self {
+            Self::TimesOut => 300,
+            Self::Reset | Self::ClientLeaves(_) => 4_000,
+        }
+    }
 }
 
 /// A client that sends the same request again and again, to one gateway after the other.
@@ -28,6 +40,8 @@
     detachment: Detachment,
     pause: Duration,
     tries: usize,
+    /// Number of gateways that it uses.
+    gateways: usize,
 }
 
 impl Fleet {
@@ -36,8 +50,10 @@
         let fleet = Self::start(ENTRY_DELAY, true).await;
         for server in &fleet.servers {
             server.end_on(MARK, delay);
-            if let Detachment::Reset = detachment {
-                server.set(Act::Reset);
+            match detachment {
+                Detachment::Reset => server.set(Act::Reset),
+                Detachment::TimesOut => server.set(Act::Unresponsive),
+                Detachment::ClientLeaves(_) => {}
             }
         }
         fleet
@@ -45,9 +61,10 @@
 
     async fn repeat(&self, repetition: Repetition) {
         for number in 0..repetition.tries {
-            let gateway = &self.gateways[number % self.gateways.len()];
+            let gateway = &self.gateways[number % repetition.gateways];
+            let deadline_ms = repetition.detachment.deadline_ms();
             let fields = format!(
-                "Request: r{number}\r\nProgram: p\r\nSession: s\r\nDeadline: 2000\r\nBudget: 90000\r\nMost: 10\r\n"
+                "Request: r{number}\r\nProgram: p\r\nSession: s\r\nDeadline: {deadline_ms}\r\nBudget: 90000\r\nMost: 10\r\n"
             );
             let sent = self.sent();
             let mut client = gateway.client().await;
@@ -55,7 +72,7 @@
             client.send("POST", path, &fields, body).await;
             let reply = client.reply_unless_closed();
             match repetition.detachment {
-                Detachment::Reset => drop(reply.await),
+                Detachment::Reset | Detachment::TimesOut => drop(reply.await),
                 Detachment::ClientLeaves(after) => tokio::select! {
                     _ = reply => {}
                     () = self.wait_sent(sent, after) => {}
@@ -97,74 +114,109 @@
     Duration::from_millis(time)
 }
 
-/// Repeats a request on a stream that may be resumed and on one that may not. Describes the runs in
-/// which it was sent after the limit.
-async fn sent_after_limit(
-    detachment: Detachment,
+/// A run in which the client repeats a request, times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Case {
     ends_after: u64,
     pause: u64,
-    tries: usize,
-) -> Vec<String> {
-    let mut failures = Vec::new();
-    for path in ["/resume/1", "/chat/1"] {
-        let fleet = Fleet::ending_after(milliseconds(ends_after), detachment).await;
-        let repetition = Repetition {
-            path,
-            body: MARK,
-            detachment,
-            pause: milliseconds(pause),
-            tries,
-        };
-        fleet.repeat(repetition).await;
-        let sent = fleet.sent_after_limit();
-        if sent > 0 {
-            let ended = fleet.restarts();
-            failures.push(format!(
-                "{detachment:?}, end after {ends_after} ms, {repetition:?}: {sent} sent, {ended} ended"
-            ));
+    gateways: usize,
+    path: &'static str,
+    disturbance: Option<Disturbance>,
+}
+
+/// Every end with every pause, at one gateway and at two, on streams that may be resumed or not.
+fn cases(ends: &[u64]) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for ends_after in ends.iter().copied() {
+        for (pause, path) in [(150, "/resume/1"), (800, "/chat/1"), (1_500, "/resume/1")] {
+            for gateways in [1, 2] {
+                cases.push(Case {
+                    ends_after,
+                    pause,
+                    gateways,
+                    path,
+                    disturbance: None,
+                });
+            }
         }
     }
-    failures
+    cases
 }
 
-/// Guards against an end that is not counted because the server had reset the connection long before.
+/// Time for which a client repeats its request, in milliseconds.
+const REPEATED_FOR: u64 = 9_000;
+
+/// Describes the run if the request was sent after three servers had ended.
+async fn failure(detachment: Detachment, case: Case) -> Option<String> {
+    let fleet = Fleet::ending_after(milliseconds(case.ends_after), detachment).await;
+    if let Some(disturbance) = case.disturbance {
+        disturbance.begin(&fleet).await;
+    }
+    let repetition = Repetition {
+        path: case.path,
+        body: MARK,
+        detachment,
+        pause: milliseconds(case.pause),
+        tries: (REPEATED_FOR / (case.pause + 100)) as usize,
+        gateways: case.gateways,
+    };
+    fleet.repeat(repetition).await;
+    let (sent, ended) = (fleet.sent_after_limit(), fleet.restarts());
+    (sent > 0).then(|| format!("{case:?}, {detachment:?}: {sent} sent, {ended} ended"))
+}
+
+/// Asserts that no run sends the request after three servers have ended.
+async fn assert_limited(detachment: Detachment, cases: Vec<Case>) {
+    let runs = cases.into_iter().map(|case| failure(detachment, case));
+    let failures: Vec<String> = join_all(runs).await.into_iter().flatten().collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against an end that is not counted because the server had reset the connection before.
 #[test]
 fn request_is_not_sent_after_three_ends_that_follow_resets() {
     run(async {
-        let cases = [
-            (120, 150, 12),
-            (300, 150, 12),
-            (1_000, 150, 20),
-            (1_000, 1_500, 8),
-            (1_900, 150, 24),
-            (1_900, 800, 8),
-        ];
-        let runs = cases.map(|(ends_after, pause, tries)| {
-            sent_after_limit(Detachment::Reset, ends_after, pause, tries)
-        });
-        let failures = join_all(runs).await.concat();
-        assert!(failures.is_empty(), "{failures:#?}");
+        let cases = cases(&[100, 400, 1_000, 3_000]);
+        assert_limited(Detachment::Reset, cases).await;
     });
 }
 
-/// Guards against an end that is not counted because the client had left long before.
+/// Guards against an end that is not counted because the client had left before.
 #[test]
 fn request_is_not_sent_after_three_ends_that_follow_early_leaves() {
     run(async {
         let leaves = Detachment::ClientLeaves(milliseconds(50));
-        let cases = [
-            (240, 150, 12),
-            (400, 150, 12),
-            (400, 800, 8),
-            (1_000, 150, 20),
-            (1_000, 1_500, 8),
-            (1_900, 150, 24),
-            (1_900, 800, 8),
-        ];
-        let runs = cases
-            .map(|(ends_after, pause, tries)| sent_after_limit(leaves, ends_after, pause, tries));
-        let failures = join_all(runs).await.concat();
-        assert!(failures.is_empty(), "{failures:#?}");
+        assert_limited(leaves, cases(&[100, 400, 1_000, 3_000])).await;
+    });
+}
+
+/// Guards against an end that is not counted because the deadline had passed before.
+#[test]
+fn request_is_not_sent_after_three_ends_that_follow_timeouts() {
+    run(async {
+        assert_limited(Detachment::TimesOut, cases(&[400, 1_000])).await;
+    });
+}
+
+/// Guards against a limit that holds only while the log replies to all gateways in time.
+#[test]
+fn request_is_not_sent_after_three_late_ends_beside_a_disturbance() {
+    run(async {
+        for detachment in [
+            Detachment::Reset,
+            Detachment::ClientLeaves(milliseconds(50)),
+        ] {
+            let disturbed = Disturbance::ALL.into_iter().flat_map(|disturbance| {
+                [400, 1_000].map(|ends_after| Case {
+                    ends_after,
+                    pause: 800,
+                    gateways: 2,
+                    path: "/resume/1",
+                    disturbance: Some(disturbance),
+                })
+            });
+            assert_limited(detachment, disturbed.collect()).await;
+        }
     });
 }
 
@@ -182,6 +234,7 @@
             detachment: Detachment::Reset,
             pause: milliseconds(800),
             tries: 8,
+            gateways: 2,
         };
         fleet.repeat(repetition).await;
         assert_eq!(fleet.sent_after_limit(), 0);
@@ -205,6 +258,7 @@
                 detachment,
                 pause: milliseconds(pause),
                 tries: 8,
+                gateways: 2,
             };
             fleet.repeat(repetition).await;
             let sent = fleet.sent();
--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -21,6 +21,8 @@
 pub const SERVERS: usize = 10;
 /// Text in requests that end servers.
 pub const MARK: &str = "deadly";
+/// Longer than the deadlines of all requests.
+const ROUTE_TIMEOUT_MS: u64 = 6_000;
 /// Pause between two attempts of a client.
 const CLIENT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -47,6 +49,9 @@
     /// by `delay`.
     pub async fn start(delay: Duration, states_identity: bool) -> Self {
         let world = World::new().await;
+        for route in &mut world.configs.borrow_mut()[0].routes {
+            route.timeout_ms = ROUTE_TIMEOUT_MS;
+        }
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let act = Act::Paced(vec!["word".to_owned(); 4], Duration::from_millis(20));
@@ -135,7 +140,7 @@
 
 /// What is wrong while servers end and their entries are late.
 #[derive(Clone, Copy, Debug)]
-enum Disturbance {
+pub enum Disturbance {
     /// Nothing, but requests are sent on connections that were idle.
     IdleConnections,
     /// The log replies late to one of two gateways.
@@ -147,14 +152,14 @@
 }
 
 impl Disturbance {
-    const ALL: [Self; 4] = [
+    pub const ALL: [Self; 4] = [
         Self::IdleConnections,
         Self::LogLateForOne,
         Self::LogSilentForOne,
         Self::LogSilentForAll,
     ];
 
-    async fn begin(self, fleet: &Fleet) {
+    pub async fn begin(self, fleet: &Fleet) {
         let set = |gateway: &Gateway, fault| gateway.store.set_fault(fault);
         match self {
             Self::IdleConnections => fleet.open_connections().await,
--- a/crates/gateway/tests/gateway/support/act.rs
+++ b/crates/gateway/tests/gateway/support/act.rs
@@ -44,8 +44,10 @@
     ResetAfter(Duration),
     /// Send bytes that are not the response and do not end, until the connection is closed.
     Endless(Endless),
-    /// Read the request and do not respond.
+    /// Read the request and do not respond, nor state which process it is.
     Silent,
+    /// Read the request and do not respond.
+    Unresponsive,
     /// Respond after a delay.
     Slow(Duration, String),
 }
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -433,7 +433,7 @@
                 endless.set((endless.get().0, Some(Instant::now())));
                 return;
             }
-            Act::Silent => {
+            Act::Silent | Act::Unresponsive => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
                 client_disconnects.set(client_disconnects.get() + 1);
--- a/crates/ledger/src/crashes/detached.rs
+++ b/crates/ledger/src/crashes/detached.rs
@@ -1,8 +1,8 @@
 //! Attempts that are over for their client while the server lives and may still run the request.
 //!
 //! The daemon that made such an attempt follows the process for as long as the request may run there,
-//! and renews its report meanwhile. Without a renewal nobody may have noticed an end, so the outcome
-//! of the attempt counts as open.
+//! and renews its report meanwhile. Without a renewal an end may have been missed, so the outcome of
+//! the attempt counts as open.
 
 use std::collections::HashMap;
 
@@ -57,8 +57,7 @@
         detached.is_some_and(|detached| now_ms < detached.until_ms)
     }
 
-    /// Whether an attempt has been detached for so long that it holds a place only if its server
-    /// would be the last that may end.
+    /// Whether an attempt has been detached for [`DETACHED_HOLD_MS`] or more.
     pub(super) fn is_settled(&self, attempt: u64, now_ms: u64) -> bool {
         let detached = self.0.get(&attempt);
         detached.is_some_and(|detached| now_ms >= detached.since_ms + DETACHED_HOLD_MS)
