--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,13 +6,15 @@
 mod log_capture;
 mod process;
 mod recording_log;
+mod response;
 mod server;
 mod world;
 
 pub use act::Act;
 pub use client::Reply;
 pub use log_capture::LogCapture;
-pub use server::{Seen, Server, response_head};
+pub use response::response_head;
+pub use server::{Seen, Server};
 pub use world::{
     CONFIG, EntryWriter, Gateway, OWNERS_SETTLED, SERVERS, World, config, config_with_tenants,
     tenant,
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -3,8 +3,11 @@
 use super::act::Act;
 use super::dialect::IDENTITY_PATH;
 use super::process::Process;
+use super::response::{
+    not_run, number_in_target, response_head, send_events, send_events_head_of, send_large,
+    send_paced,
+};
 use bytes::BytesMut;
-use fieldhook_emulator::endless::Head;
 use fieldhook_gateway::http::body::{BodyDecoder, Piece};
 use fieldhook_gateway::http::head::{RequestHead, decode_request_head};
 use socket2::SockRef;
@@ -442,97 +445,3 @@
         }
     }
 }
-
-/// Returns the number at the end of the target of a request.
-fn number_in_target(request: &Seen) -> usize {
-    let number = request.head.target.rsplit('/').next();
-    number.and_then(|text| text.parse().ok()).unwrap_or(0)
-}
-
-/// Head of a response with a body of nine bytes.
-pub fn response_head(id: &str, announces_close: bool) -> String {
-    let close = match announces_close {
-        true => "Connection: close\r\n",
-        false => "",
-    };
-    format!("HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\n{close}Content-Length: 9\r\n\r\n")
-}
-
-fn not_run(id: &str) -> String {
-    format!("HTTP/1.1 503 Full\r\nRequest: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-}
-
-async fn send_events_head(stream: &mut TcpStream, id: &str) {
-    let head = format!(
-        "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    let _ = stream.write_all(head.as_bytes()).await;
-}
-
-async fn send_events_head_of(stream: &mut TcpStream, head: Head, id: &str) {
-    match head {
-        Head::None => {}
-        Head::Own => send_events_head(stream, id).await,
-        Head::Other => send_events_head(stream, "another").await,
-    }
-}
-
-async fn send_large(stream: &mut TcpStream, id: &str, length: usize) -> bool {
-    let head = format!(
-        "HTTP/1.1 200 Fine\r\nRequest: {id}\r\nSigned: yes\r\nContent-Length: {length}\r\n\r\n"
-    );
-    let _ = stream.write_all(head.as_bytes()).await;
-    let piece = [b'x'; 64 << 10];
-    let mut left = length;
-    while left > 0 {
-        let size = left.min(piece.len());
-        if stream.write_all(&piece[..size]).await.is_err() {
-            return false;
-        }
-        left -= size;
-    }
-    true
-}
-
-async fn send_paced(
-    stream: &mut TcpStream,
-    id: &str,
-    events: &[String],
-    last: Option<usize>,
-    pause: Duration,
-) -> bool {
-    send_events_head(stream, id).await;
-    let first = last.map_or(0, |last| last + 1);
-    for (number, text) in events.iter().enumerate().skip(first) {
-        sleep(pause).await;
-        let event = format!("id: {number}\ndata: {text}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        let _ = stream.write_all(chunk.as_bytes()).await;
-    }
-    stream.write_all(b"0\r\n\r\n").await.is_ok()
-}
-
-async fn send_events(
-    stream: &mut TcpStream,
-    id: &str,
-    events: &[String],
-    last: Option<usize>,
-    break_within: Option<usize>,
-) -> bool {
-    send_events_head(stream, id).await;
-    let first = last.map_or(0, |last| last + 1);
-    for (number, text) in events.iter().enumerate().skip(first) {
-        let event = format!("id: {number}\ndata: {text}\n\n");
-        if break_within == Some(number) {
-            // Send only part of the event.
-            let part = &event[..event.len() - 3];
-            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
-            let _ = stream.write_all(chunk.as_bytes()).await;
-            sleep(Duration::from_millis(20)).await;
-            return false;
-        }
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        let _ = stream.write_all(chunk.as_bytes()).await;
-    }
-    stream.write_all(b"0\r\n\r\n").await.is_ok()
-}
