--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -8,12 +8,12 @@
 
 /// Number of servers that may end under a request before it is not sent to any other.
 const MAX_ENDED: usize = 3;
-/// Time by which the entries of the next processes are late.
-const ENTRY_DELAY: Duration = Duration::from_millis(400);
+/// Time by which the entries of the next processes are late, in milliseconds.
+const ENTRY_DELAY_MS: u64 = 400;
 
 /// How the connection of an attempt ends while its server goes on.
 #[derive(Clone, Copy, Debug)]
-enum Detachment {
+pub enum Detachment {
     /// The server resets it at once.
     Reset,
     /// The client leaves this long after a server has read the request.
@@ -45,9 +45,10 @@
 }
 
 impl Fleet {
-    /// Starts servers that end this long after they have read a request with the mark.
-    async fn ending_after(delay: Duration, detachment: Detachment) -> Self {
-        let fleet = Self::start(ENTRY_DELAY, true).await;
+    /// Starts servers that end this long after they have read a request with the mark, and whose
+    /// entries are late.
+    async fn ending_after(delay: Duration, entry_delay: Duration, detachment: Detachment) -> Self {
+        let fleet = Self::start(entry_delay, true).await;
         for server in &fleet.servers {
             server.end_on(MARK, delay);
             match detachment {
@@ -110,18 +111,36 @@
     }
 }
 
-fn milliseconds(time: u64) -> Duration {
+pub fn milliseconds(time: u64) -> Duration {
     Duration::from_millis(time)
 }
 
 /// A run in which the client repeats a request, times in milliseconds.
 #[derive(Clone, Copy, Debug)]
-struct Case {
-    ends_after: u64,
-    pause: u64,
-    gateways: usize,
-    path: &'static str,
-    disturbance: Option<Disturbance>,
+pub struct Case {
+    pub ends_after: u64,
+    pub pause: u64,
+    pub gateways: usize,
+    pub path: &'static str,
+    pub disturbance: Option<Disturbance>,
+    pub end: ServerEnd,
+}
+
+/// How the end of a server shows, times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerEnd {
+    /// How long its connections stay open.
+    pub closes_after: u64,
+    /// Time by which the entry of the next process is late.
+    pub entry_delay: u64,
+}
+
+impl ServerEnd {
+    /// All connections close.
+    const CLOSES: Self = Self {
+        closes_after: 0,
+        entry_delay: ENTRY_DELAY_MS,
+    };
 }
 
 /// Every end with every pause, at one gateway and at two, on streams that may be resumed or not.
@@ -136,6 +155,7 @@
                     gateways,
                     path,
                     disturbance: None,
+                    end: ServerEnd::CLOSES,
                 });
             }
         }
@@ -148,7 +168,12 @@
 
 /// Describes the run if the request was sent after three servers had ended.
 async fn failure(detachment: Detachment, case: Case) -> Option<String> {
-    let fleet = Fleet::ending_after(milliseconds(case.ends_after), detachment).await;
+    let entry_delay = milliseconds(case.end.entry_delay);
+    let ends_after = milliseconds(case.ends_after);
+    let fleet = Fleet::ending_after(ends_after, entry_delay, detachment).await;
+    for server in &fleet.servers {
+        server.delay_output(milliseconds(case.end.closes_after));
+    }
     if let Some(disturbance) = case.disturbance {
         disturbance.begin(&fleet).await;
     }
@@ -166,7 +191,7 @@
 }
 
 /// Asserts that no run sends the request after three servers have ended.
-async fn assert_limited(detachment: Detachment, cases: Vec<Case>) {
+pub async fn assert_limited(detachment: Detachment, cases: Vec<Case>) {
     let runs = cases.into_iter().map(|case| failure(detachment, case));
     let failures: Vec<String> = join_all(runs).await.into_iter().flatten().collect();
     assert!(failures.is_empty(), "{failures:#?}");
@@ -213,6 +238,7 @@
                     gateways: 2,
                     path: "/resume/1",
                     disturbance: Some(disturbance),
+                    end: ServerEnd::CLOSES,
                 })
             });
             assert_limited(detachment, disturbed.collect()).await;
@@ -224,7 +250,12 @@
 #[test]
 fn request_is_not_sent_after_three_ends_of_servers_that_keep_no_connection_open() {
     run(async {
-        let fleet = Fleet::ending_after(milliseconds(400), Detachment::Reset).await;
+        let fleet = Fleet::ending_after(
+            milliseconds(400),
+            milliseconds(ENTRY_DELAY_MS),
+            Detachment::Reset,
+        )
+        .await;
         for server in &fleet.servers {
             server.close_after_statement();
         }
@@ -251,7 +282,7 @@
             .chain([(Detachment::Reset, 150), (Detachment::Reset, 800)]);
         let cases = detachments.flat_map(|case| ["/resume/1", "/chat/1"].map(|path| (case, path)));
         let runs = cases.map(|((detachment, pause), path)| async move {
-            let fleet = Fleet::ending_after(Duration::ZERO, detachment).await;
+            let fleet = Fleet::ending_after(Duration::ZERO, milliseconds(ENTRY_DELAY_MS), detachment).await;
             let repetition = Repetition {
                 path,
                 body: "harmless",
@@ -281,7 +312,7 @@
 
 /// Sends copies of a request that ends its servers, side by side and each three times more.
 async fn sent_after_limit_by_copies(copies: usize) -> usize {
-    let fleet = Fleet::start(ENTRY_DELAY, true).await;
+    let fleet = Fleet::start(milliseconds(ENTRY_DELAY_MS), true).await;
     let clients = (0..copies).map(|copy| {
         let fleet = &fleet;
         async move {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod restarted_servers;
 mod restarted_streams;
+mod silent_ends;
 mod slow_peers;
 mod store;
 mod stream_versions;
