Lines on attempts tell how old the newest attempt to connect to the server is

In a run of the failing test: ten attempts alive by their statement at the break, renewed as detached for 3.4 to 5 s without a contact, then ended, stated, all at once.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -349,6 +349,7 @@
             outcome = error.map(ExchangeError::name),
             fate = fate.name(),
             known_by,
+            contact_age_ms = daemon.pools.contact_age_ms(&server.id),
             others_in_flight = status.in_flight.saturating_sub(1),
             sent_ms = check.broke.duration_since(check.sent).as_millis() as u64,
             limit_ms = self.time_limit.as_millis() as u64,
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -236,6 +236,13 @@
         (at > time).then_some(contact)
     }
 
+    /// Returns the time since the newest attempt to connect to a server, in milliseconds.
+    pub fn contact_age_ms(&self, id: &str) -> Option<u64> {
+        let servers = self.servers.borrow();
+        let (at, _) = servers.get(id)?.last_contact?;
+        Some(at.elapsed().as_millis() as u64)
+    }
+
     /// Reserves the right to probe a server; `None` while another task is probing it.
     pub fn begin_probe(&self, id: &str) -> Option<ProbeGuard<'_>> {
         let is_first = self.probing.borrow_mut().insert(id.to_owned());
