An odd item of a listing affects no other: each item is parsed by itself

The machine list of /v1 had the same fault: one odd entry kept the last list in use, without a line. Entries are parsed one by one there as well, and the problems are logged once.

--- a/crates/daemon/src/platform/fleet.rs
+++ b/crates/daemon/src/platform/fleet.rs
@@ -3,9 +3,11 @@
 
 use crate::node::Node;
 use fieldhook_membership::{Fact, LeavingMachine};
+use fieldhook_model::machine_list::MachineList;
 use fieldhook_model::platform::{EngineLoad, Machine, MachineKind};
 use fieldhook_placement::{EngineView, Rotation};
 use ntex::time::{Millis, sleep};
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,6 +21,8 @@
 const SAMPLE_SIZE: usize = 16;
 /// An engine whose last report is older than this is considered unreachable.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
+/// Maximum number of entries that cannot be read of which the problem is logged.
+const MAX_LOGGED_PROBLEMS: usize = 20;
 /// How long a machine gets less work after a failed attempt: an engine is considered unreachable,
 /// and a server is tried last.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(2);
@@ -151,19 +155,40 @@
 /// Polls the platform's list of machines. If it is unavailable, the last list stays in use.
 pub async fn run_machine_list(node: Rc<Node>) {
     let url = format!("http://{}/v1/machines", node.settings.platform.machines);
+    let mut known_problems = Vec::new();
     loop {
-        if let Ok(machines) = node
+        let list = node
             .client
-            .get_json::<Vec<Machine>>(&url, REQUEST_TIMEOUT)
-            .await
-        {
-            node.fleet.borrow_mut().machines = machines;
-            announce_leaving(&node);
+            .get_json::<Vec<Box<RawValue>>>(&url, REQUEST_TIMEOUT)
+            .await;
+        match list {
+            Ok(entries) => {
+                let list = MachineList::parse(&entries);
+                if list.problems != known_problems {
+                    log_problems(&list.problems);
+                    known_problems = list.problems;
+                }
+                node.fleet.borrow_mut().machines = list.machines;
+                announce_leaving(&node);
+            }
+            Err(error) => tracing::debug!(event = "machine_list_unavailable", %error),
         }
         sleep(LIST_INTERVAL).await;
     }
 }
 
+/// Logs which entries cannot be read, the first ones by their problem.
+fn log_problems(problems: &[String]) {
+    for problem in problems.iter().take(MAX_LOGGED_PROBLEMS) {
+        tracing::error!(
+            event = "machine_unreadable",
+            problem,
+            unreadable = problems.len(),
+            remedy = "the machine is not used until its entry is valid"
+        );
+    }
+}
+
 /// Polls the load of engines: in each round, those that run calls of this daemon and a rotating
 /// sample of all engines.
 pub async fn run_load_reports(node: Rc<Node>) {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod error;
 pub mod ids;
 pub mod labels;
+pub mod machine_list;
 pub mod operator;
 pub mod platform;
