--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -20,17 +20,21 @@
 //! Both sides:
 //!
 //! - `cold`: admission of requests to cold servers, counted by an owner that holds a lease.
-//! - [`crashes`]: counts the servers that ended under a request.
+//! - [`crashes`]: asks the owner of a request under which servers ended. `crash_count` is that owner's
+//!   side; it asks the `followers` of detached attempts, who get [`attempt_questions`].
 //! - [`homes`]: home partitions, which only daemons of their region may own. `region` deals with
 //!   their owners as seen from other regions.
 //! - [`reach`]: detects whether the log is down or this daemon is cut off.
 
 pub mod assigner;
+pub mod attempt_questions;
 pub mod client;
 mod closing;
 mod cold;
+mod crash_count;
 pub mod crashes;
 mod exchange;
+mod followers;
 mod held;
 pub mod homes;
 mod limits;
--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -147,11 +147,16 @@
     /// Creates a client; requests for partitions of `owner` do not leave the process.
     pub fn new(owner: Rc<Owner>, log_health: Rc<LogHealth>) -> Self {
         let relay = owner.relay.clone();
+        let questions = owner.attempt_questions.clone();
         Self {
             reach: owner.reach.clone(),
             owner,
             log_health,
-            peers: Peers::new(move |watch| relay.watch_crashes(watch.partition, watch.level)),
+            peers: Peers::new(move |message| match message {
+                LedgerReply::CrashWatch(watch) => relay.watch_crashes(watch.partition, watch.level),
+                LedgerReply::ConfirmAttempts(asked) => questions.ask(&asked),
+                _ => {}
+            }),
             claiming: RefCell::default(),
             claim_lock: Mutex::default(),
             owner_searches: RefCell::default(),
--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -3,13 +3,14 @@
 
 use super::client::{LedgerClient, OWNER_CHANGE_WAIT};
 use super::exchange::Exchange;
+use super::followers;
 use super::held::HeldPartition;
 use super::owner::{OWNERS_TOPIC, Owner};
 use super::peer::PeerConnection;
 use crate::daemon::unix_ms;
 use fieldhook_ledger::crashes::{SendDecision, WatchLevel};
 use fieldhook_ledger::message::{
-    CrashWatch, LedgerReply, LedgerRequest, ReportAttempt, RequestSend,
+    ConfirmAttempt, CrashWatch, LedgerReply, LedgerRequest, ReportAttempt, RequestSend,
 };
 use fieldhook_log::api::{Append, LogStore, Partition};
 use fieldhook_log::crash_watch::{CrashWatches, RENEWAL_MS};
@@ -71,24 +72,49 @@
         let is_watched = knows_end || relay.is_crash_watched(partition);
         request.max_durable_wait_ms = if is_watched { DURABLE_WAIT_MS } else { 0 };
         let request = LedgerRequest::RequestSend(request);
-        if is_watched {
+        if is_watched || relay.is_crash_suspected(partition) {
             let deadline = deadline.min(Instant::now() + WATCHED_TIMEOUT);
-            return match self.request_until_answered(&request, deadline).await {
-                Some((LedgerReply::Send(decision), _)) => SendAnswer::Decided(decision),
-                _ => SendAnswer::NoOwner,
-            };
+            let decision = self.request_decision(&request, deadline).await;
+            return decision.map_or(SendAnswer::NoOwner, SendAnswer::Decided);
         }
         // No watch can be announced while the log is unavailable.
-        if !relay.is_crash_suspected(partition) && !self.log_health.is_failing() {
+        if !self.log_health.is_failing() {
             return SendAnswer::NotAsked;
         }
         let deadline = deadline.min(Instant::now() + UNWATCHED_TIMEOUT);
         match self.ask_known_owner(partition, &request, deadline).await {
             Some(LedgerReply::Send(decision)) => SendAnswer::Decided(decision),
+            // The owner asks others first, so the request is one that may not be sent unasked.
+            Some(LedgerReply::Accepted) => SendAnswer::NoOwner,
             _ => SendAnswer::NotAsked,
         }
     }
 
+    /// Asks the owner of a request's partition for its decision, replacing owners that do not answer.
+    async fn request_decision(
+        &self,
+        request: &LedgerRequest,
+        deadline: Instant,
+    ) -> Option<SendDecision> {
+        loop {
+            let (mut reply, mut replies) = self.request_until_answered(request, deadline).await?;
+            if reply == LedgerReply::Accepted {
+                let next = timeout_at(deadline, replies.recv()).await.ok()?;
+                // Without a further reply the owner was lost.
+                let Some(next) = next else {
+                    continue;
+                };
+                reply = next;
+            }
+            match reply {
+                LedgerReply::Send(decision) => return Some(decision),
+                // The owner has been replaced meanwhile.
+                LedgerReply::NotOwner(_) => {}
+                _ => return None,
+            }
+        }
+    }
+
     /// Makes sure that this daemon knows whether a partition is watched. An owner reports watches on
     /// the connections to it, so one that was heard recently has none to report; otherwise it is asked.
     /// Returns false if nothing is known about watches at all.
@@ -185,6 +211,18 @@
         }
     }
 
+    /// Tells the owner of a request's partition in the background that the process of a detached
+    /// attempt lives.
+    pub fn confirm_attempt(self: &Rc<Self>, confirmed: ConfirmAttempt) {
+        let ledger = self.clone();
+        ntex::rt::spawn(async move {
+            let until = Instant::now() + followers::ANSWER_TIMEOUT;
+            let request = LedgerRequest::ConfirmAttempt(confirmed);
+            // Without an answer the attempt holds a place.
+            let _ = ledger.request_until_answered(&request, until).await;
+        });
+    }
+
     /// Reports the end of an attempt in the background, until that is durable. The receiver is
     /// notified once an owner has accepted it.
     pub fn report_attempt(self: &Rc<Self>, report: ReportAttempt) -> oneshot::Receiver<()> {
@@ -213,8 +251,8 @@
         level: WatchLevel,
     ) -> Option<oneshot::Receiver<()>> {
         if level > self.reported_crash_watch(partition) {
-            self.crash_watch_subscribers
-                .notify(CrashWatch { partition, level });
+            let watch = CrashWatch { partition, level };
+            self.subscribers.notify(LedgerReply::CrashWatch(watch));
         }
         if level == WatchLevel::Watched {
             return self.announce_crash_watch(partition);
--- a/crates/gateway/src/ledger/held.rs
+++ b/crates/gateway/src/ledger/held.rs
@@ -120,6 +120,7 @@
         assigner: owner.assigner.clone(),
         log_health: owner.log_health.clone(),
         known_crashes: owner.known_crashes.clone(),
+        followers: owner.followers.clone(),
     };
     served.append_unrecorded_share();
     owner
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,11 +1,13 @@
 //! The partitions that this daemon owns, and the requests that it answers for other daemons.
 
 use super::assigner::Assigner;
+use super::attempt_questions::AttemptQuestions;
 use super::cold::{self, ColdCounters};
+use super::followers::Followers;
 use super::held::{HeldPartition, load_and_serve};
 use super::homes::eligibility;
 use super::limits::{self, LimitCounters};
-use super::peer::{CrashWatchSubscribers, Peers};
+use super::peer::{Peers, Subscribers};
 use crate::follow::config_cache::ConfigCache;
 use crate::metrics::Metrics;
 use crate::relay::Relay;
@@ -72,8 +74,11 @@
     pub known_crashes: Rc<RefCell<CrashTable>>,
     /// Connections over which other owners are told of crash watches.
     pub(super) crash_watch_peers: Peers,
-    /// Connections of the daemons to which crash watches are reported.
-    pub(super) crash_watch_subscribers: CrashWatchSubscribers,
+    /// Connections of other daemons.
+    pub(super) subscribers: Rc<Subscribers>,
+    /// Questions about the detached attempts that this daemon follows.
+    pub attempt_questions: Rc<AttemptQuestions>,
+    pub(super) followers: Rc<Followers>,
     /// When this daemon last announced that servers end under requests of a partition.
     pub(super) announced_watches: RefCell<HashMap<u32, Instant>>,
     /// When this daemon last reported that attempts of a partition were abandoned.
@@ -103,6 +108,8 @@
             incarnation,
         );
         claims.eligibility.set(eligibility(zone_state.clone()));
+        let subscribers = Rc::<Subscribers>::default();
+        let attempt_questions = Rc::<AttemptQuestions>::default();
         let owner = Rc::new(Self {
             claims: Rc::new(claims),
             relay,
@@ -121,7 +128,12 @@
             load_lock: Mutex::default(),
             known_crashes: Rc::default(),
             crash_watch_peers: Peers::default(),
-            crash_watch_subscribers: CrashWatchSubscribers::default(),
+            followers: Rc::new(Followers::new(
+                subscribers.clone(),
+                attempt_questions.clone(),
+            )),
+            subscribers,
+            attempt_questions,
             announced_watches: RefCell::default(),
             suspected_partitions: RefCell::default(),
             reach: Rc::default(),
@@ -235,10 +247,8 @@
         match self.held.borrow().get(&partition) {
             Some(HeldPartition::Serving(served)) => match request {
                 LedgerRequest::ReportAttempt(report) => {
-                    let level = report.watch_level();
-                    let announced =
-                        level.and_then(|level| self.report_crash_watch(partition, level));
-                    served.end_attempt(report, announced, sender);
+                    let announce = |level| self.report_crash_watch(partition, level);
+                    served.end_attempt(report, announce, sender);
                 }
                 // A daemon that asks between two reports has to act on the earlier one.
                 LedgerRequest::FindCrashWatch(_) => {
--- a/crates/gateway/src/ledger/peer.rs
+++ b/crates/gateway/src/ledger/peer.rs
@@ -4,9 +4,7 @@
 use super::owner::Owner;
 use crate::upstream::connection::configure_socket;
 use bytes::{Buf, BytesMut};
-use fieldhook_ledger::message::{
-    CrashWatch, Envelope, LedgerReply, LedgerRequest, UNSOLICITED_CALL_ID,
-};
+use fieldhook_ledger::message::{Envelope, LedgerReply, LedgerRequest, UNSOLICITED_CALL_ID};
 use nanoserde::{DeBin, SerBin};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -104,7 +102,7 @@
     let (mut reader, writer) = stream.into_split();
     let (frames, queue) = mpsc::unbounded_channel();
     ntex::rt::spawn(write_frames(writer, queue));
-    owner.crash_watch_subscribers.add(frames.clone());
+    owner.subscribers.add(frames.clone());
     let mut buffer = BytesMut::new();
     while let Ok(envelope) = next_frame::<LedgerRequest>(&mut reader, &mut buffer).await {
         let (sender, mut replies) = mpsc::unbounded_channel();
@@ -117,14 +115,15 @@
             }
         });
     }
-    owner.crash_watch_subscribers.remove(&frames);
+    owner.subscribers.remove(&frames);
 }
 
-/// The daemons that have a connection to this one, on which crash watches are reported.
+/// The daemons that have a connection to this one, on which crash watches are reported and questions
+/// are asked.
 #[derive(Default)]
-pub struct CrashWatchSubscribers(RefCell<Vec<mpsc::UnboundedSender<Vec<u8>>>>);
+pub struct Subscribers(RefCell<Vec<mpsc::UnboundedSender<Vec<u8>>>>);
 
-impl CrashWatchSubscribers {
+impl Subscribers {
     fn add(&self, frames: mpsc::UnboundedSender<Vec<u8>>) {
         self.0.borrow_mut().push(frames);
     }
@@ -134,11 +133,11 @@
         subscribers.retain(|subscriber| !subscriber.same_channel(frames));
     }
 
-    /// Reports a watch to all of them. Replies that are sent to one afterwards arrive after this.
-    pub fn notify(&self, watch: CrashWatch) {
+    /// Sends a message to all of them. Replies that are sent to one afterwards arrive after this.
+    pub fn notify(&self, body: LedgerReply) {
         let frame = encode(&Envelope {
             call_id: UNSOLICITED_CALL_ID,
-            body: LedgerReply::CrashWatch(watch),
+            body,
         });
         let mut subscribers = self.0.borrow_mut();
         subscribers.retain(|frames| frames.send(frame.clone()).is_ok());
@@ -146,8 +145,8 @@
 }
 
 type ReplySender = mpsc::UnboundedSender<LedgerReply>;
-/// Called with the crash watches that another daemon reports.
-type OnCrashWatch = Rc<dyn Fn(CrashWatch)>;
+/// Called with the messages that another daemon sends without a request.
+type OnMessage = Rc<dyn Fn(LedgerReply)>;
 
 /// An outgoing connection to another daemon.
 pub struct PeerConnection {
@@ -161,7 +160,7 @@
     last_heard: Cell<Instant>,
     /// Partitions about which the other daemon reports crash watches, with the epoch of its claim.
     reported: RefCell<HashMap<u32, u64>>,
-    on_crash_watch: Option<OnCrashWatch>,
+    on_message: Option<OnMessage>,
 }
 
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
@@ -171,7 +170,7 @@
 }
 
 impl PeerConnection {
-    fn start(stream: TcpStream, on_crash_watch: Option<OnCrashWatch>) -> Rc<Self> {
+    fn start(stream: TcpStream, on_message: Option<OnMessage>) -> Rc<Self> {
         configure_socket(&stream);
         let (reader, writer) = stream.into_split();
         let (frames, queue) = mpsc::unbounded_channel();
@@ -185,7 +184,7 @@
             on_discard: Notify::new(),
             last_heard: Cell::new(Instant::now()),
             reported: RefCell::default(),
-            on_crash_watch,
+            on_message,
         });
         ntex::rt::spawn(connection.clone().read_replies(reader));
         connection
@@ -205,7 +204,9 @@
             };
             self.last_heard.set(Instant::now());
             if envelope.call_id == UNSOLICITED_CALL_ID {
-                self.handle_unsolicited(envelope.body);
+                if let Some(handle) = &self.on_message {
+                    handle(envelope.body);
+                }
                 continue;
             }
             let mut calls = self.calls.borrow_mut();
@@ -222,12 +223,6 @@
         self.calls.borrow_mut().clear();
     }
 
-    fn handle_unsolicited(&self, reply: LedgerReply) {
-        if let (LedgerReply::CrashWatch(watch), Some(handle)) = (reply, &self.on_crash_watch) {
-            handle(watch);
-        }
-    }
-
     /// Records that the other daemon, by its claim of this epoch, has answered whether a partition is
     /// watched. From then on it reports when that changes.
     pub fn set_reported(&self, partition: u32, epoch: u64) {
@@ -287,14 +282,15 @@
 #[derive(Default)]
 pub struct Peers {
     connections: RefCell<HashMap<SocketAddr, Rc<PeerConnection>>>,
-    on_crash_watch: Option<OnCrashWatch>,
+    on_message: Option<OnMessage>,
 }
 
 impl Peers {
-    /// Creates a set of connections on which other daemons may report crash watches.
-    pub fn new(on_crash_watch: impl Fn(CrashWatch) + 'static) -> Self {
+    /// Creates a set of connections. `on_message` is called with the messages that other daemons send
+    /// without a request.
+    pub fn new(on_message: impl Fn(LedgerReply) + 'static) -> Self {
         Self {
-            on_crash_watch: Some(Rc::new(on_crash_watch)),
+            on_message: Some(Rc::new(on_message)),
             ..Self::default()
         }
     }
@@ -313,7 +309,7 @@
         if let Some(connection) = self.open_connection(address) {
             return Ok(connection);
         }
-        let connection = PeerConnection::start(stream, self.on_crash_watch.clone());
+        let connection = PeerConnection::start(stream, self.on_message.clone());
         let mut connections = self.connections.borrow_mut();
         connections.retain(|_, connection| !connection.closed.get());
         connections.insert(address, connection.clone());
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -2,12 +2,11 @@
 //! appended in batches.
 
 use super::assigner::Assigner;
-use super::owner::RECENT_LOG_REPLY;
+use super::followers::Followers;
 use crate::daemon::unix_ms;
-use fieldhook_ledger::crashes::{CrashTable, MAX_ENDED_SERVERS, WatchLevel};
+use fieldhook_ledger::crashes::CrashTable;
 use fieldhook_ledger::message::{
-    CloseTurn, CrashWatch, FoundStream, LedgerReply, LedgerRequest, OpenTurn, RecordStream,
-    ReportAttempt, RequestSend,
+    CloseTurn, FoundStream, LedgerReply, LedgerRequest, OpenTurn, RecordStream,
 };
 use fieldhook_ledger::name::QualifiedName;
 use fieldhook_ledger::partition::{OpenOutcome, Partition};
@@ -19,20 +18,14 @@
 use fieldhook_log::log_health::LogHealth;
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
 
 /// A reply that is sent once everything queued before it is durable.
-struct PendingReply {
-    sender: mpsc::UnboundedSender<LedgerReply>,
-    reply: LedgerReply,
+pub(super) struct PendingReply {
+    pub(super) sender: mpsc::UnboundedSender<LedgerReply>,
+    pub(super) reply: LedgerReply,
 }
 
-/// How long the answer to a report waits until the watch of its partition is announced, so that the
-/// next attempt of the client finds a daemon that knows of it.
-const ANNOUNCE_WAIT: Duration = Duration::from_millis(50);
-
 /// Number of expired turns that one log line names.
 const MAX_LOGGED_TURNS: usize = 16;
 
@@ -46,6 +39,8 @@
     pub(super) log_health: Rc<LogHealth>,
     /// Servers that ended under requests, as far as this daemon has seen or was told.
     pub(super) known_crashes: Rc<RefCell<CrashTable>>,
+    /// Asks those who follow detached attempts.
+    pub(super) followers: Rc<Followers>,
 }
 
 impl ServedPartition {
@@ -66,10 +61,8 @@
                 let software = self.state.borrow().software_of(&service);
                 self.reply_after_fence_check(sender, LedgerReply::Software(software));
             }
-            LedgerRequest::RequestSend(request) => {
-                self.request_send(request, sender);
-            }
-            LedgerRequest::ReportAttempt(report) => self.end_attempt(report, None, sender),
+            LedgerRequest::RequestSend(request) => self.request_send(request, sender),
+            LedgerRequest::ConfirmAttempt(confirmed) => self.confirm_attempt(&confirmed, &sender),
             // Answered by `Owner::handle`, which passes on only requests about a partition's state.
             LedgerRequest::FindOwner(_)
             | LedgerRequest::HasRecentLogContact
@@ -80,6 +73,7 @@
             | LedgerRequest::Claim(_)
             | LedgerRequest::WatchCrashes(_)
             | LedgerRequest::FindCrashWatch(_)
+            | LedgerRequest::ReportAttempt(_)
             | LedgerRequest::Follow(_)
             | LedgerRequest::List(_) => {}
         }
@@ -286,126 +280,8 @@
         }
     }
 
-    /// Decides whether a request may be sent. Counts of an earlier owner that were not durable are
-    /// taken over from this daemon and from the one that asks. The next owner has to know the places
-    /// of attempts in progress, so they are durable before the reply unless the log is slow. That
-    /// nothing is known of a request counts only for an owner that was not replaced; while the log
-    /// fails, no owner can be certain of that.
-    fn request_send(&self, mut request: RequestSend, sender: mpsc::UnboundedSender<LedgerReply>) {
-        let now_ms = unix_ms();
-        let name = &request.request.name;
-        let settling_ms = self.state.borrow().crashes().settling_ms(name, now_ms);
-        if settling_ms > 0 {
-            let served = self.clone();
-            ntex::rt::spawn(async move {
-                sleep(Duration::from_millis(settling_ms)).await;
-                served.request_send(request, sender);
-            });
-            return;
-        }
-        let known = self.known_crashes.borrow();
-        let own = known.servers_to_tell(&request.request, now_ms);
-        drop(known);
-        request.known.extend(own);
-        let (decision, record) = self.state.borrow_mut().request_send(&request, now_ms);
-        let reply = LedgerReply::Send(decision);
-        let Some(record) = record else {
-            let health = &self.log_health;
-            match health.is_failing() || health.confirmed_within(RECENT_LOG_REPLY) {
-                true => {
-                    let _ = sender.send(reply);
-                }
-                false => self.reply_after_fence_check(sender, reply),
-            }
-            return;
-        };
-        let (durable, mut is_durable) = mpsc::unbounded_channel();
-        let pending = PendingReply {
-            sender: durable,
-            reply: reply.clone(),
-        };
-        self.push(vec![record], Some(pending), Urgency::Now);
-        if self.log_health.is_failing() {
-            let _ = sender.send(reply);
-            return;
-        }
-        let wait = Duration::from_millis(request.max_durable_wait_ms);
-        ntex::rt::spawn(async move {
-            let confirmed = timeout(wait, is_durable.recv()).await.ok().flatten();
-            let _ = sender.send(confirmed.unwrap_or(reply));
-        });
-    }
-
-    /// Replies what daemons have to do before they send requests of this partition, at least `reported`. An
-    /// owner without recent contact with the log may have been replaced, so it replies only once an
-    /// append shows that it was not.
-    pub(super) fn find_crash_watch(
-        &self,
-        partition: u32,
-        reported: WatchLevel,
-        sender: mpsc::UnboundedSender<LedgerReply>,
-    ) {
-        let level = self.state.borrow().crashes().watch_level(unix_ms());
-        let level = level.max(reported);
-        let reply = LedgerReply::CrashWatch(CrashWatch { partition, level });
-        match self.log_health.confirmed_within(RECENT_LOG_REPLY) {
-            true => {
-                let _ = sender.send(reply);
-            }
-            false => self.reply_after_fence_check(sender, reply),
-        }
-    }
-
-    /// Records how an attempt at a server ended. `announced` is notified when all daemons are told
-    /// to ask before they send requests of this partition.
-    pub(super) fn end_attempt(
-        &self,
-        report: ReportAttempt,
-        announced: Option<oneshot::Receiver<()>>,
-        sender: mpsc::UnboundedSender<LedgerReply>,
-    ) {
-        let now_ms = unix_ms();
-        let records = self.state.borrow_mut().end_attempt(&report, now_ms);
-        self.log_attempt_end(&report, now_ms);
-        let served = self.clone();
-        let confirm = move || {
-            let _ = sender.send(LedgerReply::Accepted);
-            let reply = LedgerReply::Closed;
-            if records.is_empty() {
-                let _ = sender.send(reply);
-                return;
-            }
-            served.push(records, Some(PendingReply { sender, reply }), Urgency::Now);
-        };
-        match announced {
-            None => confirm(),
-            Some(announced) => {
-                ntex::rt::spawn(async move {
-                    let _ = timeout(ANNOUNCE_WAIT, announced).await;
-                    confirm();
-                });
-            }
-        }
-    }
-
-    fn log_attempt_end(&self, report: &ReportAttempt, now_ms: u64) {
-        let state = self.state.borrow();
-        let servers = state.crashes().servers(&report.request.name, now_ms);
-        tracing::info!(
-            event = "crash_count",
-            content = report.request.name.name,
-            program = report.request.program,
-            server = report.server,
-            end = report.end.name(),
-            ended = servers.len(),
-            blocked = servers.len() >= MAX_ENDED_SERVERS,
-            requests = state.crashes().len(),
-            epoch = self.epoch
-        );
-    }
-
     /// Sends a reply once an append shows that this owner is not fenced.
-    fn reply_after_fence_check(
+    pub(super) fn reply_after_fence_check(
         &self,
         sender: mpsc::UnboundedSender<LedgerReply>,
         reply: LedgerReply,
@@ -418,7 +294,12 @@
     }
 
     /// Queues records to be appended; `pending` is sent once they are durable.
-    fn push(&self, records: Vec<Record>, pending: Option<PendingReply>, urgency: Urgency) {
+    pub(super) fn push(
+        &self,
+        records: Vec<Record>,
+        pending: Option<PendingReply>,
+        urgency: Urgency,
+    ) {
         let keyed = records.iter().map(keyed_record).collect();
         let state = self.state.clone();
         let done = move |outcome| {
--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -8,6 +8,7 @@
 use super::send_permit::{CountedAttempt, SendPermit};
 use super::server_check::{JUDGE_PERIOD, ServerCheck};
 use crate::daemon::Daemon;
+use crate::ledger::attempt_questions::Asked;
 use crate::upstream::connection::ExchangeError;
 use fieldhook_ledger::crashes::{AttemptEnd, DETACHED_RENEWAL_MS};
 use fieldhook_traffic::directory::ServerEntry;
@@ -159,7 +160,7 @@
         let broke = self.check.broke;
         if error == ExchangeError::ServerSilent {
             let pools = &self.counted.daemon.pools;
-            pools.record_contact(&self.check.server.id, Contact::Silent);
+            pools.record_contact(&self.check.server.id, Instant::now(), Contact::Silent);
         } else {
             self.check.contact(broke).await;
         }
@@ -281,6 +282,7 @@
         }
         let mut renewal = Instant::now() + RENEWAL;
         let mut checked = self.check.broke;
+        let mut answered = Instant::now();
         let mut pause = MIN_CHECK_PAUSE;
         while Instant::now() < until {
             let next_check = checked + pause;
@@ -288,7 +290,20 @@
                 true => until.min(renewal),
                 false => until.min(renewal).min(next_check),
             };
-            let is_sign = self.check.wait_for_sign(fate, wake).await;
+            let name = &self.counted.content.name;
+            let questions = self.counted.daemon.owner.attempt_questions.clone();
+            let is_sign = tokio::select! {
+                biased;
+                asked = questions.wait(name, answered) => {
+                    answered = asked.at;
+                    let next = self.answer(asked).await;
+                    if next != fate {
+                        return next;
+                    }
+                    continue;
+                }
+                is_sign = self.check.wait_for_sign(fate, wake) => is_sign,
+            };
             if is_sign || !self.check.is_connected() && Instant::now() >= next_check {
                 sleep_until(next_check).await;
                 pause = MAX_CHECK_PAUSE.min(pause * 2);
@@ -308,6 +323,17 @@
         self.check.judge().0
     }
 
+    /// Answers a question of the owner: asks the process, and reports that it lives if it has shown that
+    /// since. Returns the fate of the server.
+    async fn answer(&mut self, asked: Asked) -> Fate {
+        self.check.contact(asked.at).await;
+        let (fate, _) = self.check.judge();
+        if lives(fate) && self.check.is_proven_since(asked.at) {
+            self.counted.confirm(asked.question);
+        }
+        fate
+    }
+
     /// Judges the evidence until the fate of the server is known, for a limited time.
     async fn follow_unresolved(&mut self) -> Fate {
         let started = Instant::now();
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -153,7 +153,9 @@
                 probe::record(daemon, server, ProbeOutcome::Unreachable);
             }
             if let Some(contact) = server_check::contact_of(&error) {
-                daemon.pools.record_contact(&server.id, contact);
+                daemon
+                    .pools
+                    .record_contact(&server.id, Instant::now(), contact);
             }
             observe(context, server, Observation::Failed, "not_sent");
             daemon.cold.record_unreachable(server);
--- a/crates/gateway/src/serve/process_check.rs
+++ b/crates/gateway/src/serve/process_check.rs
@@ -13,6 +13,7 @@
 use fieldhook_traffic::server_fate::Contact;
 use std::io;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long the answer of a server is waited for: several times the round trip to the farthest
 /// region.
@@ -78,7 +79,7 @@
     let process = match connection.identity {
         Some(ProcessIdentity::Same) => Process::Proven,
         Some(ProcessIdentity::Other) => {
-            pools.record_contact(&server.id, Contact::OtherProcess);
+            pools.record_contact(&server.id, Instant::now(), Contact::OtherProcess);
             Process::Other
         }
         Some(ProcessIdentity::Unknown) | None => Process::Uncertain,
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -7,7 +7,7 @@
 use crate::daemon::{Daemon, unix_ms};
 use crate::ledger::crashes::SendAnswer;
 use fieldhook_ledger::crashes::{AttemptEnd, MAX_ENDED_SERVERS, SendDecision};
-use fieldhook_ledger::message::{ReportAttempt, RequestKey, RequestSend};
+use fieldhook_ledger::message::{ConfirmAttempt, ReportAttempt, RequestKey, RequestSend};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -77,6 +77,15 @@
         daemon.ledger.report_attempt(report)
     }
 
+    /// Reports that the process of the attempt, which is detached, lives.
+    pub fn confirm(&self, question: u64) {
+        self.daemon.ledger.confirm_attempt(ConfirmAttempt {
+            request: self.content.clone(),
+            attempt: self.attempt,
+            question,
+        });
+    }
+
     /// Gives the place back, if the owner holds one. A complete response clears the count only if
     /// unrelated requests share the content.
     pub fn release(&mut self, server: &str, end: AttemptEnd) {
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -87,8 +87,9 @@
                 sleep(SHARED_CHECK_PAUSE).await;
                 continue;
             };
+            let began = Instant::now();
             let contact = self.connect().await;
-            daemon.pools.record_contact(&id, contact);
+            daemon.pools.record_contact(&id, began, contact);
         }
         self.share_connection();
         if self.server.reports_start() && self.contact_shown() == Some(Contact::Confirmed) {
@@ -176,6 +177,18 @@
         false
     }
 
+    /// Whether the process of the attempt has shown that it lives by a contact since this time. An open
+    /// connection does not show that.
+    pub fn is_proven_since(&self, time: Instant) -> bool {
+        let pools = &self.daemon.pools;
+        pools.contact_since(&self.server.id, time).is_some()
+            && match self.contact_shown() {
+                Some(Contact::Confirmed) => true,
+                Some(Contact::Established) => !self.server.reports_start(),
+                _ => false,
+            }
+    }
+
     /// Judges the evidence. Returns the fate of the server with the value of the log field
     /// `known_by`.
     pub fn judge(&self) -> (Fate, &'static str) {
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -39,7 +39,7 @@
     /// When the newest request that the server answered was sent, and when the first answer on its
     /// connection arrived.
     last_answer: Option<(Instant, Instant)>,
-    /// Result and time of the newest attempt to connect after a break.
+    /// Start and result of the newest attempt to connect after a break.
     last_contact: Option<(Instant, Contact)>,
     /// Start that the process at the address stated, and since when it has stated the same.
     stated_start: Option<(u64, Instant)>,
@@ -222,14 +222,17 @@
         stated.is_some_and(|(_, since)| since < time)
     }
 
-    /// Records the result of an attempt to connect to a server.
-    pub fn record_contact(&self, id: &str, contact: Contact) {
+    /// Records the result of an attempt to connect to a server that began at this time.
+    pub fn record_contact(&self, id: &str, began: Instant, contact: Contact) {
         let mut servers = self.servers.borrow_mut();
         let state = servers.entry(id.to_owned()).or_default();
-        state.last_contact = Some((Instant::now(), contact));
+        let known = state.last_contact;
+        if known.is_none_or(|(at, _)| at <= began) {
+            state.last_contact = Some((began, contact));
+        }
     }
 
-    /// Returns the result of the newest attempt to connect to a server after this time.
+    /// Returns the result of the newest attempt to connect to a server that began after this time.
     pub fn contact_since(&self, id: &str, time: Instant) -> Option<Contact> {
         let servers = self.servers.borrow();
         let (at, contact) = servers.get(id)?.last_contact?;
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -16,7 +16,7 @@
 use crate::name::QualifiedName;
 use crate::tenant_map::{Bounds, TenantMap};
 use nanoserde::{DeBin, SerBin};
-use record::Request;
+use record::{Proof, Request};
 use std::collections::BTreeSet;
 
 /// Number of servers that may end under a request before it is blocked.
@@ -113,7 +113,7 @@
     }
 
     /// Whether the attempt may still end its server.
-    fn is_open(self) -> bool {
+    pub fn is_open(self) -> bool {
         matches!(self, Self::Unresolved | Self::Detached)
     }
 
@@ -165,6 +165,19 @@
     pub forgotten: Vec<QualifiedName>,
 }
 
+/// What daemons have to do before they send a request. Once as many attempts may end servers as are
+/// allowed, they ask, since the next one depends on what has become of those.
+fn watch_level_of(request: &Request, now_ms: u64) -> WatchLevel {
+    if request.is_recorded(now_ms) {
+        WatchLevel::Watched
+    } else if request.places(Proof::Assumed, now_ms) > 0 || request.is_busy(Proof::Missing, now_ms)
+    {
+        WatchLevel::Suspected
+    } else {
+        WatchLevel::None
+    }
+}
+
 /// Requests under which servers ended, or may have.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
@@ -208,18 +221,17 @@
 
     /// What daemons have to do before they send a request of the partition.
     pub fn watch_level(&self, now_ms: u64) -> WatchLevel {
-        let levels = self.requests.values().map(|request| {
-            if request.is_recorded(now_ms) {
-                WatchLevel::Watched
-            } else if request.places(now_ms) > 0 {
-                WatchLevel::Suspected
-            } else {
-                WatchLevel::None
-            }
-        });
+        let requests = self.requests.values();
+        let levels = requests.map(|request| watch_level_of(request, now_ms));
         levels.max().unwrap_or(WatchLevel::None)
     }
 
+    /// What daemons have to do because of one request before they send requests of the partition.
+    pub fn watch_level_of(&self, name: &QualifiedName, now_ms: u64) -> WatchLevel {
+        let request = self.requests.get(name);
+        request.map_or(WatchLevel::None, |request| watch_level_of(request, now_ms))
+    }
+
     /// The servers that have ended under a request, as a daemon may tell others. The count of shared
     /// content is cleared by any complete response, which this daemon may not have seen, so it is
     /// told only once the request is blocked.
@@ -276,13 +288,34 @@
         settled_ms.saturating_sub(now_ms).min(SETTLE_MS)
     }
 
+    /// Whether a decision about a request depends on whether the processes of its detached attempts
+    /// live, which they have not shown yet after the question with this number.
+    pub fn is_undecided(&self, name: &QualifiedName, question: Option<u64>, now_ms: u64) -> bool {
+        let request = self.requests.get(name);
+        request.is_some_and(|request| {
+            let proof = question.map_or(Proof::Missing, Proof::Question);
+            request.is_busy(proof, now_ms) && !request.is_busy(Proof::Assumed, now_ms)
+        })
+    }
+
+    /// Records that the process of a detached attempt has shown that it lives after the question with
+    /// this number. Numbers start at 1 and rise.
+    pub fn confirm(&mut self, name: &QualifiedName, attempt: u64, question: u64, now_ms: u64) {
+        if let Some(request) = self.requests.get_mut(name) {
+            request.close_expired(now_ms);
+            request.detached.confirm(attempt, question, now_ms);
+        }
+    }
+
     /// Decides whether a request may be sent to a server. If servers have ended under it, or may
-    /// have, the attempt holds a place for `hold_ms` at most.
+    /// have, the attempt holds a place for `hold_ms` at most. The processes of detached attempts live
+    /// as far as they have shown that after the question with this number.
     pub fn request_send(
         &mut self,
         name: &QualifiedName,
         attempt: u64,
         hold_ms: u64,
+        question: Option<u64>,
         now_ms: u64,
     ) -> SendDecision {
         let Some(request) = self.requests.get_mut(name) else {
@@ -294,7 +327,8 @@
         if servers.len() >= MAX_ENDED_SERVERS {
             return SendDecision::Blocked { servers };
         }
-        if servers.len() + request.places(now_ms) >= MAX_ENDED_SERVERS {
+        let proof = question.map_or(Proof::Missing, Proof::Question);
+        if request.is_busy(proof, now_ms) {
             return SendDecision::Busy { servers };
         }
         request.order.grant(attempt);
--- a/crates/ledger/src/crashes/detached.rs
+++ b/crates/ledger/src/crashes/detached.rs
@@ -3,6 +3,10 @@
 //! The daemon that made such an attempt follows the process for as long as the request may run there,
 //! and renews its report meanwhile. Without a renewal an end may have been missed, so the outcome of
 //! the attempt counts as open.
+//!
+//! A process that lived when it was last heard may have ended since without a sign. Where a decision
+//! depends on it, the owner asks the daemons that follow, and only processes that were asked after
+//! that question count as alive.
 
 use std::collections::HashMap;
 
@@ -20,6 +24,8 @@
     since_ms: u64,
     /// When the report lapses.
     until_ms: u64,
+    /// Number of the newest question after which the process has shown that it lives; 0 if none.
+    confirmed: u64,
 }
 
 /// The detached attempts of a request.
@@ -37,6 +43,7 @@
         let detached = Detached {
             since_ms: known.map_or(now_ms, |known| known.since_ms),
             until_ms: now_ms + DETACHED_LEASE_MS,
+            confirmed: known.map_or(0, |known| known.confirmed),
         };
         self.0.insert(attempt, detached);
     }
@@ -57,6 +64,21 @@
         detached.is_some_and(|detached| now_ms < detached.until_ms)
     }
 
+    /// Records that the process of an attempt has shown that it lives after a question.
+    pub(super) fn confirm(&mut self, attempt: u64, question: u64, now_ms: u64) {
+        if let Some(detached) = self.0.get_mut(&attempt) {
+            detached.confirmed = detached.confirmed.max(question);
+            detached.until_ms = now_ms + DETACHED_LEASE_MS;
+        }
+    }
+
+    /// Whether an attempt is followed, and its process has shown that it lives after a question.
+    pub(super) fn is_confirmed(&self, attempt: u64, question: u64, now_ms: u64) -> bool {
+        let detached = self.0.get(&attempt);
+        detached
+            .is_some_and(|detached| now_ms < detached.until_ms && detached.confirmed >= question)
+    }
+
     /// Whether an attempt has been detached for [`DETACHED_HOLD_MS`] or more.
     pub(super) fn is_settled(&self, attempt: u64, now_ms: u64) -> bool {
         let detached = self.0.get(&attempt);
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// What shows that the processes of detached attempts live.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Proof {
+    /// Nothing.
+    Missing,
+    /// What they have stated after the question with this number.
+    Question(u64),
+    /// Taken for granted.
+    Assumed,
+}
+
 /// A request in the table.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Request {
@@ -116,13 +127,19 @@
         open.filter(move |open| !self.detached.is_followed(open.attempt, now_ms))
     }
 
-    /// Number of places that are taken. Detached attempts take none while all servers live, take one
-    /// for a short time after the first end, and all once the next end reaches the limit.
-    pub(super) fn places(&self, now_ms: u64) -> usize {
+    /// Number of places that are taken. Detached attempts whose process lives take none while all
+    /// servers live, take one for a short time after the first end, and all once the next end reaches
+    /// the limit.
+    pub(super) fn places(&self, proof: Proof, now_ms: u64) -> usize {
         let ended = self.record.servers(now_ms).len();
         let is_free = |open: &&OpenAttempt| {
             let attempt = open.attempt;
-            self.detached.is_followed(attempt, now_ms)
+            let is_alive = match proof {
+                Proof::Missing => false,
+                Proof::Question(number) => self.detached.is_confirmed(attempt, number, now_ms),
+                Proof::Assumed => self.detached.is_followed(attempt, now_ms),
+            };
+            is_alive
                 && ended + 1 < MAX_ENDED_SERVERS
                 && (ended == 0 || self.detached.is_settled(attempt, now_ms))
         };
@@ -130,6 +147,12 @@
         open.len() - open.iter().filter(is_free).count()
     }
 
+    /// Whether there is no room for another attempt.
+    pub(super) fn is_busy(&self, proof: Proof, now_ms: u64) -> bool {
+        let ended = self.record.servers(now_ms).len();
+        ended + self.places(proof, now_ms) >= MAX_ENDED_SERVERS
+    }
+
     /// Whether the next owner has to know of it.
     pub(super) fn is_recorded(&self, now_ms: u64) -> bool {
         let min_until_ms = now_ms.saturating_add(MIN_RECORDED_HOLD_MS);
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -14,7 +14,7 @@
 mod stream;
 mod topic;
 
-pub use crash::{CrashWatch, ReportAttempt, RequestSend};
+pub use crash::{AttemptQuestion, ConfirmAttempt, CrashWatch, ReportAttempt, RequestSend};
 pub use quota::{ColdServerRequest, QuotaEvent, QuotaReply, QuotaRequest};
 pub use request_key::RequestKey;
 pub use stream::{FoundStream, RecordStream};
@@ -300,6 +300,8 @@
     /// Asks whether servers end under requests of a partition. The receiver reports on the same
     /// connection when they begin to.
     FindCrashWatch(u32),
+    /// Reports that the process of a detached attempt lives.
+    ConfirmAttempt(ConfirmAttempt),
 }
 
 impl LedgerRequest {
@@ -319,6 +321,7 @@
             Self::FindSoftware(service) => partition_of(service, partitions),
             Self::RequestSend(request) => request.request.partition(partitions),
             Self::ReportAttempt(report) => report.request.partition(partitions),
+            Self::ConfirmAttempt(confirmed) => confirmed.request.partition(partitions),
             // The limit of a tenant is kept in the partition of a program with the same name.
             Self::Quota(request) => partition_of(&request.tenant, partitions),
             Self::Cold(request) => partition_of(&request.server, partitions),
@@ -399,7 +402,8 @@
     /// continues is not stored, and nothing was recorded.
     UnknownTurn,
     /// The owner knows the end of the turn, but it is not durable yet. [`LedgerReply::Closed`]
-    /// follows. This shows that an owner whose appends wait for the log is still alive.
+    /// follows. This shows that an owner whose appends wait for the log is still alive. In reply to
+    /// [`LedgerRequest::RequestSend`], the owner asks others first, and [`LedgerReply::Send`] follows.
     Accepted,
     /// The end of the turn is durable.
     Closed,
@@ -430,6 +434,8 @@
     /// Whether servers end under requests of a partition. Also sent without a request, see
     /// [`UNSOLICITED_CALL_ID`].
     CrashWatch(CrashWatch),
+    /// Asks whether the processes of detached attempts live. Sent without a request.
+    ConfirmAttempts(AttemptQuestion),
 }
 
 /// Call id of replies that are sent without a request. Calls are numbered from 0.
--- a/crates/ledger/src/message/crash.rs
+++ b/crates/ledger/src/message/crash.rs
@@ -2,6 +2,7 @@
 
 use super::RequestKey;
 use crate::crashes::{AttemptEnd, EndedAttempt, WatchLevel};
+use crate::name::QualifiedName;
 use nanoserde::{DeBin, SerBin};
 
 /// Asks whether a request may be sent to a server.
@@ -30,6 +31,26 @@
     pub level: WatchLevel,
 }
 
+/// Asks those who follow detached attempts of a request whether their processes live.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct AttemptQuestion {
+    /// Name of the request's content.
+    pub name: QualifiedName,
+    /// Number of the question. Those of successive owners rise.
+    pub question: u64,
+}
+
+/// Reports that the process of a detached attempt has shown that it lives after a question.
+#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub struct ConfirmAttempt {
+    /// The request, by its content.
+    pub request: RequestKey,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// Number of the question.
+    pub question: u64,
+}
+
 /// Reports how an attempt at a server ended.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct ReportAttempt {
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -3,7 +3,9 @@
 use crate::budget::{Budget, ReserveOutcome, ReservePolicy, Settlement};
 use crate::chains::{Chains, RETENTION_MARGIN_MS};
 use crate::crashes::{CrashTable, SendDecision};
-use crate::message::{BudgetUsage, CloseTurn, OpenTurn, RecordStream, ReportAttempt, RequestSend};
+use crate::message::{
+    BudgetUsage, CloseTurn, ConfirmAttempt, OpenTurn, RecordStream, ReportAttempt, RequestSend,
+};
 use crate::name::QualifiedName;
 use crate::record::{ProgramRecord, Record, TurnRecord};
 use crate::software::{Registration, ServiceSoftware, SoftwareRegister};
@@ -305,18 +307,21 @@
         self.streams.get(name, now_ms)
     }
 
-    /// Decides whether a request may be sent to a server. Returns the record to append, if the
-    /// attempt holds a place or the sender knows of servers that were not known here.
+    /// Decides whether a request may be sent to a server, after the question with this number to those
+    /// who follow its detached attempts. Returns the record to append, if the attempt holds a place or
+    /// the sender knows of servers that were not known here.
     pub fn request_send(
         &mut self,
         request: &RequestSend,
+        question: Option<u64>,
         now_ms: u64,
     ) -> (SendDecision, Option<Record>) {
         let name = &request.request.name;
         let crashes = &mut self.crashes;
         let before = crashes.recorded(name, now_ms).cloned();
         crashes.merge(name, &request.known, request.retention_ms, now_ms);
-        let decision = crashes.request_send(name, request.attempt, request.hold_ms, now_ms);
+        let (attempt, hold_ms) = (request.attempt, request.hold_ms);
+        let decision = crashes.request_send(name, attempt, hold_ms, question, now_ms);
         let changed = crashes
             .recorded(name, now_ms)
             .filter(|record| Some(*record) != before.as_ref());
@@ -324,6 +329,13 @@
         (decision, record)
     }
 
+    /// Records that the process of a detached attempt lives.
+    pub fn confirm_attempt(&mut self, confirmed: &ConfirmAttempt, now_ms: u64) {
+        let name = &confirmed.request.name;
+        let (attempt, question) = (confirmed.attempt, confirmed.question);
+        self.crashes.confirm(name, attempt, question, now_ms);
+    }
+
     /// Records how an attempt at a server ended.
     pub fn end_attempt(&mut self, report: &ReportAttempt, now_ms: u64) -> Vec<Record> {
         let name = &report.request.name;
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -16,6 +16,8 @@
     Send {
         request: u8,
         hold_ms: u64,
+        /// Bits of the attempts whose processes show that they live after a question, if one is asked.
+        alive: Option<u8>,
     },
     End {
         open: usize,
@@ -34,6 +36,7 @@
             0..4 => Self::Send {
                 request: random(source, 3) as u8,
                 hold_ms: [HOLD_MS, LONG_HOLD_MS][random(source, 2) as usize],
+                alive: Option::arbitrary(source),
             },
             4..7 => Self::End {
                 open: random(source, 16) as usize,
@@ -108,9 +111,20 @@
         places.filter(|place| place.detached.is_none()).count()
     }
 
-    fn taken(&self, now_ms: u64) -> usize {
-        let places = self.places.values().filter(|place| match place.detached {
+    /// Detached attempts whose processes have shown that they live.
+    fn confirmed(&self, alive: Option<u8>) -> Vec<u64> {
+        let detached = self.places.iter();
+        let detached = detached.filter(|(_, place)| place.detached.is_some());
+        let confirmed = detached
+            .filter(|(attempt, _)| alive.is_some_and(|alive| alive >> (*attempt % 8) & 1 == 1));
+        confirmed.map(|(attempt, _)| *attempt).collect()
+    }
+
+    fn taken(&self, confirmed: &[u64], now_ms: u64) -> usize {
+        let places = self.places.iter();
+        let places = places.filter(|(attempt, place)| match place.detached {
             None => true,
+            Some(_) if !confirmed.contains(attempt) => true,
             Some((since_ms, _)) => match self.ends.len() {
                 0 => false,
                 1 => now_ms < since_ms + DETACHED_HOLD_MS,
@@ -181,12 +195,26 @@
                 }
                 table = next;
             }
-            Step::Send { request, hold_ms } => {
+            Step::Send {
+                request,
+                hold_ms,
+                alive,
+            } => {
                 let name = name(&request.to_string());
-                let decision = table.request_send(&name, step, hold_ms, now_ms);
                 let state = expected.entry(request).or_default();
                 state.close_expired(now_ms);
-                let taken = state.taken(now_ms);
+                let confirmed = state.confirmed(alive);
+                for attempt in &confirmed {
+                    table.confirm(&name, *attempt, step, now_ms);
+                    if let Some(place) = state.places.get_mut(attempt) {
+                        place.detached = place
+                            .detached
+                            .map(|(since_ms, _)| (since_ms, now_ms + DETACHED_LEASE_MS));
+                    }
+                }
+                let question = alive.map(|_| step);
+                let decision = table.request_send(&name, step, hold_ms, question, now_ms);
+                let taken = state.taken(&confirmed, now_ms);
                 let may_send = taken < MAX_ENDED_SERVERS;
                 if matches!(decision, SendDecision::Granted { .. }) != may_send {
                     return false;
@@ -207,7 +235,7 @@
                             detached: None,
                         };
                         state.places.insert(step, place);
-                    } else if taken > 0 {
+                    } else if !state.ends.is_empty() || !state.places.is_empty() {
                         return false;
                     }
                 }
--- a/crates/ledger/tests/crashes/main.rs
+++ b/crates/ledger/tests/crashes/main.rs
@@ -65,15 +65,15 @@
 fn request_is_blocked_after_three_servers_and_for_a_limited_time() {
     let mut table = CrashTable::default();
     for (number, server) in ["a", "b", "c"].into_iter().enumerate() {
-        let decision = table.request_send(&name("r"), number as u64, HOLD_MS, 0);
+        let decision = table.request_send(&name("r"), number as u64, HOLD_MS, None, 0);
         assert!(!is_blocked(&decision));
         let ended = ended(number as u64, server, AttemptEnd::ServerEnded);
         table.end_attempt(&name("r"), &ended, 0);
     }
-    let decision = table.request_send(&name("r"), 9, HOLD_MS, BLOCK_MS - 1);
+    let decision = table.request_send(&name("r"), 9, HOLD_MS, None, BLOCK_MS - 1);
     let servers = ["a", "b", "c"].map(str::to_owned).to_vec();
     assert_eq!(decision, SendDecision::Blocked { servers });
-    let decision = table.request_send(&name("r"), 9, HOLD_MS, BLOCK_MS);
+    let decision = table.request_send(&name("r"), 9, HOLD_MS, None, BLOCK_MS);
     assert_eq!(decision, granted(&[]));
     assert_eq!(table.expire(BLOCK_MS), vec![]);
     assert_eq!(table.expire(BLOCK_MS + HOLD_MS), vec![name("r")]);
@@ -95,7 +95,7 @@
     let mut table = CrashTable::default();
     end_server(&mut table, "r", "a", 0);
     for (attempt, count) in [(1, 2), (2, 3)] {
-        table.request_send(&name("r"), attempt, HOLD_MS, 0);
+        table.request_send(&name("r"), attempt, HOLD_MS, None, 0);
         let again = ended(attempt, "a", AttemptEnd::ServerEnded);
         table.end_attempt(&name("r"), &again, 0);
         assert_eq!(table.servers(&name("r"), 0).len(), count);
@@ -109,19 +109,19 @@
     end_server(&mut table, "r", "a", 0);
     end_server(&mut table, "r", "b", 0);
     assert_eq!(
-        table.request_send(&name("r"), 1, HOLD_MS, 0),
+        table.request_send(&name("r"), 1, HOLD_MS, None, 0),
         granted(&["a", "b"])
     );
     let busy = busy(&["a", "b"]);
-    assert_eq!(table.request_send(&name("r"), 2, HOLD_MS, 0), busy);
+    assert_eq!(table.request_send(&name("r"), 2, HOLD_MS, None, 0), busy);
     let alive = ended(1, "c", AttemptEnd::ServerAlive);
     table.end_attempt(&name("r"), &alive, 0);
     assert_eq!(
-        table.request_send(&name("r"), 2, HOLD_MS, 0),
+        table.request_send(&name("r"), 2, HOLD_MS, None, 0),
         granted(&["a", "b"])
     );
     assert_eq!(
-        table.request_send(&name("r"), 3, HOLD_MS, HOLD_MS),
+        table.request_send(&name("r"), 3, HOLD_MS, None, HOLD_MS),
         granted(&["a", "b"])
     );
 }
@@ -133,18 +133,21 @@
         let open = ended(attempt, server, AttemptEnd::Unresolved);
         table.end_attempt(&name("r"), &open, 0);
     }
-    assert_eq!(table.request_send(&name("r"), 4, HOLD_MS, 0), busy(&[]));
+    assert_eq!(
+        table.request_send(&name("r"), 4, HOLD_MS, None, 0),
+        busy(&[])
+    );
     for (attempt, server) in [(1, "a"), (2, "b")] {
         let known = ended(attempt, server, AttemptEnd::ServerEnded);
         table.end_attempt(&name("r"), &known, 0);
     }
     assert_eq!(
-        table.request_send(&name("r"), 4, HOLD_MS, 0),
+        table.request_send(&name("r"), 4, HOLD_MS, None, 0),
         busy(&["a", "b"])
     );
     table.end_attempt(&name("r"), &ended(3, "c", AttemptEnd::ServerAlive), 0);
     assert_eq!(
-        table.request_send(&name("r"), 4, HOLD_MS, 0),
+        table.request_send(&name("r"), 4, HOLD_MS, None, 0),
         granted(&["a", "b"])
     );
 }
@@ -161,7 +164,13 @@
         end_server(&mut table, "r", server, 0);
     }
     table.end_attempt(&name("r"), &ended(2, "d", AttemptEnd::Completed), 0);
-    assert!(is_blocked(&table.request_send(&name("r"), 3, HOLD_MS, 0)));
+    assert!(is_blocked(&table.request_send(
+        &name("r"),
+        3,
+        HOLD_MS,
+        None,
+        0
+    )));
 }
 
 #[test]
@@ -172,8 +181,11 @@
     }
     let granted = SendDecision::UNCOUNTED;
     let foreign = QualifiedName::new(Some("blue"), "r");
-    assert_eq!(table.request_send(&foreign, 1, HOLD_MS, 0), granted);
-    assert_eq!(table.request_send(&name("other"), 1, HOLD_MS, 0), granted);
+    assert_eq!(table.request_send(&foreign, 1, HOLD_MS, None, 0), granted);
+    assert_eq!(
+        table.request_send(&name("other"), 1, HOLD_MS, None, 0),
+        granted
+    );
 }
 
 /// Guards against a tenant that fills the table with requests whose outcome is open.
@@ -188,7 +200,13 @@
         table.end_attempt(&name(&format!("open{number}")), &open, 0);
     }
     assert_eq!(table.len(), MAX_REQUESTS_PER_TENANT);
-    assert!(is_blocked(&table.request_send(&name("r"), 3, HOLD_MS, 0)));
+    assert!(is_blocked(&table.request_send(
+        &name("r"),
+        3,
+        HOLD_MS,
+        None,
+        0
+    )));
 }
 
 #[test]
@@ -242,7 +260,7 @@
         retention_ms: RETENTION_MS,
         max_durable_wait_ms: 0,
     };
-    assert!(is_blocked(&next.request_send(&send, 30).0));
+    assert!(is_blocked(&next.request_send(&send, None, 30).0));
     let expired = next.expire(10 + BLOCK_MS);
     assert_eq!(expired, vec![Record::Crashes(name("r"), None)]);
 }
@@ -263,10 +281,10 @@
         retention_ms: RETENTION_MS,
         max_durable_wait_ms: 0,
     };
-    let (decision, record) = next.request_send(&send, 10);
+    let (decision, record) = next.request_send(&send, None, 10);
     assert_eq!(decision, granted(&["a", "b"]));
     assert!(matches!(record, Some(Record::Crashes(_, Some(_)))));
-    let (_, record) = next.request_send(&send, 10);
+    let (_, record) = next.request_send(&send, None, 10);
     assert_eq!(record, None);
 }
 
@@ -283,7 +301,13 @@
     let change = table.end_attempt(&name("r"), &again, 0);
     let record = change.record.flatten().expect("a record");
     assert_eq!(record.servers, ["a", "b", "a"]);
-    assert!(is_blocked(&table.request_send(&name("r"), 2, HOLD_MS, 0)));
+    assert!(is_blocked(&table.request_send(
+        &name("r"),
+        2,
+        HOLD_MS,
+        None,
+        0
+    )));
 }
 
 /// Guards against an attempt that is granted by the next owner while one in progress may end a
@@ -293,19 +317,19 @@
     let mut first = CrashTable::default();
     end_server(&mut first, "r", "a", 0);
     end_server(&mut first, "r", "b", 0);
-    let decision = first.request_send(&name("r"), 1, HOLD_MS, 0);
+    let decision = first.request_send(&name("r"), 1, HOLD_MS, None, 0);
     assert_eq!(decision, granted(&["a", "b"]));
     let mut next = CrashTable::default();
     next.restore(
         &name("r"),
         first.recorded(&name("r"), 0).expect("a record").clone(),
     );
-    let again = next.request_send(&name("r"), 2, HOLD_MS, 10);
+    let again = next.request_send(&name("r"), 2, HOLD_MS, None, 10);
     assert_eq!(again, busy(&["a", "b"]));
     let change = next.end_attempt(&name("r"), &ended(1, "c", AttemptEnd::ServerAlive), 20);
     let record = change.record.flatten().expect("a record");
     assert!(record.open.is_empty());
-    let again = next.request_send(&name("r"), 2, HOLD_MS, 30);
+    let again = next.request_send(&name("r"), 2, HOLD_MS, None, 30);
     assert_eq!(again, granted(&["a", "b"]));
 }
 
@@ -320,7 +344,7 @@
     };
     first.end_attempt(&name("r"), &open(0), 0);
     for attempt in 1..3 {
-        first.request_send(&name("r"), attempt, RETENTION_MS, 0);
+        first.request_send(&name("r"), attempt, RETENTION_MS, None, 0);
         first.end_attempt(&name("r"), &open(attempt), 0);
     }
     let record = first.recorded(&name("r"), 0).expect("a record").clone();
@@ -333,7 +357,13 @@
             10,
         );
     }
-    assert!(is_blocked(&next.request_send(&name("r"), 3, HOLD_MS, 10)));
+    assert!(is_blocked(&next.request_send(
+        &name("r"),
+        3,
+        HOLD_MS,
+        None,
+        10
+    )));
 }
 
 /// Guards against the end of one process that counts for an attempt there and, once more, for an
@@ -343,7 +373,7 @@
     let mut table = CrashTable::default();
     let abandoned = ended(0, "a", AttemptEnd::Unresolved);
     table.end_attempt(&name("r"), &abandoned, 0);
-    table.request_send(&name("r"), 1, RETENTION_MS, 10);
+    table.request_send(&name("r"), 1, RETENTION_MS, None, 10);
     let end = identity_of_end("a", Some(7));
     for attempt in [1, 0] {
         table.end_attempt(
@@ -353,7 +383,7 @@
         );
     }
     assert_eq!(table.servers(&name("r"), 20), [end.as_str()]);
-    table.request_send(&name("r"), 2, RETENTION_MS, 30);
+    table.request_send(&name("r"), 2, RETENTION_MS, None, 30);
     let later = identity_of_end("a", Some(8));
     table.end_attempt(&name("r"), &ended(2, &later, AttemptEnd::ServerEnded), 40);
     assert_eq!(table.servers(&name("r"), 40), [end, later]);
@@ -383,7 +413,7 @@
     }
     let record = table.recorded(&name("r"), 0).expect("a record");
     assert_eq!(record.open.len(), MAX_OPEN_ATTEMPTS);
-    let again = table.request_send(&name("r"), 1_000, HOLD_MS, 0);
+    let again = table.request_send(&name("r"), 1_000, HOLD_MS, None, 0);
     assert_eq!(again, busy(&[]));
 }
 
