A report to an owner that was replaced without hearing of it reaches the next one

A report that is not durable within 100 ms has its daemon ask three others for a newer owner, again and again, and goes to that one.

--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -15,8 +15,9 @@
 use fieldhook_log::api::{Append, LogStore, Partition};
 use fieldhook_log::crash_watch::{CrashWatches, RENEWAL_MS};
 use fieldhook_log::ownership::Claim;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -38,6 +39,9 @@
 /// Interval at which a suspicion is reported again. Daemons act on it for twice as long, and an
 /// abandoned attempt holds its place for one interval.
 const SUSPICION_RENEWAL: Duration = Duration::from_secs(1);
+/// Time in which a report becomes durable while the log answers. After that, other daemons are asked
+/// for a newer owner, and again after each further such time.
+const OWNER_SEARCH_PAUSE: Duration = Duration::from_millis(100);
 /// How long a report is repeated until it is durable.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit of an append that announces a watch: an answer that takes longer is probably lost.
@@ -224,20 +228,53 @@
     }
 
     /// Reports the end of an attempt in the background, until that is durable. The receiver is
-    /// notified once an owner has accepted it.
+    /// notified once an owner has accepted it. This daemon may have been replaced without knowing, so
+    /// a report to itself is accepted once it is durable.
     pub fn report_attempt(self: &Rc<Self>, report: ReportAttempt) -> oneshot::Receiver<()> {
         let content = report.request.name.name.clone();
+        let partition = self.partition_of_request(&report.request);
         let deadline = Instant::now() + REPORT_TIMEOUT;
-        let log_health = self.log_health.clone();
         let request = LedgerRequest::ReportAttempt(report);
-        self.record_in_background(request, deadline, move |partition| {
-            tracing::info!(
-                event = "crash_not_durable",
-                content,
-                partition,
-                log_age_ms = log_health.ms_since_answer()
-            );
-        })
+        let (sender, accepted) = oneshot::channel();
+        let sender = Cell::new(Some(sender));
+        let ledger = self.clone();
+        ntex::rt::spawn(async move {
+            let notify = || {
+                if let Some(sender) = sender.take() {
+                    let _ = sender.send(());
+                }
+            };
+            let notify_of_other = || {
+                if ledger.owner.own_claim(partition).is_none() {
+                    notify();
+                }
+            };
+            let recording = tokio::select! {
+                recording = ledger.record(&request, notify_of_other, deadline) => recording,
+                never = ledger.search_newer_owners(partition) => match never {},
+            };
+            notify();
+            if !recording.is_durable() {
+                tracing::info!(
+                    event = "crash_not_durable",
+                    content,
+                    partition,
+                    log_age_ms = ledger.log_health.ms_since_answer()
+                );
+            }
+        });
+        accepted
+    }
+
+    /// Asks other daemons for a newer owner, again and again: an owner to which the log is silent does
+    /// not hear that it was replaced, and neither does a daemon that is cut off with it.
+    async fn search_newer_owners(&self, partition: u32) -> Infallible {
+        loop {
+            sleep(OWNER_SEARCH_PAUSE).await;
+            let claim = self.owner.claims.claim(partition);
+            let epoch = claim.map(|claim| claim.epoch);
+            self.learn_owner_from_peers(partition, epoch).await;
+        }
     }
 }
 
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -68,7 +68,7 @@
 
     /// Asks some other daemons for the owner of a partition, since a daemon that is cut off
     /// from the log does not see new claims. Returns whether one of them knew a newer owner.
-    async fn learn_owner_from_peers(&self, partition: u32, epoch: Option<u64>) -> bool {
+    pub(super) async fn learn_owner_from_peers(&self, partition: u32, epoch: Option<u64>) -> bool {
         let suspected = self
             .owner
             .claims
--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -246,6 +246,30 @@
     });
 }
 
+/// Guards against an owner that counts an end alone because it does not hear that it was replaced.
+#[test]
+fn request_is_not_sent_after_three_late_ends_while_the_log_is_silent_to_one_gateway() {
+    run(async {
+        let detachments = [
+            Detachment::Reset,
+            Detachment::ClientLeaves(milliseconds(50)),
+        ];
+        for detachment in detachments {
+            let times = [200, 400, 700, 1_000]
+                .map(|ends_after| [300, 500, 800].map(|pause| (ends_after, pause)));
+            let cases = times.into_iter().flatten().map(|(ends_after, pause)| Case {
+                ends_after,
+                pause,
+                gateways: 2,
+                path: "/resume/1",
+                disturbance: Some(Disturbance::LogSilentForOne),
+                end: ServerEnd::CLOSES,
+            });
+            assert_limited(detachment, cases.collect()).await;
+        }
+    });
+}
+
 /// Guards against ends that are not seen because no connection to the process stays open.
 #[test]
 fn request_is_not_sent_after_three_ends_of_servers_that_keep_no_connection_open() {
