Detached attempts are renewed at once when their partition gets another owner

Until the renewal, up to 1 s later, the next owner knows nothing of them while no end is recorded, so it asks nobody and grants what it is asked. By reading; the order of two messages at the same moment stays open.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -284,16 +284,23 @@
         let mut checked = self.check.broke;
         let mut answered = Instant::now();
         let mut pause = MIN_CHECK_PAUSE;
+        let mut owner_epoch = self.counted.owner_epoch();
         while Instant::now() < until {
+            if self.counted.owner_epoch() != owner_epoch {
+                owner_epoch = self.counted.owner_epoch();
+                self.report_detached();
+            }
             let next_check = checked + pause;
             let wake = match self.check.is_connected() {
                 true => until.min(renewal),
                 false => until.min(renewal).min(next_check),
             };
             let name = &self.counted.content.name;
-            let questions = self.counted.daemon.owner.attempt_questions.clone();
+            let owner = self.counted.daemon.owner.clone();
+            let questions = owner.attempt_questions.clone();
             let is_sign = tokio::select! {
                 biased;
+                () = owner.claims.changed.notified() => continue,
                 asked = questions.wait(name, answered) => {
                     answered = asked.at;
                     let next = self.answer(asked).await;
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -77,6 +77,14 @@
         daemon.ledger.report_attempt(report)
     }
 
+    /// Epoch of the owner that counts the attempt, as far as known.
+    pub fn owner_epoch(&self) -> Option<u64> {
+        let ledger = &self.daemon.ledger;
+        let partition = ledger.partition_of_request(&self.content);
+        let claim = self.daemon.owner.claims.claim(partition);
+        claim.map(|claim| claim.epoch)
+    }
+
     /// Reports that the process of the attempt, which is detached, lives.
     pub fn confirm(&self, question: u64) {
         self.daemon.ledger.confirm_attempt(ConfirmAttempt {
