A permit is renewed before it is used, and not used after a pause of the process

By reading: a permit that an attempt did not use was kept while the request waited for a place or a connection, for seconds; three servers may end under other copies meanwhile. The same holds for a process that is paused between the permit and the send.

A permit older than 100 ms is asked for again, under the same number, after the connection is established and before a cold server is asked; one that is older than 500 ms when the request is about to be written is not used.

No test forces the order. With two limits: cargo test of the gateway, 245 passed.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -51,12 +51,11 @@
     history: &mut AttemptHistory,
     continuation: Continuation<'_>,
 ) -> Result<Attempt, DispatchFailure> {
-    history.stage = Stage::Choosing;
-    if history.permit.is_none() {
-        history.permit = Some(SendPermit::request(context).await?);
-    }
     for _ in 0..cold::MAX_PERMIT_REQUESTS {
         history.stage = Stage::Choosing;
+        if history.permit.is_none() {
+            history.permit = Some(SendPermit::request(context).await?);
+        }
         if !context.is_still_admitted() {
             return Err(DispatchFailure::KeyRevoked);
         }
@@ -80,6 +79,9 @@
         // Nothing was sent yet, so a timeout while waiting for the permit is not attributed to the
         // server.
         history.stage = Stage::Choosing;
+        if let Some(permit) = &mut history.permit {
+            permit.renew(context).await?;
+        }
         if let Some(limits) = context.daemon.cold.cold_limits(&server)
             && !cold::request_permit(context, &server, &limits).await
         {
@@ -89,6 +91,7 @@
             continue;
         }
         send_check::recheck_server(context, &server)?;
+        send_check::recheck_permit(context, history)?;
         history.stage = Stage::Sent;
         let target = Target {
             server,
--- a/crates/gateway/src/serve/send_check.rs
+++ b/crates/gateway/src/serve/send_check.rs
@@ -1,7 +1,7 @@
 //! Checks whether a request may be sent now: evacuations are checked before a server is selected
 //! and again right before the request is written.
 
-use super::attempt::DispatchFailure;
+use super::attempt::{AttemptHistory, DispatchFailure};
 use super::homes;
 use super::request::RequestContext;
 use super::stream_origin;
@@ -66,15 +66,38 @@
     } else {
         return Ok(());
     };
+    Err(withdraw(context, &server.id, cause))
+}
+
+/// Checks whether the permit of an attempt is still current. While the connection was being
+/// established, servers may have ended under other copies of the request.
+///
+/// # Errors
+/// The permit has to be renewed; nothing was sent.
+pub fn recheck_permit(
+    context: &RequestContext,
+    history: &AttemptHistory,
+) -> Result<(), DispatchFailure> {
+    match &history.permit {
+        Some(permit) if permit.is_current() => Ok(()),
+        _ => {
+            let server = history.servers.last().map_or("", String::as_str);
+            Err(withdraw(context, server, "permit_outdated"))
+        }
+    }
+}
+
+/// Logs why a request is not sent to a server after all.
+fn withdraw(context: &RequestContext, server: &str, cause: &str) -> DispatchFailure {
     tracing::info!(
         event = "attempt_failed",
         request = context.meta.id,
-        server = server.id,
+        server,
         outcome = "withdrawn",
         cause,
         age_ms = context.age_ms()
     );
-    Err(DispatchFailure::Attempt(AttemptFailure::NotSent))
+    DispatchFailure::Attempt(AttemptFailure::NotSent)
 }
 
 /// Returns whether the server is in a region allowed by the current configuration.
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -16,6 +16,11 @@
 /// How long a request waits for the checks of broken attempts with the same content: as long as the
 /// next step of such an attempt does.
 const MAX_CHECK_WAIT: Duration = attempt_monitor::MAX_WAIT;
+/// Age at which a permit is renewed before it is used: servers may have ended while the request waited
+/// for a place or a connection.
+const RENEWAL_AGE: Duration = Duration::from_millis(100);
+/// Age at which a permit may no longer be used, because this process was paused after the renewal.
+const MAX_AGE: Duration = Duration::from_millis(500);
 /// Minimum time for which the servers that ended under a request are remembered, in milliseconds.
 const MIN_RETENTION_MS: u64 = 60_000;
 /// Number of times that a program may send a turn, each with the attempts of its client.
@@ -28,6 +33,8 @@
     pub content: RequestKey,
     /// Number of the attempt.
     attempt: u64,
+    /// When the permit was asked for.
+    asked: Instant,
     /// Servers that were known to have ended under the request when the permit was granted.
     pub known: Vec<String>,
     /// Whether the owner holds a place for the attempt until its end is reported.
@@ -116,37 +123,52 @@
     /// # Errors
     /// The request may not be sent now, or not at all.
     pub async fn request(context: &RequestContext) -> Result<Self, DispatchFailure> {
-        let asked = Instant::now();
         let checks = &context.daemon.open_checks;
         let content = &context.content.name.name;
         // Unrelated requests with the same content are not copies of one.
         if !context.content.is_shared() {
-            checks.wait_closed(content, asked + MAX_CHECK_WAIT).await;
+            let until = Instant::now() + MAX_CHECK_WAIT;
+            checks.wait_closed(content, until).await;
         }
+        let asked = Instant::now();
         let attempt = fastrand::u64(..);
-        let decision = decide(context, attempt).await;
-        let outcome = outcome_of(&decision);
-        let permits = &context.daemon.metrics.send_permits;
-        permits.with_label_values(&[outcome]).inc();
-        if outcome != "granted" {
-            log(context, outcome, asked);
-        }
-        let grant = decision?;
-        // A complete response may clear the count of shared content at any time.
-        let known = match context.content.is_shared() {
-            true => Vec::new(),
-            false => grant.ended,
-        };
+        let grant = ask(context, attempt).await?;
         Ok(Self(Some(CountedAttempt {
             daemon: context.daemon.clone(),
             content: context.content.clone(),
             attempt,
-            known,
+            asked,
+            known: grant.ended,
             is_held: grant.holds_place,
             retention_ms: retention_ms(context),
         })))
     }
 
+    /// Asks again unless the permit was asked for a moment ago.
+    ///
+    /// # Errors
+    /// The request may not be sent now, or not at all.
+    pub async fn renew(&mut self, context: &RequestContext) -> Result<(), DispatchFailure> {
+        let Some(counted) = &mut self.0 else {
+            return Ok(());
+        };
+        if counted.asked.elapsed() < RENEWAL_AGE {
+            return Ok(());
+        }
+        let asked = Instant::now();
+        let grant = ask(context, counted.attempt).await?;
+        counted.asked = asked;
+        counted.known = grant.ended;
+        counted.is_held = grant.holds_place;
+        Ok(())
+    }
+
+    /// Whether the permit may still be used.
+    pub fn is_current(&self) -> bool {
+        let counted = self.0.as_ref();
+        counted.is_some_and(|counted| counted.asked.elapsed() < MAX_AGE)
+    }
+
     /// Returns the permit of an attempt that did not run.
     pub(super) fn of(counted: CountedAttempt) -> Self {
         Self(Some(counted))
@@ -174,6 +196,27 @@
     holds_place: bool,
 }
 
+/// Asks for a permit, and logs and counts the outcome.
+async fn ask(context: &RequestContext, attempt: u64) -> Result<Grant, DispatchFailure> {
+    let asked = Instant::now();
+    let decision = decide(context, attempt).await;
+    let outcome = outcome_of(&decision);
+    let permits = &context.daemon.metrics.send_permits;
+    permits.with_label_values(&[outcome]).inc();
+    if outcome != "granted" {
+        log(context, outcome, asked);
+    }
+    let grant = decision?;
+    // A complete response may clear the count of shared content at any time.
+    Ok(match context.content.is_shared() {
+        true => Grant {
+            ended: Vec::new(),
+            ..grant
+        },
+        false => grant,
+    })
+}
+
 async fn decide(context: &RequestContext, attempt: u64) -> Result<Grant, DispatchFailure> {
     let daemon = &context.daemon;
     let known = known_servers(context);
