A reply of another daemon is as old as its call

By reading: a daemon that was paused takes a reply that waited in its socket for a sign that the owner would have told it of a watch, and sends unasked. A message without a call shows nothing of when it was sent either.

--- a/crates/gateway/src/ledger/peer.rs
+++ b/crates/gateway/src/ledger/peer.rs
@@ -145,19 +145,27 @@
 }
 
 type ReplySender = mpsc::UnboundedSender<LedgerReply>;
+
+/// A call whose replies are awaited.
+struct Call {
+    made: Instant,
+    replies: ReplySender,
+}
+
 /// Called with the messages that another daemon sends without a request.
 type OnMessage = Rc<dyn Fn(LedgerReply)>;
 
 /// An outgoing connection to another daemon.
 pub struct PeerConnection {
     frames: mpsc::UnboundedSender<Vec<u8>>,
-    calls: RefCell<HashMap<u64, ReplySender>>,
+    calls: RefCell<HashMap<u64, Call>>,
     next_call_id: Cell<u64>,
     closed: Cell<bool>,
     discarded: Cell<bool>,
     on_discard: Notify,
-    /// When the other daemon was last heard.
-    last_heard: Cell<Instant>,
+    /// When the newest call was made that the other daemon has answered. An answer alone may have
+    /// waited in the socket while this process was paused.
+    last_confirmed: Cell<Instant>,
     /// Partitions about which the other daemon reports crash watches, with the epoch of its claim.
     reported: RefCell<HashMap<u32, u64>>,
     on_message: Option<OnMessage>,
@@ -182,7 +190,7 @@
             closed: Cell::new(false),
             discarded: Cell::new(false),
             on_discard: Notify::new(),
-            last_heard: Cell::new(Instant::now()),
+            last_confirmed: Cell::new(Instant::now()),
             reported: RefCell::default(),
             on_message,
         });
@@ -202,7 +210,6 @@
             let Ok(envelope) = frame else {
                 break;
             };
-            self.last_heard.set(Instant::now());
             if envelope.call_id == UNSOLICITED_CALL_ID {
                 if let Some(handle) = &self.on_message {
                     handle(envelope.body);
@@ -211,8 +218,10 @@
             }
             let mut calls = self.calls.borrow_mut();
             let is_interim = envelope.body.is_interim();
-            if let Some(sender) = calls.get(&envelope.call_id) {
-                let _ = sender.send(envelope.body);
+            if let Some(call) = calls.get(&envelope.call_id) {
+                self.last_confirmed
+                    .set(self.last_confirmed.get().max(call.made));
+                let _ = call.replies.send(envelope.body);
             }
             if !is_interim {
                 calls.remove(&envelope.call_id);
@@ -229,11 +238,11 @@
         self.reported.borrow_mut().insert(partition, epoch);
     }
 
-    /// Whether the other daemon reports on a partition by its claim of this epoch, and was heard
-    /// within this time.
+    /// Whether the other daemon reports on a partition by its claim of this epoch, and has answered a
+    /// call that was made within this time.
     pub fn reports(&self, partition: u32, epoch: u64, within: Duration) -> bool {
         let reported = self.reported.borrow().get(&partition) == Some(&epoch);
-        reported && !self.closed.get() && self.last_heard.get().elapsed() < within
+        reported && !self.closed.get() && self.last_confirmed.get().elapsed() < within
     }
 
     /// Completes once the connection was discarded and no call waits for a reply on it. It has to
@@ -250,7 +259,7 @@
     /// Whether any call waits for a reply. Calls whose receiver was dropped are removed.
     fn has_waiting_calls(&self) -> bool {
         let mut calls = self.calls.borrow_mut();
-        calls.retain(|_, sender| !sender.is_closed());
+        calls.retain(|_, call| !call.replies.is_closed());
         !calls.is_empty()
     }
 
@@ -265,7 +274,11 @@
         let (sender, replies) = mpsc::unbounded_channel();
         let call_id = self.next_call_id.get();
         self.next_call_id.set(call_id + 1);
-        self.calls.borrow_mut().insert(call_id, sender);
+        let call = Call {
+            made: Instant::now(),
+            replies: sender,
+        };
+        self.calls.borrow_mut().insert(call_id, call);
         if self.closed.get()
             || self
                 .frames
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -115,3 +115,18 @@
         daemon.wait_open(0).await;
     });
 }
+
+/// Guards against a reply that waited in the socket and is taken for what the owner knows now.
+#[test]
+fn reply_is_as_old_as_its_call() {
+    run(async {
+        let daemon = StandIn::start(true).await;
+        let peers = Peers::default();
+        let connection = peers.connection(daemon.address).await.expect("connects");
+        connection.set_reported(0, 1);
+        let mut replies = connection.call(LedgerRequest::HasRecentLogContact);
+        replies.recv().await.expect("a reply");
+        assert!(connection.reports(0, 1, 2 * REPLY_DELAY));
+        assert!(!connection.reports(0, 1, REPLY_DELAY));
+    });
+}
