A server with detached attempts of content without a program is asked each second

Each second its followers ask the process, over a connection of their own; what is sent within that second is not prevented.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -322,8 +322,16 @@
                 }
             }
             if Instant::now() >= renewal {
+                renewal = Instant::now() + RENEWAL;
+                // Nobody asks about content that unrelated requests share.
+                if self.counted.content.is_shared() {
+                    self.check.contact(Instant::now()).await;
+                    let (next, _) = self.check.judge();
+                    if next == Fate::Ended {
+                        return next;
+                    }
+                }
                 self.report_detached();
-                renewal += RENEWAL;
             }
         }
         self.check.contact(until).await;
--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -47,7 +47,11 @@
 impl Fleet {
     /// Starts servers that end this long after they have read a request with the mark, and whose
     /// entries are late.
-    async fn ending_after(delay: Duration, entry_delay: Duration, detachment: Detachment) -> Self {
+    pub async fn ending_after(
+        delay: Duration,
+        entry_delay: Duration,
+        detachment: Detachment,
+    ) -> Self {
         let fleet = Self::start(entry_delay, true).await;
         for server in &fleet.servers {
             server.end_on(MARK, delay);
@@ -93,7 +97,7 @@
     }
 
     /// Number of times that a request with the mark was sent after three servers had ended.
-    fn sent_after_limit(&self) -> usize {
+    pub fn sent_after_limit(&self) -> usize {
         let mut ends: Vec<Instant> = self
             .servers
             .iter()
--- a/crates/gateway/tests/gateway/silent_ends.rs
+++ b/crates/gateway/tests/gateway/silent_ends.rs
@@ -2,7 +2,9 @@
 //! links that have gone silent. The next process listens at the address at once.
 
 use crate::detached_attempts::{Case, Detachment, ServerEnd, assert_limited, milliseconds};
+use crate::restarted_servers::{Fleet, MARK};
 use crate::support::run;
+use tokio::time::sleep;
 
 /// Longer than any test.
 const NEVER: u64 = 30_000;
@@ -54,3 +56,23 @@
         assert_limited(Detachment::TimesOut, cases()).await;
     });
 }
+
+/// Guards against ends that are counted at the deadline, where nobody asks before each send.
+#[test]
+fn silent_ends_under_content_without_a_program_are_counted_within_a_second() {
+    run(async {
+        let (end, entry_delay) = (milliseconds(100), milliseconds(12_000));
+        let fleet = Fleet::ending_after(end, entry_delay, Detachment::Reset).await;
+        for server in &fleet.servers {
+            server.delay_output(milliseconds(NEVER));
+        }
+        for number in 0..6 {
+            let fields = format!("Request: r{number}\r\nDeadline: 5000\r\n");
+            let mut client = fleet.gateways[number % 2].client().await;
+            client.send("POST", "/safe/1", &fields, MARK).await;
+            let _ = client.reply_unless_closed().await;
+            sleep(milliseconds(1_600)).await;
+        }
+        assert_eq!(fleet.sent_after_limit(), 0, "{} ended", fleet.restarts());
+    });
+}
