An open connection shows life only until a newer contact gets no answer

At the end of an attempt's span, and at a question, the process is asked once more; if nothing answered on a new connection the open one still passed as life, and the attempt was given back.

An established connection without the statement that a living process makes is now newer evidence than an open one, where entries tell starts: the outcome is open, and holds a place. Cases with a next process that accepts connections after 1 s or never are in silent_ends.rs; open_connection_to_the_process_shows_life_until_a_newer_contact_gets_no_answer replaces the test of the old judgement and is stricter.

--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -137,6 +137,8 @@
     pub closes_after: u64,
     /// Time by which the entry of the next process is late.
     pub entry_delay: u64,
+    /// Time until the next process accepts connections.
+    pub start_delay: u64,
 }
 
 impl ServerEnd {
@@ -144,6 +146,7 @@
     const CLOSES: Self = Self {
         closes_after: 0,
         entry_delay: ENTRY_DELAY_MS,
+        start_delay: 0,
     };
 }
 
@@ -177,6 +180,7 @@
     let fleet = Fleet::ending_after(ends_after, entry_delay, detachment).await;
     for server in &fleet.servers {
         server.delay_output(milliseconds(case.end.closes_after));
+        server.delay_start(milliseconds(case.end.start_delay));
     }
     if let Some(disturbance) = case.disturbance {
         disturbance.begin(&fleet).await;
--- a/crates/gateway/tests/gateway/silent_ends.rs
+++ b/crates/gateway/tests/gateway/silent_ends.rs
@@ -1,5 +1,5 @@
 //! Servers that end under a request while their connections stay open: machines without power, and
-//! links that have gone silent. The next process listens at the address at once.
+//! links that have gone silent.
 
 use crate::detached_attempts::{Case, Detachment, ServerEnd, assert_limited, milliseconds};
 use crate::restarted_servers::{Fleet, MARK};
@@ -9,10 +9,17 @@
 /// Longer than any test.
 const NEVER: u64 = 30_000;
 
-/// Every end with every pause and every delay of the next process's entry.
+/// Every end with every pause and every delay of the next process and of its entry.
 fn cases() -> Vec<Case> {
     let mut cases = Vec::new();
-    for entry_delay in [400, 2_000, 12_000] {
+    let delays = [
+        (0, 400),
+        (0, 2_000),
+        (0, 12_000),
+        (1_000, 2_000),
+        (NEVER, NEVER),
+    ];
+    for (start_delay, entry_delay) in delays {
         for ends_after in [400, 1_000] {
             for pause in [150, 800] {
                 cases.push(Case {
@@ -24,6 +31,7 @@
                     end: ServerEnd {
                         closes_after: NEVER,
                         entry_delay,
+                        start_delay,
                     },
                 });
             }
--- a/crates/gateway/tests/gateway/support/process.rs
+++ b/crates/gateway/tests/gateway/support/process.rs
@@ -40,6 +40,8 @@
     /// How long the output on other connections than that of the request that ended the process is
     /// still under way after the end.
     pub output_delay: Cell<Duration>,
+    /// How long the next process accepts no connections after its predecessor has ended.
+    pub start_delay: Cell<Duration>,
 }
 
 impl Process {
@@ -81,6 +83,12 @@
         self.ended.notify_waiters();
     }
 
+    /// Whether the process accepts no connections yet.
+    pub fn is_starting(&self) -> bool {
+        let ended = self.ends.borrow().last().copied();
+        ended.is_some_and(|ended| ended.elapsed() < self.start_delay.get())
+    }
+
     /// What the process states about itself.
     pub fn statement(&self) -> String {
         let name = &self.name;
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -90,7 +90,7 @@
             loop {
                 let accepted = tokio::select! {
                     () = process.wait_ended() => return,
-                    accepted = listener.accept(), if !powered_off.get() => accepted,
+                    accepted = listener.accept(), if !powered_off.get() && !process.is_starting() => accepted,
                     () = sleep(Duration::from_millis(5)) => continue,
                 };
                 let Ok((stream, _)) = accepted else {
@@ -186,6 +186,11 @@
         self.process.output_delay.set(delay);
     }
 
+    /// Makes the next process accept connections only this long after the end of the one before.
+    pub fn delay_start(&self, delay: Duration) {
+        self.process.start_delay.set(delay);
+    }
+
     pub fn has_ended(&self) -> bool {
         self.process.has_ended.get()
     }
--- a/crates/traffic/src/server_fate.rs
+++ b/crates/traffic/src/server_fate.rs
@@ -3,7 +3,8 @@
 //! A broken connection alone shows nothing: a server may reset one connection and live on. That a
 //! server has ended is known once its address refuses connections, once another process states that
 //! it listens there, or once its entry is replaced or removed. Until then its fate is open, also if
-//! its address accepts connections: the next process may have started there.
+//! its address accepts connections: the next process may have started there. An open connection is a
+//! sign of life only until a newer contact gets no answer.
 
 /// State of the server's entry in service discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,9 +88,7 @@
             (_, Some(Contact::OtherProcess)) => (Fate::Ended, "stated"),
             (_, Some(Contact::Confirmed)) => (Fate::Alive, "stated"),
             _ if self.has_answered => (Fate::Alive, "answer"),
-            (_, contact) if self.is_connected && contact != Some(Contact::Silent) => {
-                (Fate::Alive, "open_connection")
-            }
+            _ if self.is_connected && !self.is_unanswered() => (Fate::Alive, "open_connection"),
             // The entry of a leaving server goes while it still serves.
             (EntryState::Removed, _) if self.is_discovery_current && !self.was_leaving => {
                 (Fate::Ended, "entry_removed")
@@ -102,4 +101,13 @@
             (_, None) => (Fate::Unresolved, "nothing"),
         }
     }
+
+    /// Whether the newest contact got no answer that a process which lives would have given.
+    fn is_unanswered(&self) -> bool {
+        match self.contact {
+            Some(Contact::Silent) => true,
+            Some(Contact::Established) => self.reports_start,
+            _ => false,
+        }
+    }
 }
--- a/crates/traffic/tests/server_fate.rs
+++ b/crates/traffic/tests/server_fate.rs
@@ -128,25 +128,36 @@
     assert_eq!(replaced.judge().0, Fate::Ended);
 }
 
-/// A machine that lost power closes no connection.
+/// Guards against a machine that lost power and passes as alive: it closes no connection, and the next
+/// one may be accepted by a process that does not answer yet.
 #[test]
-fn open_connection_to_the_process_shows_life_unless_its_machine_is_silent() {
-    let connected = Evidence {
-        is_connected: true,
-        ..LISTED
-    };
-    for contact in [None, Some(Contact::Established)] {
-        let evidence = Evidence {
-            contact,
+fn open_connection_to_the_process_shows_life_until_a_newer_contact_gets_no_answer() {
+    for reports_start in [false, true] {
+        let connected = Evidence {
+            is_connected: true,
+            reports_start,
+            ..LISTED
+        };
+        assert_eq!(connected.judge(), (Fate::Alive, "open_connection"));
+        let established = Evidence {
+            contact: Some(Contact::Established),
+            ..connected
+        };
+        let fate = match reports_start {
+            true => Fate::Unresolved,
+            false => Fate::Alive,
+        };
+        assert_eq!(established.judge().0, fate);
+        let silent = Evidence {
+            contact: Some(Contact::Silent),
             ..connected
         };
-        assert_eq!(evidence.judge(), (Fate::Alive, "open_connection"));
+        assert_eq!(silent.judge().0, Fate::Unresolved);
     }
-    let silent = Evidence {
-        contact: Some(Contact::Silent),
-        ..connected
+    let connected = Evidence {
+        is_connected: true,
+        ..LISTED
     };
-    assert_eq!(silent.judge().0, Fate::Unresolved);
     let refused = Evidence {
         contact: Some(Contact::Refused),
         ..connected
