An attempt that may run in the next process at the address has that one followed

What callers saw: 2 sends after the third end, 5 ended, where the next process accepts connections 1 s after the end and clients leave early. Traced: a request was sent on a connection whose process had stated nothing, to a server whose process had ended; the next one read it, and its client left. The check found the next process, counted the end of the one before a second time as the same end, and nobody followed the process that ran the request.

Where the process of the connection is not known (it was asked and stated nothing; or its client left and it was never asked), the end of the predecessor is reported and the next process followed. A connection that its server breaks suggests that its process ended, as before.

This errs to one end too many for such an attempt.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -12,6 +12,7 @@
 use crate::upstream::connection::ExchangeError;
 use fieldhook_ledger::crashes::{AttemptEnd, DETACHED_RENEWAL_MS};
 use fieldhook_traffic::directory::ServerEntry;
+use fieldhook_traffic::process_identity::ProcessIdentity;
 use fieldhook_traffic::server_fate::{Contact, Fate};
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,15 +66,17 @@
 }
 
 impl AttemptMonitor {
-    /// Starts to follow an attempt that is about to be sent.
+    /// Starts to follow an attempt that is about to be sent on a connection whose process has stated
+    /// this, if it was asked.
     pub(super) fn new(
         context: &RequestContext,
         server: &ServerEntry,
+        stated: Option<ProcessIdentity>,
         permit: Option<SendPermit>,
     ) -> Self {
         let counted = permit.and_then(SendPermit::into_attempt);
         Self(counted.map(|counted| Subject {
-            check: ServerCheck::new(counted.daemon.clone(), server, &counted.known),
+            check: ServerCheck::new(counted.daemon.clone(), server, stated, &counted.known),
             counted,
             request: context.meta.id.clone(),
             program: context.meta.program.clone(),
@@ -107,6 +110,9 @@
         let (sender, recorded) = oneshot::channel();
         ntex::rt::spawn(async move {
             let mut fate = subject.check_break(error).await;
+            if fate == Fate::Ended {
+                fate = subject.follow_successor(false).await;
+            }
             if lives(fate) {
                 fate = subject.check_again(fate, ALIVE_RECHECK_AFTER).await;
             }
@@ -211,6 +217,19 @@
         self.counted.release(&self.check.server.id, end);
     }
 
+    /// Reports the end of the process that the entry names and follows the next one, if the request may
+    /// run there as well. Returns the fate of the process that is followed.
+    async fn follow_successor(&mut self, is_abandoned: bool) -> Fate {
+        let end = self.check.identity_of_end();
+        if !self.check.follow_successor(is_abandoned) {
+            return Fate::Ended;
+        }
+        let (_, known_by) = self.check.judge();
+        self.log("attempt_successor", Fate::Ended, known_by, None);
+        let _ = self.counted.report(&end, AttemptEnd::ServerEnded).await;
+        self.check.judge().0
+    }
+
     /// Follows a server whose attempt was abandoned. The attempt holds a place at first, because its
     /// client may send the request again before the server ends.
     async fn follow_abandoned(&mut self) {
@@ -223,6 +242,9 @@
             self.check.contact(self.check.broke).await;
         }
         let mut fate = self.check.judge().0;
+        if fate == Fate::Ended {
+            fate = self.follow_successor(true).await;
+        }
         if lives(fate) {
             fate = self.check_again(fate, ABANDONED_CHECK_TIME).await;
         }
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -201,7 +201,7 @@
     };
     let sent = Instant::now();
     let reused = connection.has_served;
-    let monitor = AttemptMonitor::new(context, &server, history.permit.take());
+    let monitor = AttemptMonitor::new(context, &server, connection.identity, history.permit.take());
     let exchange = connection.exchange(&outgoing, daemon.dialect.as_ref());
     match silence::abort_if_silent(context, &server, exchange).await {
         Ok(response) => {
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -47,13 +47,21 @@
     known_starts: Vec<u64>,
     /// Start of the process of the attempt, once that has stated it.
     process_start: Option<u64>,
+    /// What the process had stated on the connection of the attempt, if it was asked.
+    stated: Option<ProcessIdentity>,
     /// Open connection to the process of the attempt.
     process: Option<Rc<ServerConnection>>,
 }
 
 impl ServerCheck {
-    /// Creates a check for a request that is about to be sent, under which these servers have ended.
-    pub fn new(daemon: Rc<Daemon>, server: &ServerEntry, ended: &[String]) -> Self {
+    /// Creates a check for a request that is about to be sent on a connection whose process has stated
+    /// this, and under which these servers have ended.
+    pub fn new(
+        daemon: Rc<Daemon>,
+        server: &ServerEntry,
+        stated: Option<ProcessIdentity>,
+        ended: &[String],
+    ) -> Self {
         let now = Instant::now();
         Self {
             known_starts: crashes::successors(ended, &server.id).collect(),
@@ -63,6 +71,7 @@
             broke: now,
             was_leaving: false,
             process_start: None,
+            stated,
             process: None,
         }
     }
@@ -97,6 +106,27 @@
         }
     }
 
+    /// Follows the next process at the address from now on, if the request may run there: it was sent
+    /// on a connection whose process was not known. A break of that connection by the server suggests
+    /// that its process ended, unless that process was asked and stated nothing. Returns whether the
+    /// next process is followed.
+    pub fn follow_successor(&mut self, is_abandoned: bool) -> bool {
+        let is_uncertain = match self.stated {
+            Some(ProcessIdentity::Unknown) => true,
+            None => is_abandoned,
+            Some(ProcessIdentity::Same | ProcessIdentity::Other) => false,
+        };
+        let pools = &self.daemon.pools;
+        let id = &self.server.id;
+        let is_other = pools.contact_since(id, self.broke) == Some(Contact::OtherProcess);
+        let successor = pools.stated_start(id).filter(|_| is_other && is_uncertain);
+        if successor.is_some() && self.process_start.is_none() {
+            self.process_start = successor;
+            return true;
+        }
+        false
+    }
+
     /// Uses the connection that another request keeps open to the process. Returns whether one is
     /// open.
     pub fn share_connection(&mut self) -> bool {
