--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -63,6 +63,8 @@
     time_limit: Duration,
     /// Whether the attempt holds a place while its outcome is open.
     holds_open: bool,
+    /// Epoch of the owner to which it was reported as detached.
+    owner_epoch: Option<u64>,
 }
 
 impl AttemptMonitor {
@@ -82,6 +84,7 @@
             program: context.meta.program.clone(),
             time_limit: Duration::from_millis(context.remaining_ms()),
             holds_open: true,
+            owner_epoch: None,
         }))
     }
 
@@ -134,6 +137,18 @@
     }
 }
 
+/// What ended a wait while a server is followed.
+enum Wake {
+    /// The owner asks whether the process lives.
+    Question(Asked),
+    /// The attempt is counted by another owner.
+    OwnerChanged,
+    /// The server's fate may have changed.
+    Sign,
+    /// The time has come.
+    Time,
+}
+
 /// Whether a server is alive, as far as its contact shows.
 fn lives(fate: Fate) -> bool {
     matches!(fate, Fate::Alive | Fate::PresumedAlive)
@@ -183,8 +198,7 @@
         if !self.check.wait_for_sign(fate, until).await && fate == Fate::Alive {
             return fate;
         }
-        self.check.contact(Instant::now()).await;
-        self.check.judge().0
+        self.ask_process().await
     }
 
     /// Reports the fate of the server. Waits until an owner has accepted that if it may keep the
@@ -206,6 +220,7 @@
     /// Reports that the server lives and may still run the request. Of content that unrelated
     /// requests share only ends count, since many clients may leave at the same time.
     fn report_detached(&mut self) {
+        self.owner_epoch = self.counted.owner_epoch();
         if self.counted.content.is_shared() {
             return self.release(AttemptEnd::ServerAlive);
         }
@@ -306,60 +321,74 @@
         let mut checked = self.check.broke;
         let mut answered = Instant::now();
         let mut pause = MIN_CHECK_PAUSE;
-        let mut owner_epoch = self.counted.owner_epoch();
         while Instant::now() < until {
-            if self.counted.owner_epoch() != owner_epoch {
-                owner_epoch = self.counted.owner_epoch();
-                self.report_detached();
-            }
             let next_check = checked + pause;
             let wake = match self.check.is_connected() {
                 true => until.min(renewal),
                 false => until.min(renewal).min(next_check),
             };
-            let name = &self.counted.content.name;
-            let owner = self.counted.daemon.owner.clone();
-            let questions = owner.attempt_questions.clone();
-            let is_sign = tokio::select! {
-                biased;
-                () = owner.claims.changed.notified() => continue,
-                asked = questions.wait(name, answered) => {
+            let mut next = fate;
+            match self.wait(fate, answered, wake).await {
+                Wake::OwnerChanged => self.report_detached(),
+                Wake::Question(asked) => {
                     answered = asked.at;
-                    let next = self.answer(asked).await;
-                    if next != fate {
-                        return next;
-                    }
-                    continue;
+                    next = self.answer(asked).await;
                 }
-                is_sign = self.check.wait_for_sign(fate, wake) => is_sign,
-            };
-            if is_sign || !self.check.is_connected() && Instant::now() >= next_check {
-                sleep_until(next_check).await;
-                pause = MAX_CHECK_PAUSE.min(pause * 2);
-                checked = Instant::now();
-                self.check.contact(checked).await;
-                let (next, _) = self.check.judge();
-                if next != fate {
-                    return next;
+                Wake::Time if self.check.is_connected() || Instant::now() < next_check => {}
+                Wake::Sign | Wake::Time => {
+                    sleep_until(next_check).await;
+                    pause = MAX_CHECK_PAUSE.min(pause * 2);
+                    checked = Instant::now();
+                    next = self.ask_process().await;
                 }
             }
-            if Instant::now() >= renewal {
+            if next == fate && Instant::now() >= renewal {
                 renewal = Instant::now() + RENEWAL;
-                // Nobody asks about content that unrelated requests share.
-                if self.counted.content.is_shared() {
-                    self.check.contact(Instant::now()).await;
-                    let (next, _) = self.check.judge();
-                    if next == Fate::Ended {
-                        return next;
-                    }
-                }
-                self.report_detached();
+                next = self.renew(fate).await;
+            }
+            if next != fate {
+                return next;
             }
         }
-        self.check.contact(until).await;
+        self.ask_process().await
+    }
+
+    /// Waits until something has to be done while a server is followed, or until a time.
+    async fn wait(&self, fate: Fate, answered: Instant, until: Instant) -> Wake {
+        let owner = &self.counted.daemon.owner;
+        let name = &self.counted.content.name;
+        let owner_changed = async {
+            while self.counted.owner_epoch() == self.owner_epoch {
+                owner.claims.changed.notified().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = owner_changed => Wake::OwnerChanged,
+            asked = owner.attempt_questions.wait(name, answered) => Wake::Question(asked),
+            is_sign = self.check.wait_for_sign(fate, until) => match is_sign {
+                true => Wake::Sign,
+                false => Wake::Time,
+            },
+        }
+    }
+
+    /// Connects to the server anew. Returns its fate.
+    async fn ask_process(&mut self) -> Fate {
+        self.check.contact(Instant::now()).await;
         self.check.judge().0
     }
 
+    /// Renews the report of the attempt. The owner asks about no content that unrelated requests
+    /// share, so the process is asked here. Returns the fate of the server.
+    async fn renew(&mut self, fate: Fate) -> Fate {
+        if self.counted.content.is_shared() && self.ask_process().await == Fate::Ended {
+            return Fate::Ended;
+        }
+        self.report_detached();
+        fate
+    }
+
     /// Answers a question of the owner: asks the process, and reports that it lives if it has shown that
     /// since. Returns the fate of the server.
     async fn answer(&mut self, asked: Asked) -> Fate {
