--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -21,6 +21,7 @@
 use fieldhook_traffic::attempt::AttemptFailure;
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::health::Observation;
+use fieldhook_traffic::process_identity::ProcessIdentity;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -201,7 +202,12 @@
     };
     let sent = Instant::now();
     let reused = connection.has_served;
-    let monitor = AttemptMonitor::new(context, &server, connection.identity, history.permit.take());
+    // A connection whose process stated nothing was replaced by one that was not asked.
+    let stated = match process {
+        Process::Uncertain => Some(ProcessIdentity::Unknown),
+        Process::Proven | Process::Other => connection.identity,
+    };
+    let monitor = AttemptMonitor::new(context, &server, stated, history.permit.take());
     let exchange = connection.exchange(&outgoing, daemon.dialect.as_ref());
     match silence::abort_if_silent(context, &server, exchange).await {
         Ok(response) => {
