--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -130,6 +130,8 @@
     pub(super) claim_lock: Mutex<()>,
     /// Partitions whose owner is searched for in the background, for requests to cold servers.
     pub(super) owner_searches: RefCell<HashSet<u32>>,
+    /// Partitions for whose newer owner other daemons are asked, for reports that are not durable.
+    pub(super) report_searches: RefCell<HashSet<u32>>,
     /// Whether an owner did not answer since [`super::reach`] last checked.
     pub(super) owner_timed_out: Cell<bool>,
     /// Number of turns that are being closed in the background. A planned stop waits for them,
@@ -160,6 +162,7 @@
             claiming: RefCell::default(),
             claim_lock: Mutex::default(),
             owner_searches: RefCell::default(),
+            report_searches: RefCell::default(),
             owner_timed_out: Cell::default(),
             pending_closes: Cell::default(),
             suspicions: RefCell::default(),
--- a/crates/gateway/src/ledger/crash_count.rs
+++ b/crates/gateway/src/ledger/crash_count.rs
@@ -188,10 +188,13 @@
         self.log_attempt_end(&report, now_ms);
         let announced = self.level_after(&report, now_ms).and_then(announce);
         let served = self.clone();
+        // An owner that may have been replaced holds no place that its successor knows of.
+        let is_certain = self.log_health.confirmed_within(RECENT_LOG_REPLY);
+        let is_done = records.is_empty() && (is_certain || !report.end.is_open());
         let confirm = move || {
             let _ = sender.send(LedgerReply::Accepted);
             let reply = LedgerReply::Closed;
-            if records.is_empty() {
+            if is_done {
                 let _ = sender.send(reply);
                 return;
             }
--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -7,6 +7,7 @@
 use super::held::HeldPartition;
 use super::owner::{OWNERS_TOPIC, Owner};
 use super::peer::PeerConnection;
+use super::replace::PartitionGuard;
 use crate::daemon::unix_ms;
 use fieldhook_ledger::crashes::{SendDecision, WatchLevel};
 use fieldhook_ledger::message::{
@@ -271,6 +272,11 @@
     async fn search_newer_owners(&self, partition: u32) -> Infallible {
         loop {
             sleep(OWNER_SEARCH_PAUSE).await;
+            // Of the reports that wait, one searches for all.
+            if !self.report_searches.borrow_mut().insert(partition) {
+                continue;
+            }
+            let _guard = PartitionGuard::new(&self.report_searches, partition);
             let claim = self.owner.claims.claim(partition);
             let epoch = claim.map(|claim| claim.epoch);
             self.learn_owner_from_peers(partition, epoch).await;
--- a/crates/gateway/src/ledger/replace.rs
+++ b/crates/gateway/src/ledger/replace.rs
@@ -35,15 +35,25 @@
 /// Time that an owner has to answer on a new connection.
 const RECONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Marks a partition as being claimed until it is dropped.
-struct ClaimGuard<'a> {
-    claiming: &'a RefCell<HashSet<u32>>,
+/// Removes a partition from a set when it is dropped.
+pub(super) struct PartitionGuard<'a> {
+    partitions: &'a RefCell<HashSet<u32>>,
     partition: u32,
 }
 
-impl Drop for ClaimGuard<'_> {
+impl<'a> PartitionGuard<'a> {
+    /// Guards a partition that is in the set.
+    pub(super) fn new(partitions: &'a RefCell<HashSet<u32>>, partition: u32) -> Self {
+        Self {
+            partitions,
+            partition,
+        }
+    }
+}
+
+impl Drop for PartitionGuard<'_> {
     fn drop(&mut self) {
-        self.claiming.borrow_mut().remove(&self.partition);
+        self.partitions.borrow_mut().remove(&self.partition);
     }
 }
 
@@ -308,10 +318,7 @@
             return;
         }
         // Removes the mark also if this future is dropped.
-        let _guard = ClaimGuard {
-            claiming: &self.claiming,
-            partition,
-        };
+        let _guard = PartitionGuard::new(&self.claiming, partition);
         // Claims are made one after another: several owners may be found gone at the same time,
         // and the partition that was claimed first is to be loaded first.
         let _claim_order = self.claim_lock.lock().await;
