--- a/crates/gateway/src/ledger/client.rs
+++ b/crates/gateway/src/ledger/client.rs
@@ -145,6 +145,16 @@
     pub(super) unconfirmed_watches: RefCell<HashMap<u32, Instant>>,
 }
 
+/// Returns a function that notifies a receiver when it is called first.
+pub(super) fn notify_once(sender: oneshot::Sender<()>) -> impl Fn() {
+    let sender = Cell::new(Some(sender));
+    move || {
+        if let Some(sender) = sender.take() {
+            let _ = sender.send(());
+        }
+    }
+}
+
 impl LedgerClient {
     /// Creates a client; requests for partitions of `owner` do not leave the process.
     pub fn new(owner: Rc<Owner>, log_health: Rc<LogHealth>) -> Self {
@@ -414,14 +424,9 @@
         on_failure: impl FnOnce(u32) + 'static,
     ) -> oneshot::Receiver<()> {
         let (sender, accepted) = oneshot::channel();
-        let sender = Cell::new(Some(sender));
+        let notify = notify_once(sender);
         let ledger = self.clone();
         ntex::rt::spawn(async move {
-            let notify = || {
-                if let Some(sender) = sender.take() {
-                    let _ = sender.send(());
-                }
-            };
             if !ledger.record(&request, notify, deadline).await.is_durable() {
                 on_failure(request.partition(ledger.owner.zone_state.layout.global_count()));
             }
--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -1,7 +1,7 @@
 //! Requests under which servers ended: asking and informing the owner of their partition, and
 //! announcing to all daemons that they have to ask.
 
-use super::client::{LedgerClient, OWNER_CHANGE_WAIT};
+use super::client::{LedgerClient, OWNER_CHANGE_WAIT, notify_once};
 use super::exchange::Exchange;
 use super::followers;
 use super::held::HeldPartition;
@@ -16,7 +16,7 @@
 use fieldhook_log::api::{Append, LogStore, Partition};
 use fieldhook_log::crash_watch::{CrashWatches, RENEWAL_MS};
 use fieldhook_log::ownership::Claim;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -237,14 +237,9 @@
         let deadline = Instant::now() + REPORT_TIMEOUT;
         let request = LedgerRequest::ReportAttempt(report);
         let (sender, accepted) = oneshot::channel();
-        let sender = Cell::new(Some(sender));
+        let notify = notify_once(sender);
         let ledger = self.clone();
         ntex::rt::spawn(async move {
-            let notify = || {
-                if let Some(sender) = sender.take() {
-                    let _ = sender.send(());
-                }
-            };
             let notify_of_other = || {
                 if ledger.owner.own_claim(partition).is_none() {
                     notify();
