--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -24,7 +24,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// How long an owner is asked while its partition is watched: a lost owner is replaced within 300
+/// How long an owner is asked while its partition is watched or suspected: a lost owner is replaced within 300
 /// to 700 ms.
 const WATCHED_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of the question to an owner while the log is unavailable: watches cannot be announced then.
--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -46,9 +46,11 @@
 pub enum WatchLevel {
     /// Nothing.
     None,
-    /// Ask the owner, if it answers soon: attempts were abandoned whose servers may end.
+    /// Get the permission of the owner: an attempt was abandoned, or as many attempts of a request may
+    /// end servers as are allowed.
     Suspected,
-    /// Get the permission of the owner: servers have ended under requests, or may have.
+    /// Get the permission of the owner, which is known to the next owner as well: servers have ended
+    /// under requests, or may have.
     Watched,
 }
 
--- a/crates/log/src/crash_watch.rs
+++ b/crates/log/src/crash_watch.rs
@@ -27,7 +27,7 @@
     /// Offset of the newest record of each partition.
     offsets: HashMap<u32, u64>,
     until_ms: HashMap<u32, u64>,
-    /// Partitions in which attempts were abandoned whose servers may end, and until when.
+    /// Partitions whose owner is asked because attempts that are over may end servers, and until when.
     suspected_until_ms: HashMap<u32, u64>,
 }
 
@@ -62,7 +62,7 @@
         self.until_ms.insert(partition, now_ms + WATCH_MS);
     }
 
-    /// Suspects a partition, because of an attempt that was abandoned.
+    /// Suspects a partition, because of attempts that are over and may end servers.
     pub fn suspect(&mut self, partition: u32, now_ms: u64) {
         let until_ms = now_ms + SUSPECTED_MS;
         self.suspected_until_ms.insert(partition, until_ms);
