The process of a connection is asked for each attempt that is counted

Streams that can be resumed ask which process a connection leads to; other requests were sent to whatever listened at the address. The next process ran a request, reset it and lived on; its daemon, which had not met it before, took it for the end of the process that the entry names, which another daemon reported as well, so both counted once and nobody followed the next process.

Where the owner holds a place for an attempt, so after a detached attempt or an end under the same request, the connection is asked as for a resumable stream, and another process than the entry names is not sent to. First attempts of requests are not asked.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -72,7 +72,9 @@
         }
         history.stage = Stage::Connecting;
         let in_flight = context.daemon.pools.start_request(&server.id);
-        let (connection, process) = connect(context, &server, &continuation).await?;
+        let is_counted = history.permit.as_ref().is_some_and(SendPermit::holds_place);
+        let target = connect(context, &server, &continuation, is_counted).await;
+        let (connection, process) = target?;
         if process == Process::Uncertain && !software::register_uncertain(context, &server).await {
             log_unregistered(context, &server);
             return Err(DispatchFailure::Attempt(AttemptFailure::NotSent));
@@ -125,10 +127,11 @@
     context: &RequestContext,
     server: &ServerEntry,
     continuation: &Continuation<'_>,
+    is_counted: bool,
 ) -> Result<(ServerConnection, Process), DispatchFailure> {
     let daemon = &context.daemon;
     let is_continued = continuation.last_event.is_some();
-    match process_check::connect(context, server).await {
+    match process_check::connect(context, server, is_counted).await {
         Ok((_, process))
             if process == Process::Other || process == Process::Uncertain && is_continued =>
         {
--- a/crates/gateway/src/serve/process_check.rs
+++ b/crates/gateway/src/serve/process_check.rs
@@ -1,4 +1,5 @@
-//! Makes sure that a resumable stream runs in the process that the entry of its server names.
+//! Makes sure that a resumable stream, or a request whose attempts are counted, runs in the process that
+//! the entry of its server names.
 //!
 //! The software of a stream is taken from that entry, and its client may resume it wherever the same
 //! software runs. A later process at the same address may run another one before its entry is known.
@@ -45,21 +46,23 @@
     }
 }
 
-/// Opens a connection to a server, or takes an idle one. For a resumable stream, determines which
-/// process it leads to.
+/// Opens a connection to a server, or takes an idle one. For a resumable stream, and for an attempt that
+/// is counted, determines which process it leads to.
 ///
 /// # Errors
 /// No connection was established; nothing was sent.
 pub async fn connect(
     context: &RequestContext,
     server: &ServerEntry,
+    is_counted: bool,
 ) -> io::Result<(ServerConnection, Process)> {
     let daemon = &context.daemon;
     let now_ms = daemon.now_ms();
     let pools = &daemon.pools;
     let acquired = pools.acquire(server, &context.meta.id, now_ms, &daemon.metrics);
     let mut connection = acquired.await?;
-    if !software::is_resumable(&context.entry.route) || !server.reports_start() {
+    let is_asked = is_counted || software::is_resumable(&context.entry.route);
+    if !is_asked || !server.reports_start() {
         return Ok((connection, Process::Proven));
     }
     if connection.identity.is_none() && connection.has_served {
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -163,6 +163,11 @@
         Ok(())
     }
 
+    /// Whether the owner holds a place for the attempt.
+    pub fn holds_place(&self) -> bool {
+        self.0.as_ref().is_some_and(|counted| counted.is_held)
+    }
+
     /// Whether the permit may still be used.
     pub fn is_current(&self) -> bool {
         let counted = self.0.as_ref();
--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -53,7 +53,12 @@
         detachment: Detachment,
     ) -> Self {
         let fleet = Self::start(entry_delay, true).await;
-        for server in &fleet.servers {
+        fleet.set_end(delay, detachment);
+        fleet
+    }
+
+    fn set_end(&self, delay: Duration, detachment: Detachment) {
+        for server in &self.servers {
             server.end_on(MARK, delay);
             match detachment {
                 Detachment::Reset => server.set(Act::Reset),
@@ -61,7 +66,6 @@
                 Detachment::ClientLeaves(_) => {}
             }
         }
-        fleet
     }
 
     async fn repeat(&self, repetition: Repetition) {
@@ -176,14 +180,18 @@
 /// Describes the run if the request was sent after three servers had ended.
 async fn failure(detachment: Detachment, case: Case) -> Option<String> {
     let entry_delay = milliseconds(case.end.entry_delay);
-    let ends_after = milliseconds(case.ends_after);
-    let fleet = Fleet::ending_after(ends_after, entry_delay, detachment).await;
+    let fleet = Fleet::start(entry_delay, true).await;
+    run_case(&fleet, detachment, case).await
+}
+
+pub async fn run_case(fleet: &Fleet, detachment: Detachment, case: Case) -> Option<String> {
+    fleet.set_end(milliseconds(case.ends_after), detachment);
     for server in &fleet.servers {
         server.delay_output(milliseconds(case.end.closes_after));
         server.delay_start(milliseconds(case.end.start_delay));
     }
     if let Some(disturbance) = case.disturbance {
-        disturbance.begin(&fleet).await;
+        disturbance.begin(fleet).await;
     }
     let repetition = Repetition {
         path: case.path,
--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -48,12 +48,21 @@
     /// Starts servers that end when they serve a request with the mark, and whose entries are late
     /// by `delay`.
     pub async fn start(delay: Duration, states_identity: bool) -> Self {
+        Self::start_with(SERVERS, delay, states_identity).await
+    }
+
+    /// Starts only this many servers, which state their identity.
+    pub async fn start_few(count: usize, delay: Duration) -> Self {
+        Self::start_with(count, delay, true).await
+    }
+
+    async fn start_with(count: usize, delay: Duration, states_identity: bool) -> Self {
         let world = World::new().await;
         for route in &mut world.configs.borrow_mut()[0].routes {
             route.timeout_ms = ROUTE_TIMEOUT_MS;
         }
         let mut servers = Vec::new();
-        for number in 0..SERVERS {
+        for number in 0..count {
             let act = Act::Paced(vec!["word".to_owned(); 4], Duration::from_millis(20));
             let server = Rc::new(Server::start(&format!("s{number}"), act).await);
             if !states_identity {
@@ -66,7 +75,7 @@
             world.put(crate::support::SERVERS, &server.id, &entry).await;
             servers.push(server);
         }
-        let gateways = world.settled_gateways(&["g1", "g2"], SERVERS).await;
+        let gateways = world.settled_gateways(&["g1", "g2"], count).await;
         Self {
             gateways,
             servers,
--- a/crates/gateway/tests/gateway/silent_ends.rs
+++ b/crates/gateway/tests/gateway/silent_ends.rs
@@ -1,9 +1,12 @@
 //! Servers that end under a request while their connections stay open: machines without power, and
 //! links that have gone silent.
 
-use crate::detached_attempts::{Case, Detachment, ServerEnd, assert_limited, milliseconds};
+use crate::detached_attempts::{
+    Case, Detachment, ServerEnd, assert_limited, milliseconds, run_case,
+};
 use crate::restarted_servers::{Fleet, MARK};
 use crate::support::run;
+use futures_util::future::join_all;
 use tokio::time::sleep;
 
 /// Longer than any test.
@@ -85,3 +88,32 @@
         assert_eq!(fleet.sent_after_limit(), 0, "{} ended", fleet.restarts());
     });
 }
+
+/// Guards against an attempt that runs in a later process than the entry names, and is attributed to the
+/// end of the one before.
+#[test]
+fn request_is_not_sent_after_three_silent_ends_at_two_addresses() {
+    run(async {
+        let times = [(150, 150), (150, 300), (150, 700), (400, 300), (400, 700)];
+        let cases = times.into_iter().flat_map(|(ends_after, pause)| {
+            ["/chat/1", "/safe/1"].map(|path| Case {
+                ends_after,
+                pause,
+                gateways: 2,
+                path,
+                disturbance: None,
+                end: ServerEnd {
+                    closes_after: NEVER,
+                    entry_delay: 12_000,
+                    start_delay: 0,
+                },
+            })
+        });
+        let failures = join_all(cases.map(|case| async move {
+            let fleet = Fleet::start_few(2, milliseconds(case.end.entry_delay)).await;
+            run_case(&fleet, Detachment::Reset, case).await
+        }));
+        let failures: Vec<String> = failures.await.into_iter().flatten().collect();
+        assert!(failures.is_empty(), "{failures:#?}");
+    });
+}
