An attempt whose connection was not asked has the next process followed as well

First attempts are not asked. Their break was taken for the end of the process that the entry names; the next one, which may have run the request and lives, is followed now, as where the client left. This errs to a place too many for a first attempt whose server ended while the next process listens already: 0.3 s after the first end, and after the second until its deadline.

--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -114,7 +114,7 @@
         ntex::rt::spawn(async move {
             let mut fate = subject.check_break(error).await;
             if fate == Fate::Ended {
-                fate = subject.follow_successor(false).await;
+                fate = subject.follow_successor().await;
             }
             if lives(fate) {
                 fate = subject.check_again(fate, ALIVE_RECHECK_AFTER).await;
@@ -234,9 +234,9 @@
 
     /// Reports the end of the process that the entry names and follows the next one, if the request may
     /// run there as well. Returns the fate of the process that is followed.
-    async fn follow_successor(&mut self, is_abandoned: bool) -> Fate {
+    async fn follow_successor(&mut self) -> Fate {
         let end = self.check.identity_of_end();
-        if !self.check.follow_successor(is_abandoned) {
+        if !self.check.follow_successor() {
             return Fate::Ended;
         }
         let (_, known_by) = self.check.judge();
@@ -258,7 +258,7 @@
         }
         let mut fate = self.check.judge().0;
         if fate == Fate::Ended {
-            fate = self.follow_successor(true).await;
+            fate = self.follow_successor().await;
         }
         if lives(fate) {
             fate = self.check_again(fate, ABANDONED_CHECK_TIME).await;
--- a/crates/gateway/src/serve/process_check.rs
+++ b/crates/gateway/src/serve/process_check.rs
@@ -1,5 +1,5 @@
-//! Makes sure that a resumable stream, or a request whose attempts are counted, runs in the process that
-//! the entry of its server names.
+//! Makes sure that a resumable stream runs in the process that the entry of its server names, and finds
+//! out in which process an attempt runs that is counted.
 //!
 //! The software of a stream is taken from that entry, and its client may resume it wherever the same
 //! software runs. A later process at the same address may run another one before its entry is known.
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Process {
     /// It is the one that the entry of the server names, as it stated or as names show that are not
-    /// used again.
+    /// used again; or it does not matter which one it is.
     Proven,
     /// It stated nothing, so it may be a later one.
     Uncertain,
@@ -61,8 +61,8 @@
     let pools = &daemon.pools;
     let acquired = pools.acquire(server, &context.meta.id, now_ms, &daemon.metrics);
     let mut connection = acquired.await?;
-    let is_asked = is_counted || software::is_resumable(&context.entry.route);
-    if !is_asked || !server.reports_start() {
+    let is_resumable = software::is_resumable(&context.entry.route);
+    if !(is_counted || is_resumable) || !server.reports_start() {
         return Ok((connection, Process::Proven));
     }
     if connection.identity.is_none() && connection.has_served {
@@ -83,7 +83,10 @@
         Some(ProcessIdentity::Same) => Process::Proven,
         Some(ProcessIdentity::Other) => {
             pools.record_contact(&server.id, Instant::now(), Contact::OtherProcess);
-            Process::Other
+            match is_resumable {
+                true => Process::Other,
+                false => Process::Proven,
+            }
         }
         Some(ProcessIdentity::Unknown) | None => Process::Uncertain,
     };
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -63,14 +63,16 @@
         ended: &[String],
     ) -> Self {
         let now = Instant::now();
+        let is_other = stated == Some(ProcessIdentity::Other);
+        let other_start = daemon.pools.stated_start(&server.id);
         Self {
             known_starts: crashes::successors(ended, &server.id).collect(),
+            process_start: other_start.filter(|_| is_other),
             daemon,
             server: server.clone(),
             sent: now,
             broke: now,
             was_leaving: false,
-            process_start: None,
             stated,
             process: None,
         }
@@ -107,13 +109,10 @@
     }
 
     /// Follows the next process at the address from now on, if the request may run there: it was sent
-    /// on a connection whose process was not known. A break of that connection by the server suggests
-    /// that its process ended, unless that process was asked and stated nothing. Returns whether the
-    /// next process is followed.
-    pub fn follow_successor(&mut self, is_abandoned: bool) -> bool {
+    /// on a connection whose process was not known. Returns whether the next process is followed.
+    pub fn follow_successor(&mut self) -> bool {
         let is_uncertain = match self.stated {
-            Some(ProcessIdentity::Unknown) => true,
-            None => is_abandoned,
+            Some(ProcessIdentity::Unknown) | None => true,
             Some(ProcessIdentity::Same | ProcessIdentity::Other) => false,
         };
         let pools = &self.daemon.pools;
