Failing tests: silent ends with every delay of the next process and its entry, at one gateway and two

What the earlier cases left out: one gateway, and entries that are written before the next process accepts connections. 72 cases each: after resets 2 failed in one of two runs, after early leaves 1 in each of two, one send after the third end; all with a next process that accepts connections after 1 s. The tests that landed before keep their cases.

--- a/crates/gateway/tests/gateway/silent_ends.rs
+++ b/crates/gateway/tests/gateway/silent_ends.rs
@@ -69,7 +69,7 @@
     });
 }
 
-/// Guards against ends that are counted at the deadline, where nobody asks before each send.
+/// Guards against ends that are counted only at the deadline of the attempt.
 #[test]
 fn silent_ends_under_content_without_a_program_are_counted_within_a_second() {
     run(async {
@@ -117,3 +117,43 @@
         assert!(failures.is_empty(), "{failures:#?}");
     });
 }
+
+/// Every combination of delays, at one gateway and at two.
+fn all_delays() -> Vec<Case> {
+    let starts = [0, 1_000, NEVER];
+    let delays = starts.map(|start| [400, 2_000, 12_000].map(|entry| (start, entry)));
+    let mut all = Vec::new();
+    for (start_delay, entry_delay) in delays.into_iter().flatten() {
+        let end = ServerEnd {
+            closes_after: NEVER,
+            entry_delay,
+            start_delay,
+        };
+        let some = cases([400, 1_000]).into_iter().step_by(5).take(4);
+        for gateways in [1, 2] {
+            all.extend(some.clone().map(|case| Case {
+                gateways,
+                end,
+                ..case
+            }));
+        }
+    }
+    all
+}
+
+/// Guards against entries that arrive before or while the next process starts, after resets.
+#[test]
+fn request_is_not_sent_after_three_silent_resets_with_any_delay() {
+    run(async {
+        assert_limited(Detachment::Reset, all_delays()).await;
+    });
+}
+
+/// Guards against entries that arrive before or while the next process starts, after early leaves.
+#[test]
+fn request_is_not_sent_after_three_silent_leaves_with_any_delay() {
+    run(async {
+        let leaves = Detachment::ClientLeaves(milliseconds(50));
+        assert_limited(leaves, all_delays()).await;
+    });
+}
