Attempts in progress are backed up at another daemon, which takes them over if the sender is lost

Callers and operators saw a request go on to further servers after three had ended under it: each time the daemon that had sent it was lost beside the server. That daemon was the only one that knew of the attempt; the first attempts of a request hold no place, and their ends were counted nowhere.

Each daemon now tells another one, in another zone if one is known, which attempts it begins and ends. If its connection closes, or it is not heard for 600 ms with attempts in progress, that daemon checks and follows their servers as the sender would have after its client left.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,7 +3,9 @@
 use crate::cold::ColdServers;
 use crate::dialect::{Dialect, Topics};
 use crate::ledger::assigner::Assigner;
+use crate::ledger::backups::{BackupEvent, Backups};
 use crate::ledger::client::LedgerClient;
+use crate::ledger::own_attempts::{self, OwnAttempts};
 use crate::ledger::owner::Owner;
 use crate::ledger::quota::LocalShares;
 use crate::memory::Memory;
@@ -27,7 +29,7 @@
 use std::rc::Rc;
 use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 use tracing_appender::non_blocking::ErrorCounter;
 
@@ -80,6 +82,10 @@
     pub pools: Rc<Pools>,
     /// Broken attempts whose servers are being checked.
     pub open_checks: Rc<OpenChecks>,
+    /// Attempts in progress, which are backed up at another daemon.
+    pub own_attempts: Rc<OwnAttempts>,
+    /// What happened to attempts of other daemons, until the task that handles it starts.
+    backup_events: Cell<Option<mpsc::UnboundedReceiver<BackupEvent>>>,
     /// Limits retries over all requests.
     pub retry_budget: RefCell<retry_budget::RetryBudget>,
     /// Ledger partitions owned by this daemon.
@@ -146,12 +152,14 @@
             &adapter.topics,
             adapter.metrics.clone(),
         ));
+        let (backups, backup_events) = Backups::new(&settings.zone);
         let owner = Owner::new(
             relay.clone(),
             adapter.log_health.clone(),
             adapter.metrics.clone(),
             &settings,
             Rc::new(assigner),
+            backups,
             incarnation,
         );
         let ledger = Rc::new(LedgerClient::new(owner.clone(), adapter.log_health.clone()));
@@ -173,6 +181,8 @@
             stream_gaps: ResponseTimes::default(),
             pools,
             open_checks: Rc::default(),
+            own_attempts: Rc::default(),
+            backup_events: Cell::new(Some(backup_events)),
             retry_budget: RefCell::default(),
             owner,
             ledger,
@@ -275,10 +285,20 @@
         ntex::rt::spawn(crate::ledger::reach::run(self.clone()));
         ntex::rt::spawn(crate::ledger::homes::watch_owners(self.ledger.clone()));
         ntex::rt::spawn(crate::serve::software::run(self.clone()));
+        ntex::rt::spawn(self.clone().back_up_attempts());
+        ntex::rt::spawn(self.owner.backups.clone().run());
+        if let Some(events) = self.backup_events.take() {
+            ntex::rt::spawn(crate::serve::takeover::run(self.clone(), events));
+        }
         ntex::rt::spawn(sweep_pools(self.clone()));
         ntex::rt::spawn(detect_suspension(self.clone()));
         Ok(())
     }
+
+    async fn back_up_attempts(self: Rc<Self>) {
+        let (owner, own) = (self.owner.clone(), self.own_attempts.clone());
+        own_attempts::run(owner, own, &self.settings.zone).await;
+    }
 }
 
 /// Unix time, in milliseconds, as of the start of the process and the time since then: it does not
@@ -309,6 +329,8 @@
         known_crashes.borrow_mut().expire(unix_ms());
         let cold = daemon.cold.count_cold(&directory);
         daemon.metrics.cold_servers.set(cold as i64);
+        let backed_up = daemon.owner.backups.attempt_count();
+        daemon.metrics.backed_up_attempts.set(backed_up as i64);
     }
 }
 
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -22,12 +22,15 @@
 //! - `cold`: admission of requests to cold servers, counted by an owner that holds a lease.
 //! - [`crashes`]: asks the owner of a request under which servers ended. `crash_count` is that owner's
 //!   side; it asks the `followers` of detached attempts, who get [`attempt_questions`].
+//! - [`own_attempts`]: backs up the attempts of this daemon at another one. [`backups`] has those of
+//!   others.
 //! - [`homes`]: home partitions, which only daemons of their region may own. `region` deals with
 //!   their owners as seen from other regions.
 //! - [`reach`]: detects whether the log is down or this daemon is cut off.
 
 pub mod assigner;
 pub mod attempt_questions;
+pub mod backups;
 pub mod client;
 mod closing;
 mod cold;
@@ -39,6 +42,7 @@
 pub mod homes;
 mod limits;
 pub mod load;
+pub mod own_attempts;
 pub mod owner;
 pub mod peer;
 pub mod quota;
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -2,6 +2,7 @@
 
 use super::assigner::Assigner;
 use super::attempt_questions::AttemptQuestions;
+use super::backups::Backups;
 use super::cold::{self, ColdCounters};
 use super::followers::Followers;
 use super::held::{HeldPartition, load_and_serve};
@@ -79,6 +80,8 @@
     /// Questions about the detached attempts that this daemon follows.
     pub attempt_questions: Rc<AttemptQuestions>,
     pub(super) followers: Rc<Followers>,
+    /// Attempts of other daemons that are backed up here.
+    pub backups: Rc<Backups>,
     /// When this daemon last announced that servers end under requests of a partition.
     pub(super) announced_watches: RefCell<HashMap<u32, Instant>>,
     /// When this daemon last reported that attempts of a partition were abandoned.
@@ -95,6 +98,7 @@
         metrics: Rc<Metrics>,
         settings: &GatewaySettings,
         assigner: Rc<Assigner>,
+        backups: Rc<Backups>,
         incarnation: u64,
     ) -> Rc<Self> {
         let zone_state = assigner.zone_state.clone();
@@ -134,6 +138,7 @@
             )),
             subscribers,
             attempt_questions,
+            backups,
             announced_watches: RefCell::default(),
             suspected_partitions: RefCell::default(),
             reach: Rc::default(),
--- a/crates/gateway/src/ledger/peer.rs
+++ b/crates/gateway/src/ledger/peer.rs
@@ -103,11 +103,22 @@
     let (frames, queue) = mpsc::unbounded_channel();
     ntex::rt::spawn(write_frames(writer, queue));
     owner.subscribers.add(frames.clone());
+    let connection = owner.backups.number_connection();
     let mut buffer = BytesMut::new();
     while let Ok(envelope) = next_frame::<LedgerRequest>(&mut reader, &mut buffer).await {
-        let (sender, mut replies) = mpsc::unbounded_channel();
         let call_id = envelope.call_id;
-        owner.handle(envelope.body, sender);
+        let request = match envelope.body {
+            LedgerRequest::BackUpAttempts(message) => {
+                let body = owner.backups.receive(connection, message);
+                if call_id != UNSOLICITED_CALL_ID {
+                    let _ = frames.send(encode(&Envelope { call_id, body }));
+                }
+                continue;
+            }
+            request => request,
+        };
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        owner.handle(request, sender);
         let frames = frames.clone();
         ntex::rt::spawn(async move {
             while let Some(body) = replies.recv().await {
@@ -116,6 +127,7 @@
         });
     }
     owner.subscribers.remove(&frames);
+    owner.backups.close(connection);
 }
 
 /// The daemons that have a connection to this one, on which crash watches are reported and questions
@@ -268,6 +280,24 @@
         self.on_discard.notify_one();
     }
 
+    /// Whether the connection has closed.
+    pub fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Whether a call waits for its reply for longer than this.
+    pub fn waits_longer_than(&self, time: Duration) -> bool {
+        let calls = self.calls.borrow();
+        calls.values().any(|call| call.made.elapsed() > time)
+    }
+
+    /// Sends a request that is not answered.
+    pub fn send(&self, body: LedgerRequest) {
+        let call_id = UNSOLICITED_CALL_ID;
+        // A connection that has closed is noticed by its reader.
+        let _ = self.frames.send(encode(&Envelope { call_id, body }));
+    }
+
     /// Sends a request and returns the channel of its replies, which closes without a reply if the
     /// connection does.
     pub fn call(&self, body: LedgerRequest) -> mpsc::UnboundedReceiver<LedgerReply> {
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -75,7 +75,8 @@
             | LedgerRequest::FindCrashWatch(_)
             | LedgerRequest::ReportAttempt(_)
             | LedgerRequest::Follow(_)
-            | LedgerRequest::List(_) => {}
+            | LedgerRequest::List(_)
+            | LedgerRequest::BackUpAttempts(_) => {}
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,12 @@
     pub broken_attempts: IntCounterVec,
     /// Attempts that are over and may still end their servers.
     pub followed_attempts: IntGauge,
+    /// Attempts of other daemons that are backed up here.
+    pub backed_up_attempts: IntGauge,
+    /// Attempts of lost daemons that this one took over, by how the loss was known.
+    pub attempts_taken_over: IntCounterVec,
+    /// Changes of the daemon that backs up the attempts of this one, by outcome.
+    pub backup_changes: IntCounterVec,
     /// Questions to servers which process they are, by answer.
     pub identity_checks: IntCounterVec,
     /// Permits for sending a request to a server, by outcome.
@@ -134,6 +140,20 @@
                 "fieldhook_followed_attempts",
                 "Attempts that are over and may still end their servers",
             ),
+            backed_up_attempts: b.gauge(
+                "fieldhook_backed_up_attempts",
+                "Attempts of other daemons that are backed up here",
+            ),
+            attempts_taken_over: b.counters(
+                "fieldhook_attempts_taken_over_total",
+                "Attempts of lost daemons that were taken over",
+                "cause",
+            ),
+            backup_changes: b.counters(
+                "fieldhook_attempt_backup_changes_total",
+                "Changes of the daemon that backs up attempts",
+                "outcome",
+            ),
             identity_checks: b.counters(
                 "fieldhook_identity_checks_total",
                 "Questions to servers which process they are",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,8 @@
 //! verifies that the server may still be used, [`send_permit`] limits requests under which servers
 //! ended, and `silence` stops waiting for a server whose
 //! machine cannot be reached. [`attempt`] holds the state and the outcome of attempts, and
-//! [`attempt_monitor`] determines whether a server ended under one. [`retry`] decides what follows a
+//! [`attempt_monitor`] determines whether a server ended under one, and [`takeover`] does that for the
+//! attempts of daemons that were lost. [`retry`] decides what follows a
 //! failed attempt; [`response_times`] determines the timeout of an attempt.
 //!
 //! [`stream_origin`] keeps a stream at the software that began it, and [`software`] registers the
@@ -44,6 +45,7 @@
 pub mod software;
 pub mod stream;
 pub mod stream_origin;
+pub mod takeover;
 pub mod turn;
 pub mod turn_open;
 mod turn_record;
--- a/crates/gateway/src/serve/attempt_monitor.rs
+++ b/crates/gateway/src/serve/attempt_monitor.rs
@@ -9,8 +9,10 @@
 use super::server_check::{JUDGE_PERIOD, ServerCheck};
 use crate::daemon::Daemon;
 use crate::ledger::attempt_questions::Asked;
+use crate::ledger::own_attempts::AttemptGuard;
 use crate::upstream::connection::ExchangeError;
 use fieldhook_ledger::crashes::{AttemptEnd, DETACHED_RENEWAL_MS};
+use fieldhook_ledger::message::{AttemptServer, BackedUpAttempt, ClosedAttempt};
 use fieldhook_traffic::directory::ServerEntry;
 use fieldhook_traffic::process_identity::ProcessIdentity;
 use fieldhook_traffic::server_fate::{Contact, Fate};
@@ -65,6 +67,8 @@
     holds_open: bool,
     /// Epoch of the owner to which it was reported as detached.
     owner_epoch: Option<u64>,
+    /// Keeps the attempt backed up at another daemon until this is dropped.
+    backup: Option<AttemptGuard>,
 }
 
 impl AttemptMonitor {
@@ -77,14 +81,10 @@
         permit: Option<SendPermit>,
     ) -> Self {
         let counted = permit.and_then(SendPermit::into_attempt);
-        Self(counted.map(|counted| Subject {
-            check: ServerCheck::new(counted.daemon.clone(), server, stated, &counted.known),
-            counted,
-            request: context.meta.id.clone(),
-            program: context.meta.program.clone(),
-            time_limit: Duration::from_millis(context.remaining_ms()),
-            holds_open: true,
-            owner_epoch: None,
+        Self(counted.map(|counted| {
+            let check = ServerCheck::new(counted.daemon.clone(), server, stated, &counted.known);
+            let time_limit = Duration::from_millis(context.remaining_ms());
+            Subject::new(counted, check, context.meta.id.clone(), time_limit)
         }))
     }
 
@@ -128,6 +128,29 @@
     }
 }
 
+/// Follows the server of an attempt whose daemon was lost, until its fate is known or `cancelled`
+/// tells that the daemon lives and has ended the attempt.
+pub(super) async fn take_over(
+    daemon: Rc<Daemon>,
+    attempt: BackedUpAttempt,
+    server: ServerEntry,
+    cancelled: oneshot::Receiver<ClosedAttempt>,
+) {
+    let counted = CountedAttempt::taken_over(daemon.clone(), &attempt);
+    let check = ServerCheck::taken_over(daemon, server, &attempt);
+    let time_limit = Duration::from_millis(attempt.limit_ms);
+    let mut subject = Subject::new(counted, check, attempt.request, time_limit);
+    subject.check.mark_broken();
+    let closed = tokio::select! {
+        () = subject.follow_abandoned() => return,
+        Ok(closed) = cancelled => closed,
+    };
+    // The daemon has reported what is open itself.
+    if !closed.is_open {
+        subject.release(AttemptEnd::ServerAlive);
+    }
+}
+
 impl Drop for AttemptMonitor {
     fn drop(&mut self) {
         if let Some(mut subject) = self.0.take() {
@@ -176,6 +199,50 @@
 }
 
 impl Subject {
+    fn new(
+        counted: CountedAttempt,
+        check: ServerCheck,
+        request: String,
+        time_limit: Duration,
+    ) -> Self {
+        let mut subject = Self {
+            program: counted.content.program.clone(),
+            check,
+            counted,
+            request,
+            time_limit,
+            holds_open: true,
+            owner_epoch: None,
+            backup: None,
+        };
+        let own = &subject.counted.daemon.own_attempts;
+        subject.backup = Some(own.begin(subject.backed_up()));
+        subject
+    }
+
+    /// What another daemon needs to take the attempt over.
+    fn backed_up(&self) -> BackedUpAttempt {
+        let (counted, check) = (&self.counted, &self.check);
+        let server = &check.server;
+        BackedUpAttempt {
+            attempt: counted.attempt,
+            content: counted.content.clone(),
+            request: self.request.clone(),
+            known: counted.known.clone(),
+            retention_ms: counted.retention_ms,
+            server: AttemptServer {
+                name: server.name.clone(),
+                started_ms: server.started_ms(),
+                service: server.service.clone(),
+                address: server.address.to_string(),
+            },
+            stated: check.stated_process(),
+            process_started_ms: check.process_start,
+            limit_ms: self.time_limit.as_millis() as u64,
+            age_ms: check.sent.elapsed().as_millis() as u64,
+        }
+    }
+
     /// Checks the server at once.
     async fn check_break(&mut self, error: ExchangeError) -> Fate {
         let broke = self.check.broke;
@@ -204,6 +271,9 @@
     /// Reports the fate of the server. Waits until an owner has accepted that if it may keep the
     /// request from being sent again.
     async fn report(&mut self, fate: Fate) {
+        if let Some(backup) = &mut self.backup {
+            backup.is_open = fate == Fate::Unresolved;
+        }
         let id = &self.check.server.id;
         let accepted = match fate {
             Fate::Ended => {
--- a/crates/gateway/src/serve/send_permit.rs
+++ b/crates/gateway/src/serve/send_permit.rs
@@ -7,7 +7,9 @@
 use crate::daemon::{Daemon, unix_ms};
 use crate::ledger::crashes::SendAnswer;
 use fieldhook_ledger::crashes::{AttemptEnd, MAX_ENDED_SERVERS, SendDecision};
-use fieldhook_ledger::message::{ConfirmAttempt, ReportAttempt, RequestKey, RequestSend};
+use fieldhook_ledger::message::{
+    BackedUpAttempt, ConfirmAttempt, ReportAttempt, RequestKey, RequestSend,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -32,7 +34,7 @@
     /// The request, by its content.
     pub content: RequestKey,
     /// Number of the attempt.
-    attempt: u64,
+    pub attempt: u64,
     /// When the permit was asked for.
     asked: Instant,
     /// Servers that were known to have ended under the request when the permit was granted.
@@ -40,10 +42,23 @@
     /// Whether the owner holds a place for the attempt until its end is reported.
     pub is_held: bool,
     /// How long clients may send the request again, in milliseconds.
-    retention_ms: u64,
+    pub retention_ms: u64,
 }
 
 impl CountedAttempt {
+    /// An attempt that another daemon has made.
+    pub fn taken_over(daemon: Rc<Daemon>, attempt: &BackedUpAttempt) -> Self {
+        Self {
+            daemon,
+            content: attempt.content.clone(),
+            attempt: attempt.attempt,
+            asked: Instant::now(),
+            known: attempt.known.clone(),
+            is_held: false,
+            retention_ms: attempt.retention_ms,
+        }
+    }
+
     /// Reports the end of the attempt. The receiver is notified once an owner has accepted that. An
     /// attempt whose outcome is open holds its place for as long as ended servers count.
     pub fn report(&mut self, server: &str, end: AttemptEnd) -> oneshot::Receiver<()> {
--- a/crates/gateway/src/serve/server_check.rs
+++ b/crates/gateway/src/serve/server_check.rs
@@ -4,6 +4,7 @@
 use crate::upstream::connection::ServerConnection;
 use crate::upstream::{identity, probe};
 use fieldhook_ledger::crashes;
+use fieldhook_ledger::message::{BackedUpAttempt, StatedProcess};
 use fieldhook_traffic::directory::{self, ServerEntry};
 use fieldhook_traffic::process_identity::ProcessIdentity;
 use fieldhook_traffic::server_fate::{Contact, EntryState, Evidence, Fate};
@@ -32,6 +33,16 @@
     }
 }
 
+/// What a process has stated about itself, if it was asked.
+fn identity_of(stated: StatedProcess) -> Option<ProcessIdentity> {
+    match stated {
+        StatedProcess::NotAsked => None,
+        StatedProcess::Nothing => Some(ProcessIdentity::Unknown),
+        StatedProcess::Same => Some(ProcessIdentity::Same),
+        StatedProcess::Other => Some(ProcessIdentity::Other),
+    }
+}
+
 /// The server of an attempt, and what shows whether it lives.
 pub(super) struct ServerCheck {
     daemon: Rc<Daemon>,
@@ -46,7 +57,7 @@
     /// Starts of processes that were known to listen at its address when the request was sent.
     known_starts: Vec<u64>,
     /// Start of the process of the attempt, once that has stated it.
-    process_start: Option<u64>,
+    pub process_start: Option<u64>,
     /// What the process had stated on the connection of the attempt, if it was asked.
     stated: Option<ProcessIdentity>,
     /// Open connection to the process of the attempt.
@@ -78,6 +89,33 @@
         }
     }
 
+    /// Creates a check for an attempt that another daemon sent to this server some time ago.
+    pub fn taken_over(daemon: Rc<Daemon>, server: ServerEntry, attempt: &BackedUpAttempt) -> Self {
+        let now = Instant::now();
+        let age = Duration::from_millis(attempt.age_ms);
+        Self {
+            known_starts: crashes::successors(&attempt.known, &server.id).collect(),
+            process_start: attempt.process_started_ms,
+            daemon,
+            server,
+            sent: now.checked_sub(age).unwrap_or(now),
+            broke: now,
+            was_leaving: false,
+            stated: identity_of(attempt.stated),
+            process: None,
+        }
+    }
+
+    /// What the process on the connection of the attempt had stated.
+    pub fn stated_process(&self) -> StatedProcess {
+        match self.stated {
+            None => StatedProcess::NotAsked,
+            Some(ProcessIdentity::Unknown) => StatedProcess::Nothing,
+            Some(ProcessIdentity::Same) => StatedProcess::Same,
+            Some(ProcessIdentity::Other) => StatedProcess::Other,
+        }
+    }
+
     /// The attempt is over from now on.
     pub fn mark_broken(&mut self) {
         self.broke = Instant::now();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod late_responses;
 mod limits;
 mod log_storage;
+mod lost_senders;
 mod outage;
 mod ownership;
 mod peers;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -34,9 +34,11 @@
 //! - [`uncertainty`]: programs that may have started without a record before a takeover.
 //! - [`streams`]: which server sent the first event of a stream that a client may resume.
 //! - [`crashes`]: requests under which servers ended.
+//! - [`backup`]: attempts in progress of a daemon, backed up at another one.
 //! - [`software`]: the software that may have begun streams, by service.
 //! - [`partition`]: the state machine of one partition.
 
+pub mod backup;
 pub mod budget;
 pub mod chains;
 pub mod crashes;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -8,12 +8,14 @@
 use crate::streams::StreamOrigin;
 use nanoserde::{DeBin, SerBin};
 
+mod backup;
 mod crash;
 mod quota;
 mod request_key;
 mod stream;
 mod topic;
 
+pub use backup::{AttemptServer, BackUpAttempts, BackedUpAttempt, ClosedAttempt, StatedProcess};
 pub use crash::{AttemptQuestion, ConfirmAttempt, CrashWatch, ReportAttempt, RequestSend};
 pub use quota::{ColdServerRequest, QuotaEvent, QuotaReply, QuotaRequest};
 pub use request_key::RequestKey;
@@ -302,6 +304,8 @@
     FindCrashWatch(u32),
     /// Reports that the process of a detached attempt lives.
     ConfirmAttempt(ConfirmAttempt),
+    /// Tells the receiver which attempts the sender has begun and ended.
+    BackUpAttempts(BackUpAttempts),
 }
 
 impl LedgerRequest {
@@ -333,7 +337,8 @@
             | Self::HasLogContact
             | Self::Config(_)
             | Self::Follow(_)
-            | Self::List(_) => 0,
+            | Self::List(_)
+            | Self::BackUpAttempts(_) => 0,
         }
     }
 }
@@ -436,9 +441,12 @@
     CrashWatch(CrashWatch),
     /// Asks whether the processes of detached attempts live. Sent without a request.
     ConfirmAttempts(AttemptQuestion),
+    /// The sender backs up the attempts of the receiver. Contains the zone of the sender.
+    BackedUp(String),
 }
 
-/// Call id of replies that are sent without a request. Calls are numbered from 0.
+/// Call id of replies that are sent without a request, and of requests without a reply. Calls are
+/// numbered from 0.
 pub const UNSOLICITED_CALL_ID: u64 = u64::MAX;
 
 impl LedgerReply {
--- a/crates/traffic/src/directory.rs
+++ b/crates/traffic/src/directory.rs
@@ -58,17 +58,26 @@
         self.id != self.name
     }
 
+    /// Unix time at which the process started, in milliseconds, if the entry tells.
+    pub fn started_ms(&self) -> Option<u64> {
+        let start = self.id.strip_prefix(&self.name)?;
+        start.strip_prefix(START_MARK)?.parse().ok()
+    }
+
     /// Software of this incarnation.
     pub fn software(&self) -> Software {
         Software::new(self.software_version.as_deref(), &self.id)
     }
 }
 
+/// Separates the name of a server from its start in an identity.
+const START_MARK: char = '~';
+
 /// Returns the identity of an incarnation: the server's name, followed by the Unix time of its
 /// start in milliseconds if the server reports it.
 pub fn identity(name: &str, started_ms: Option<u64>) -> String {
     match started_ms {
-        Some(started_ms) => format!("{name}~{started_ms}"),
+        Some(started_ms) => format!("{name}{START_MARK}{started_ms}"),
         None => name.to_owned(),
     }
 }
