An attempt that broke keeps its place and its order if another daemon abandons it anew

A daemon that takes over attempts reports each as abandoned.

The owner now ignores the report of an abandoned attempt that it knows to have broken. The test failed before (a fourth attempt was granted); the oracle of the fuzz test has the same rule.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -160,6 +160,13 @@
     pub retention_ms: u64,
 }
 
+impl EndedAttempt<'_> {
+    /// Whether the attempt was abandoned, and its server is not checked yet.
+    fn is_abandoned(&self) -> bool {
+        self.end == AttemptEnd::Unresolved && self.hold_ms < MIN_RECORDED_HOLD_MS
+    }
+}
+
 /// Changes that the end of an attempt makes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashChange {
@@ -370,6 +377,11 @@
             return CrashChange::default();
         };
         request.close_expired(now_ms);
+        // An attempt that has broken may be abandoned by the daemon that took it over. It keeps its
+        // place, and has not gone on meanwhile.
+        if ended.is_abandoned() && request.order.has_broken(ended.attempt) {
+            return CrashChange::default();
+        }
         // The place was held by an earlier owner if there is none. A detached attempt keeps it.
         let place = match ended.end {
             AttemptEnd::Detached => None,
@@ -390,7 +402,7 @@
                 request.add_server(ended, ended_before, Some(span), now_ms);
             }
             AttemptEnd::Unresolved if request.is_full() => {}
-            AttemptEnd::Unresolved if ended.hold_ms < MIN_RECORDED_HOLD_MS => {
+            AttemptEnd::Unresolved if ended.is_abandoned() => {
                 let ended_before = request.goes_on(ended.attempt, ended_before, now_ms);
                 request.hold(ended, ended_before, now_ms);
             }
--- a/crates/ledger/src/crashes/attempt_order.rs
+++ b/crates/ledger/src/crashes/attempt_order.rs
@@ -44,6 +44,11 @@
         self.granted.insert(attempt, position);
     }
 
+    /// Whether an attempt has broken, and it is open what became of its server.
+    pub(super) fn has_broken(&self, attempt: u64) -> bool {
+        self.broke.contains_key(&attempt)
+    }
+
     /// An attempt broke or was abandoned, unless that is known already.
     pub(super) fn break_off(&mut self, attempt: u64) {
         self.granted.entry(attempt).or_default();
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -269,6 +269,12 @@
                 let place = state.places.remove(&attempt);
                 match end {
                     AttemptEnd::ServerEnded => state.count(server, attempt, place, step, owner),
+                    // An attempt that has broken stays as it is.
+                    AttemptEnd::Unresolved
+                        if open_ms < MIN_RECORDED_HOLD_MS && state.broke.contains_key(&attempt) =>
+                    {
+                        state.places.extend(place.map(|place| (attempt, place)));
+                    }
                     AttemptEnd::Unresolved if state.held() >= MAX_OPEN_ATTEMPTS => {}
                     AttemptEnd::Unresolved if open_ms < MIN_RECORDED_HOLD_MS => {
                         let known = place.filter(|place| place.owner == owner);
@@ -294,7 +300,10 @@
                             ..place
                         };
                         state.places.insert(attempt, place);
-                        state.broke.entry(attempt).or_insert(step);
+                        // The order of an attempt whose place was restored is not known.
+                        if place.owner == owner {
+                            state.broke.entry(attempt).or_insert(step);
+                        }
                     }
                     AttemptEnd::Detached
                         if place.is_none()
