Requests wait for the next owner if their last one was lost with attempts of that partition in progress

If the daemon that sent a request also owned its partition, its successor does not know of the attempt until the backup has reported it, and until it has claimed the partition nobody answers whether it is watched. A daemon without an answer sent the request unasked.

--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -19,6 +19,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -382,6 +383,28 @@
         false
     }
 
+    /// Has all known daemons, and this one, ask before they send requests of some partitions, whose owner
+    /// at this address was lost.
+    pub fn suspect_crashes(self: &Rc<Self>, partitions: Vec<u32>, lost: SocketAddr) {
+        for partition in &partitions {
+            self.relay.watch_crashes(*partition, WatchLevel::Suspected);
+        }
+        let mut addresses = self.claims.addresses();
+        addresses.extend(self.backups.addresses());
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| ![lost, self.claims.address].contains(address));
+        for address in addresses {
+            let owner = self.clone();
+            let request = LedgerRequest::SuspectCrashes(partitions.clone());
+            ntex::rt::spawn(async move {
+                let peers = &owner.crash_watch_peers;
+                // A daemon that is not reached asks the owner or its successor.
+                let _ = peers.request(address, &request, ANNOUNCE_TIMEOUT).await;
+            });
+        }
+    }
+
     /// Renews the watches of partitions in which servers have ended under requests.
     pub(super) fn renew_crash_watches(self: &Rc<Self>) {
         let held = self.held.borrow();
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -234,6 +234,12 @@
                 self.relay.watch_crashes(partition, WatchLevel::Watched);
                 let _ = sender.send(LedgerReply::Accepted);
             }
+            LedgerRequest::SuspectCrashes(partitions) => {
+                for partition in partitions {
+                    self.relay.watch_crashes(partition, WatchLevel::Suspected);
+                }
+                let _ = sender.send(LedgerReply::Closed);
+            }
             // The reply names the owner that this daemon knows, which may be itself.
             LedgerRequest::FindOwner(_) => {
                 let _ = sender.send(LedgerReply::NotOwner(self.known_owner(partition)));
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -76,7 +76,8 @@
             | LedgerRequest::ReportAttempt(_)
             | LedgerRequest::Follow(_)
             | LedgerRequest::List(_)
-            | LedgerRequest::BackUpAttempts(_) => {}
+            | LedgerRequest::BackUpAttempts(_)
+            | LedgerRequest::SuspectCrashes(_) => {}
         }
     }
 
--- a/crates/gateway/src/serve/takeover.rs
+++ b/crates/gateway/src/serve/takeover.rs
@@ -7,7 +7,7 @@
 use fieldhook_ledger::message::{AttemptServer, BackedUpAttempt, ClosedAttempt};
 use fieldhook_traffic::directory::{self, ServerEntry};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -41,11 +41,35 @@
         cause,
         attempts = count
     );
+    suspect(daemon, &lost);
     for attempt in lost.attempts {
         follow(daemon, followed, attempt);
     }
 }
 
+/// Has all daemons ask before they send requests whose attempts were in progress at a daemon that owned
+/// their partition too. Its successor does not know of these attempts yet. An owner that lives tells of
+/// reports itself.
+fn suspect(daemon: &Rc<Daemon>, lost: &LostSender) {
+    let Ok(address) = lost.address.parse() else {
+        return;
+    };
+    let claims = &daemon.owner.claims;
+    let partitions = lost
+        .attempts
+        .iter()
+        .map(|attempt| daemon.ledger.partition_of_request(&attempt.content));
+    let is_owned = |partition: &u32| {
+        let claim = claims.claim(*partition);
+        claim.is_some_and(|claim| claim.address == Some(address))
+    };
+    let partitions: BTreeSet<u32> = partitions.filter(is_owned).collect();
+    if !partitions.is_empty() {
+        let partitions = partitions.into_iter().collect();
+        daemon.owner.suspect_crashes(partitions, address);
+    }
+}
+
 fn follow(daemon: &Rc<Daemon>, followed: &Followed, attempt: BackedUpAttempt) {
     let Some(server) = entry(&attempt.server) else {
         tracing::warn!(
--- a/crates/gateway/tests/gateway/lost_senders.rs
+++ b/crates/gateway/tests/gateway/lost_senders.rs
@@ -4,6 +4,7 @@
 use crate::detached_attempts::milliseconds;
 use crate::restarted_servers::{Fleet, MARK};
 use crate::support::{Act, Gateway, Server, World, run};
+use fieldhook_emulator::log::memory::LogFault;
 use fieldhook_gateway::dialect::RequestMeta;
 use fieldhook_gateway::ledger::peer::{PeerConnection, Peers};
 use fieldhook_gateway::serve::content::Identity;
@@ -24,6 +25,14 @@
 const ENTRY_DELAY_MS: u64 = 12_000;
 /// Time in which a loss is noticed, servers are checked and their ends are reported, in milliseconds.
 const TAKEOVER_MS: u64 = 700;
+/// Time in which a claim is known, in milliseconds.
+const CLAIM_MS: u64 = 100;
+/// Time that the log takes to answer while the owner is replaced, in milliseconds.
+const SLOW_LOG_MS: u64 = 200;
+/// Time after which a client sends a request again, in milliseconds.
+const RETURN_MS: u64 = 10;
+/// Address of the daemon that is lost.
+const SENDER: &str = "127.0.0.1:1";
 /// Number of servers that may end under a request before it is not sent to any other.
 const MAX_ENDED: usize = 3;
 
@@ -67,7 +76,7 @@
 
 fn message(closed: Vec<ClosedAttempt>, begun: Vec<BackedUpAttempt>) -> LedgerRequest {
     LedgerRequest::BackUpAttempts(BackUpAttempts {
-        address: "127.0.0.1:1".to_owned(),
+        address: SENDER.to_owned(),
         incarnation: 1,
         is_complete: false,
         closed,
@@ -174,6 +183,37 @@
     });
 }
 
+/// Guards against a request that is sent unasked until the owner has a successor, because the daemon
+/// that is lost owned the partition too.
+#[test]
+fn request_is_not_sent_after_three_servers_ended_with_the_owner_that_sent_it() {
+    run(async {
+        let fleet = Fleet::start(milliseconds(ENTRY_DELAY_MS), true).await;
+        let partition = fleet.gateways[0]
+            .daemon
+            .ledger
+            .partition_of_request(&content(MARK));
+        fleet
+            .claim_for(partition, SENDER.parse().expect("an address"))
+            .await;
+        sleep(milliseconds(CLAIM_MS)).await;
+        let sender = begin_three(&fleet, MARK).await;
+        for gateway in &fleet.gateways {
+            let slow = LogFault::Slow(milliseconds(SLOW_LOG_MS));
+            gateway.store.set_fault(slow);
+        }
+        for server in fleet.servers.iter().take(MAX_ENDED) {
+            server.end();
+        }
+        sender.lose();
+        sleep(milliseconds(RETURN_MS)).await;
+        for _ in 0..2 {
+            assert_eq!(ask(&fleet.gateways[1], MARK).await, 503);
+        }
+        assert_eq!(fleet.sent(), 0);
+    });
+}
+
 /// Guards against requests that are refused because a daemon was lost with attempts of them.
 #[test]
 fn request_is_sent_after_a_daemon_with_attempts_at_living_servers_is_lost() {
--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -11,6 +11,7 @@
 use fieldhook_ledger::message::{RequestKey, RequestSend};
 use fieldhook_ledger::name::QualifiedName;
 use futures_util::future::join_all;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
@@ -83,6 +84,11 @@
         }
     }
 
+    /// Claims a partition for a daemon at this address.
+    pub async fn claim_for(&self, partition: u32, address: SocketAddr) {
+        self.world.claim_for(partition, address).await;
+    }
+
     /// Sends a request again and again, at another gateway each time and under another id.
     async fn ask_repeatedly(&self, times: usize, path: &str, body: &str) -> Vec<u16> {
         let mut statuses = Vec::new();
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -306,6 +306,9 @@
     ConfirmAttempt(ConfirmAttempt),
     /// Tells the receiver which attempts the sender has begun and ended.
     BackUpAttempts(BackUpAttempts),
+    /// Tells the receiver that a daemon was lost with attempts in progress, whose servers may have
+    /// ended under requests of these partitions.
+    SuspectCrashes(Vec<u32>),
 }
 
 impl LedgerRequest {
@@ -338,7 +341,8 @@
             | Self::Config(_)
             | Self::Follow(_)
             | Self::List(_)
-            | Self::BackUpAttempts(_) => 0,
+            | Self::BackUpAttempts(_)
+            | Self::SuspectCrashes(_) => 0,
         }
     }
 }
