A request whose attempts are counted does not wait at a process that does not answer

Traced by the lines of a run beside load: the address accepts the connection before a process reads it, so the question which process it is stays without an answer, and the request was sent all the same. It lay in the socket until the next process read it, and its end was taken for that of the process before, whose connection was still open: two ends counted once.

An attempt that holds a place is no longer sent on a connection whose process gave no answer; another server is chosen. One that answers and states nothing is used as before.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -130,13 +130,15 @@
     is_counted: bool,
 ) -> Result<(ServerConnection, Process), DispatchFailure> {
     let daemon = &context.daemon;
-    let is_continued = continuation.last_event.is_some();
+    let is_usable = |process| match process {
+        Process::Proven => true,
+        Process::Uncertain => continuation.last_event.is_none(),
+        Process::Other | Process::Unresponsive => false,
+    };
     match process_check::connect(context, server, is_counted).await {
-        Ok((_, process))
-            if process == Process::Other || process == Process::Uncertain && is_continued =>
-        {
+        Ok((_, process)) if !is_usable(process) => {
             let outcome = process.name();
-            if process == Process::Other {
+            if process != Process::Uncertain {
                 observe(context, server, Observation::Failed, outcome);
             }
             tracing::info!(
@@ -208,7 +210,7 @@
     // A connection whose process stated nothing was replaced by one that was not asked.
     let stated = match process {
         Process::Uncertain => Some(ProcessIdentity::Unknown),
-        Process::Proven | Process::Other => connection.identity,
+        Process::Proven | Process::Other | Process::Unresponsive => connection.identity,
     };
     let monitor = AttemptMonitor::new(context, &server, stated, history.permit.take());
     let exchange = connection.exchange(&outgoing, daemon.dialect.as_ref());
--- a/crates/gateway/src/serve/process_check.rs
+++ b/crates/gateway/src/serve/process_check.rs
@@ -33,6 +33,9 @@
     Uncertain,
     /// It is another one.
     Other,
+    /// It gave no answer, so it may read the request at any later time: an address accepts connections
+    /// before the process there does.
+    Unresponsive,
 }
 
 impl Process {
@@ -42,12 +45,14 @@
             Self::Proven => "process_proven",
             Self::Uncertain => "process_uncertain",
             Self::Other => "other_process",
+            Self::Unresponsive => "unresponsive",
         }
     }
 }
 
 /// Opens a connection to a server, or takes an idle one. For a resumable stream, and for an attempt that
-/// is counted, determines which process it leads to.
+/// is counted, determines which process it leads to. An attempt that is counted waits at no process that
+/// does not answer: its server would end at an unknown time.
 ///
 /// # Errors
 /// No connection was established; nothing was sent.
@@ -88,6 +93,7 @@
                 false => Process::Proven,
             }
         }
+        None if is_counted => Process::Unresponsive,
         Some(ProcessIdentity::Unknown) | None => Process::Uncertain,
     };
     Ok((connection, process))
