--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -389,12 +389,8 @@
         for partition in &partitions {
             self.relay.watch_crashes(*partition, WatchLevel::Suspected);
         }
-        let mut addresses = self.claims.addresses();
-        addresses.extend(self.backups.addresses());
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| ![lost, self.claims.address].contains(address));
-        for address in addresses {
+        let others = self.known_daemons();
+        for address in others.into_iter().filter(|address| *address != lost) {
             let owner = self.clone();
             let request = LedgerRequest::SuspectCrashes(partitions.clone());
             ntex::rt::spawn(async move {
--- a/crates/gateway/src/ledger/own_attempts.rs
+++ b/crates/gateway/src/ledger/own_attempts.rs
@@ -166,14 +166,9 @@
         }
     }
 
-    /// Addresses of the daemons that this one knows, in random order.
+    /// The daemons that may become the backup, in random order.
     fn candidates(&self) -> Vec<SocketAddr> {
-        let claims = &self.owner.claims;
-        let mut candidates = claims.addresses();
-        candidates.extend(self.owner.backups.addresses());
-        candidates.retain(|address| *address != claims.address);
-        candidates.sort_unstable();
-        candidates.dedup();
+        let mut candidates = self.owner.known_daemons();
         fastrand::shuffle(&mut candidates);
         candidates
     }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -29,6 +29,7 @@
 use fieldhook_traffic::sliding_window::Bounds;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
@@ -317,6 +318,16 @@
         claim.filter(|claim| is_held && self.claims.is_mine(claim))
     }
 
+    /// Addresses of the other daemons that this one knows: owners, and those whose backup it is.
+    pub(super) fn known_daemons(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.claims.addresses();
+        addresses.extend(self.backups.addresses());
+        addresses.retain(|address| *address != self.claims.address);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Returns the owner of a partition as far as this daemon knows, to be sent to another daemon.
     pub(super) fn known_owner(&self, partition: u32) -> Option<KnownOwner> {
         let claim = self.claims.claim(partition)?;
