The report of an abandoned attempt shortens no place

A daemon that takes an attempt over reports it as abandoned, then what it has found.

The place is held for as long as it was before; the report that follows decides. The test fails without the change (granted instead of busy); the oracle of the fuzz test has the same rule.

--- a/crates/ledger/src/crashes.rs
+++ b/crates/ledger/src/crashes.rs
@@ -387,7 +387,7 @@
             AttemptEnd::Detached => None,
             _ => request.record.take_place(ended.attempt),
         };
-        let ended_before = place.unwrap_or(ended.known.len() as u64);
+        let ended_before = place.map_or(ended.known.len() as u64, |place| place.ended_before);
         let is_restored = place.is_some() && !request.order.knows(ended.attempt);
         if ended.end != AttemptEnd::Detached {
             request.detached.remove(ended.attempt);
@@ -403,8 +403,7 @@
             }
             AttemptEnd::Unresolved if request.is_full() => {}
             AttemptEnd::Unresolved if ended.is_abandoned() => {
-                let ended_before = request.goes_on(ended.attempt, ended_before, now_ms);
-                request.hold(ended, ended_before, now_ms);
+                request.abandon(ended, place, ended_before, now_ms);
             }
             AttemptEnd::Unresolved => {
                 if !is_restored {
--- a/crates/ledger/src/crashes/record.rs
+++ b/crates/ledger/src/crashes/record.rs
@@ -85,11 +85,10 @@
         }
     }
 
-    /// Removes the place of an attempt, if it holds one. Returns how many ended servers were known
-    /// when it was granted.
-    pub(super) fn take_place(&mut self, attempt: u64) -> Option<u64> {
+    /// Removes the place of an attempt, if it holds one.
+    pub(super) fn take_place(&mut self, attempt: u64) -> Option<OpenAttempt> {
         let position = self.open.iter().position(|open| open.attempt == attempt)?;
-        Some(self.open.remove(position).ended_before)
+        Some(self.open.remove(position))
     }
 }
 
@@ -174,6 +173,24 @@
         });
     }
 
+    /// Holds a place for an attempt that was abandoned, for as long as it held one before: what its
+    /// daemon finds out may have been reported already.
+    pub(super) fn abandon(
+        &mut self,
+        ended: &EndedAttempt<'_>,
+        place: Option<OpenAttempt>,
+        ended_before: u64,
+        now_ms: u64,
+    ) {
+        let ended_before = self.goes_on(ended.attempt, ended_before, now_ms);
+        let until_ms = now_ms + ended.hold_ms;
+        self.record.open.push(OpenAttempt {
+            attempt: ended.attempt,
+            until_ms: place.map_or(until_ms, |place| place.until_ms.max(until_ms)),
+            ended_before,
+        });
+    }
+
     /// The process of an attempt lived when it was over for the client, so servers that have ended
     /// since an earlier owner granted the attempt were others, and an end from now on may be its own.
     /// Returns how many had ended before the attempt.
--- a/crates/ledger/tests/crashes/fuzz.rs
+++ b/crates/ledger/tests/crashes/fuzz.rs
@@ -278,8 +278,9 @@
                     AttemptEnd::Unresolved if state.held() >= MAX_OPEN_ATTEMPTS => {}
                     AttemptEnd::Unresolved if open_ms < MIN_RECORDED_HOLD_MS => {
                         let known = place.filter(|place| place.owner == owner);
+                        let kept_ms = place.map_or(0, |place| place.until_ms);
                         let place = Place {
-                            until_ms: now_ms + open_ms,
+                            until_ms: kept_ms.max(now_ms + open_ms),
                             granted: known.map_or(step, |place| place.granted),
                             owner,
                             detached: None,
--- a/crates/ledger/tests/crashes/main.rs
+++ b/crates/ledger/tests/crashes/main.rs
@@ -176,6 +176,22 @@
     assert_eq!(table.servers(&name("r"), later_ms), ["a", "a"]);
 }
 
+/// Guards against a place that lapses because the first of two reports arrives last at the next owner.
+#[test]
+fn restored_place_is_not_shortened_if_the_attempt_is_abandoned() {
+    let mut table = CrashTable::default();
+    end_server(&mut table, "r", "a", 0);
+    for attempt in [1, 2] {
+        table.request_send(&name("r"), attempt, LONG_HOLD_MS, None, SETTLE_MS);
+    }
+    let record = table.recorded(&name("r"), SETTLE_MS).cloned();
+    let mut next = CrashTable::default();
+    next.restore(&name("r"), record.expect("a record"), 0);
+    next.end_attempt(&name("r"), &ended(1, "b", AttemptEnd::Unresolved), 0);
+    let decision = next.request_send(&name("r"), 3, HOLD_MS, None, 2 * HOLD_MS);
+    assert_eq!(decision, busy(&["a"]));
+}
+
 #[test]
 fn complete_response_clears_the_count_below_the_limit_only() {
     let mut table = CrashTable::default();
