Only requests that were in progress at the lost owner wait for the next one

All requests of a partition waited whose owner was lost with attempts of it in progress. Most have nothing to do with these attempts.

The message names the requests by content in place of their partitions.

--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -22,6 +22,7 @@
 //! - `cold`: admission of requests to cold servers, counted by an owner that holds a lease.
 //! - [`crashes`]: asks the owner of a request under which servers ended. `crash_count` is that owner's
 //!   side; it asks the `followers` of detached attempts, who get [`attempt_questions`].
+//! - `suspected_requests`: requests that wait for the next owner of their partition.
 //! - [`own_attempts`]: backs up the attempts of this daemon at another one. [`backups`] has those of
 //!   others.
 //! - [`homes`]: home partitions, which only daemons of their region may own. `region` deals with
@@ -52,3 +53,4 @@
 mod replace;
 mod served;
 mod streams;
+mod suspected_requests;
--- a/crates/gateway/src/ledger/crashes.rs
+++ b/crates/gateway/src/ledger/crashes.rs
@@ -13,6 +13,7 @@
 use fieldhook_ledger::message::{
     ConfirmAttempt, CrashWatch, LedgerReply, LedgerRequest, ReportAttempt, RequestSend,
 };
+use fieldhook_ledger::name::QualifiedName;
 use fieldhook_log::api::{Append, LogStore, Partition};
 use fieldhook_log::crash_watch::{CrashWatches, RENEWAL_MS};
 use fieldhook_log::ownership::Claim;
@@ -76,9 +77,14 @@
         }
         let relay = &self.owner.relay;
         let is_watched = knows_end || relay.is_crash_watched(partition);
+        let is_suspected = relay.is_crash_suspected(partition)
+            || self
+                .owner
+                .suspected_requests
+                .contains(&request.request.name);
         request.max_durable_wait_ms = if is_watched { DURABLE_WAIT_MS } else { 0 };
         let request = LedgerRequest::RequestSend(request);
-        if is_watched || relay.is_crash_suspected(partition) {
+        if is_watched || is_suspected {
             let deadline = deadline.min(Instant::now() + WATCHED_TIMEOUT);
             let decision = self.request_decision(&request, deadline).await;
             return decision.map_or(SendAnswer::NoOwner, SendAnswer::Decided);
@@ -383,22 +389,20 @@
         false
     }
 
-    /// Has all known daemons, and this one, ask before they send requests of some partitions, whose owner
-    /// at this address was lost.
-    pub fn suspect_crashes(self: &Rc<Self>, partitions: Vec<u32>, lost: SocketAddr) {
-        for partition in &partitions {
-            self.relay.watch_crashes(*partition, WatchLevel::Suspected);
-        }
+    /// Has all known daemons, and this one, ask before they send these requests, whose owner at this
+    /// address was lost.
+    pub fn suspect_requests(self: &Rc<Self>, requests: Vec<QualifiedName>, lost: SocketAddr) {
         let others = self.known_daemons();
         for address in others.into_iter().filter(|address| *address != lost) {
             let owner = self.clone();
-            let request = LedgerRequest::SuspectCrashes(partitions.clone());
+            let request = LedgerRequest::SuspectRequests(requests.clone());
             ntex::rt::spawn(async move {
                 let peers = &owner.crash_watch_peers;
                 // A daemon that is not reached asks the owner or its successor.
                 let _ = peers.request(address, &request, ANNOUNCE_TIMEOUT).await;
             });
         }
+        self.suspected_requests.add(requests);
     }
 
     /// Renews the watches of partitions in which servers have ended under requests.
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -9,6 +9,7 @@
 use super::homes::eligibility;
 use super::limits::{self, LimitCounters};
 use super::peer::{Peers, Subscribers};
+use super::suspected_requests::SuspectedRequests;
 use crate::follow::config_cache::ConfigCache;
 use crate::metrics::Metrics;
 use crate::relay::Relay;
@@ -83,6 +84,8 @@
     pub(super) followers: Rc<Followers>,
     /// Attempts of other daemons that are backed up here.
     pub backups: Rc<Backups>,
+    /// Requests that are not sent before the next owner of their partition has answered.
+    pub(super) suspected_requests: SuspectedRequests,
     /// When this daemon last announced that servers end under requests of a partition.
     pub(super) announced_watches: RefCell<HashMap<u32, Instant>>,
     /// When this daemon last reported that attempts of a partition were abandoned.
@@ -140,6 +143,7 @@
             subscribers,
             attempt_questions,
             backups,
+            suspected_requests: SuspectedRequests::default(),
             announced_watches: RefCell::default(),
             suspected_partitions: RefCell::default(),
             reach: Rc::default(),
@@ -235,10 +239,8 @@
                 self.relay.watch_crashes(partition, WatchLevel::Watched);
                 let _ = sender.send(LedgerReply::Accepted);
             }
-            LedgerRequest::SuspectCrashes(partitions) => {
-                for partition in partitions {
-                    self.relay.watch_crashes(partition, WatchLevel::Suspected);
-                }
+            LedgerRequest::SuspectRequests(requests) => {
+                self.suspected_requests.add(requests);
                 let _ = sender.send(LedgerReply::Closed);
             }
             // The reply names the owner that this daemon knows, which may be itself.
--- a/crates/gateway/src/ledger/served.rs
+++ b/crates/gateway/src/ledger/served.rs
@@ -77,7 +77,7 @@
             | LedgerRequest::Follow(_)
             | LedgerRequest::List(_)
             | LedgerRequest::BackUpAttempts(_)
-            | LedgerRequest::SuspectCrashes(_) => {}
+            | LedgerRequest::SuspectRequests(_) => {}
         }
     }
 
--- a/crates/gateway/src/serve/takeover.rs
+++ b/crates/gateway/src/serve/takeover.rs
@@ -4,10 +4,11 @@
 use crate::daemon::Daemon;
 use crate::ledger::backups::BackupEvent;
 use fieldhook_ledger::backup::LostSender;
-use fieldhook_ledger::message::{AttemptServer, BackedUpAttempt, ClosedAttempt};
+use fieldhook_ledger::message::{AttemptServer, BackedUpAttempt, ClosedAttempt, RequestKey};
+use fieldhook_ledger::name::QualifiedName;
 use fieldhook_traffic::directory::{self, ServerEntry};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -47,26 +48,24 @@
     }
 }
 
-/// Has all daemons ask before they send requests whose attempts were in progress at a daemon that owned
-/// their partition too. Its successor does not know of these attempts yet. An owner that lives tells of
-/// reports itself.
+/// Has all daemons ask before they send a request that was in progress at a daemon which owned its
+/// partition too. An owner that lives tells of reports itself.
 fn suspect(daemon: &Rc<Daemon>, lost: &LostSender) {
     let Ok(address) = lost.address.parse() else {
         return;
     };
     let claims = &daemon.owner.claims;
-    let partitions = lost
-        .attempts
-        .iter()
-        .map(|attempt| daemon.ledger.partition_of_request(&attempt.content));
-    let is_owned = |partition: &u32| {
-        let claim = claims.claim(*partition);
+    let is_owned = |content: &&RequestKey| {
+        let claim = claims.claim(daemon.ledger.partition_of_request(content));
         claim.is_some_and(|claim| claim.address == Some(address))
     };
-    let partitions: BTreeSet<u32> = partitions.filter(is_owned).collect();
-    if !partitions.is_empty() {
-        let partitions = partitions.into_iter().collect();
-        daemon.owner.suspect_crashes(partitions, address);
+    let contents = lost.attempts.iter().map(|attempt| &attempt.content);
+    let names = contents
+        .filter(is_owned)
+        .map(|content| content.name.clone());
+    let names: Vec<QualifiedName> = names.collect();
+    if !names.is_empty() {
+        daemon.owner.suspect_requests(names, address);
     }
 }
 
--- a/crates/ledger/src/backup/senders.rs
+++ b/crates/ledger/src/backup/senders.rs
@@ -1,7 +1,7 @@
 //! The daemons whose attempts are backed up here.
 
 use super::{CHECK_PERIOD_MS, LOST_AFTER_MS};
-use crate::message::{BackUpAttempts, BackedUpAttempt};
+use crate::message::{BackUpAttempts, BackedUpAttempt, ClosedAttempt};
 use std::collections::HashMap;
 
 /// Maximum number of attempts that are kept for one daemon.
@@ -46,7 +46,7 @@
 pub struct BackupChange {
     /// Attempts that are not kept here and that the daemon has ended. They were taken over if it had
     /// been silent.
-    pub ended: Vec<crate::message::ClosedAttempt>,
+    pub ended: Vec<ClosedAttempt>,
     /// Number of attempts that are not kept because there are too many.
     pub dropped: usize,
 }
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -306,9 +306,9 @@
     ConfirmAttempt(ConfirmAttempt),
     /// Tells the receiver which attempts the sender has begun and ended.
     BackUpAttempts(BackUpAttempts),
-    /// Tells the receiver that a daemon was lost with attempts in progress, whose servers may have
-    /// ended under requests of these partitions.
-    SuspectCrashes(Vec<u32>),
+    /// Tells the receiver that a daemon was lost with attempts of these requests, by content, in progress,
+    /// and that it owned their partitions too.
+    SuspectRequests(Vec<QualifiedName>),
 }
 
 impl LedgerRequest {
@@ -342,7 +342,7 @@
             | Self::Follow(_)
             | Self::List(_)
             | Self::BackUpAttempts(_)
-            | Self::SuspectCrashes(_) => 0,
+            | Self::SuspectRequests(_) => 0,
         }
     }
 }
