--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 harness=target/review-2/release/review-harness-2
 [ -x "$harness" ] || { echo "run review/build-2.sh first"; exit 2; }
-"$harness" garbled review/5/record.txt
+"$harness" memory review/5/record.txt
--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -14,6 +14,13 @@
 pub const HOST: &str = "shop.example";
 /// Tokens of one event (`stream-stride`).
 pub const STRIDE: u64 = 16;
+/// The same of the second service of engines.
+pub const STRIDE_B: u64 = 64;
+pub const MEMORY_MB: u64 = 230;
+/// Bytes a millisecond that a link of 1,000 Mbit/s carries, less a margin.
+const LINK_BYTES_PER_MS: u128 = 100_000;
+/// Time that an application server works on a call.
+const CALL_TIME: Duration = Duration::from_millis(150);
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const GRACE_S: u64 = 8;
 /// Pause before each event of an engine.
@@ -48,16 +55,18 @@
     None,
     /// One answer in this many has wrong bytes in one event.
     Garble(u64),
-    /// An answer to a prompt that asks for it never ends.
+    /// An answer to a prompt that asks for it never ends; its events come at a sound engine's pace.
     Endless,
+    /// An answer to a prompt that asks for it is followed by the same bytes again and again, without
+    /// end and without ids, as fast as the link carries them.
+    Torrent,
 }
 
 /// A request that a server has run.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
-    #[allow(dead_code)]
-    pub body: Vec<u8>,
+    pub server: String,
     pub spoiled: bool,
 }
 
@@ -100,7 +109,7 @@
             text.push_str(&format!("zones.{zone}=north\n"));
         }
         text.push_str(&format!(
-            "limits.cpu-share=0.5\nlimits.cores=1\nlimits.memory-mb=230\nlimits.max-open-files=8200\n\
+            "limits.cpu-share=0.5\nlimits.cores=1\nlimits.memory-mb={MEMORY_MB}\nlimits.max-open-files=8200\n\
              limits.link-mbps=1000.0\nlimits.disk-mb=0\ndiscovery=platform\nentry=vip\n\
              heartbeat-ms=1200\nbounds.seed-lag-s=3\nbounds.reuse-after-s=2\nbounds.contact-ms=3000\n\
              bounds.ack-ms=4000\nbounds.catch-up-s=4.3\nbounds.drain-ms=2000\n\
@@ -154,6 +163,14 @@
         }
     }
 
+    /// Memory that the process uses.
+    pub fn memory_mb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok().map(|kb| kb >> 10)
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else {
             return false;
@@ -173,6 +190,7 @@
 }
 
 /// A route of the configuration.
+#[derive(Clone, Copy)]
 pub struct Route {
     pub name: &'static str,
     pub kind: &'static str,
@@ -184,17 +202,16 @@
 
 impl Cluster {
     pub fn start(record: Record, routes: &[Route], engines: &[Trouble]) -> Self {
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("temporary folder");
-        let store = Store::start();
-        let cluster = Self {
-            record,
-            store: store.clone(),
-            gateways: Mutex::default(),
-            runs: Arc::default(),
-            answers: Arc::default(),
-            stop: Arc::default(),
-        };
+        Self::start_services(record, routes, engines, engines.len())
+    }
+
+    /// Starts a cluster in which the second half of the engines belongs to a second service.
+    pub fn start_with_second_service(record: Record, routes: &[Route], engines: &[Trouble]) -> Self {
+        Self::start_services(record, routes, engines, engines.len() / 2)
+    }
+
+    /// Writes a configuration, as the operator.
+    pub fn put_config(&self, version: u64, routes: &[Route]) {
         let routes: Vec<String> = routes
             .iter()
             .map(|route| {
@@ -206,15 +223,51 @@
                 )
             })
             .collect();
+        let service = |name: &str, stride: u64| {
+            format!(
+                "{{\"name\":\"{name}\",\"max-connections\":160,\"engine\":{{\"slots\":12,\"stream-stride\":{stride}}}}}"
+            )
+        };
         let config = format!(
-            "{{\"version\":3,\"routes\":[{}],\"services\":[{{\"name\":\"engines\",\"max-connections\":160,\
-             \"engine\":{{\"slots\":12,\"stream-stride\":{STRIDE}}}}}],\"limits\":{{\"max-header-bytes\":16384,\
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{},{{\"name\":\"app\",\"max-connections\":110,\"health-path\":\"/health\"}}],\"limits\":{{\"max-header-bytes\":16384,\
              \"max-body-bytes\":4194304,\"header-timeout-ms\":5000,\"idle-timeout-ms\":15000}}}}",
-            routes.join(",")
+            routes.join(","),
+            service("engines", STRIDE),
+            service("engines-b", STRIDE_B)
         );
-        store.put("keyed.op", "config", config.as_bytes());
+        self.record.write(&format!("the operator writes configuration {version}"));
+        self.store.put("keyed.op", "config", config.as_bytes());
+    }
+
+    /// Tokens of each event of the engine that ran a request.
+    pub fn stride_of(&self, id: &str) -> u64 {
+        let runs = self.runs.lock().expect("lock");
+        let run = runs.iter().rev().find(|run| run.id == id);
+        match run.is_some_and(|run| run.server.starts_with("b-")) {
+            true => STRIDE_B,
+            false => STRIDE,
+        }
+    }
+
+    fn start_services(record: Record, routes: &[Route], engines: &[Trouble], first_service: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("temporary folder");
+        let store = Store::start();
+        let cluster = Self {
+            record,
+            store: store.clone(),
+            gateways: Mutex::default(),
+            runs: Arc::default(),
+            answers: Arc::default(),
+            stop: Arc::default(),
+        };
+        cluster.put_config(3, routes);
         for (index, trouble) in engines.iter().enumerate() {
-            cluster.start_engine(index, *trouble);
+            let service = if index < first_service { ("e", "engines") } else { ("b", "engines-b") };
+            cluster.start_server(index, *trouble, service);
+        }
+        for index in 0..ZONES.len() {
+            cluster.start_server(index, Trouble::None, ("app", "app"));
         }
         for index in 0..ZONES.len() {
             let mut gateway = Gateway::new(index, &folder, store.address);
@@ -266,14 +319,15 @@
         }
     }
 
-    fn start_engine(&self, index: usize, trouble: Trouble) {
+    fn start_server(&self, index: usize, trouble: Trouble, (prefix, service): (&str, &'static str)) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind an engine");
         let address = listener.local_addr().expect("address");
         let zone = ZONES[index % ZONES.len()];
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64;
-        let name = format!("e-{index}-{:x}", born & 0xff_ffff);
+        let name = format!("{prefix}-{index}-{:x}", born & 0xff_ffff);
         let engine = Engine {
             name: name.clone(),
+            service,
             born,
             trouble,
             record: self.record.clone(),
@@ -291,7 +345,7 @@
             let mut sequence = 1;
             while !stop.load(Ordering::SeqCst) {
                 let entry = format!(
-                    "{{\"service\":\"engines\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+                    "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
                      \"slots\":12,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":{sequence},\
                      \"born\":{born},\"stage\":\"both\",\"models\":[]}}"
                 );
@@ -319,6 +373,7 @@
 #[derive(Clone)]
 struct Engine {
     name: String,
+    service: &'static str,
     born: u64,
     trouble: Trouble,
     record: Record,
@@ -353,6 +408,21 @@
             let fields = [("Content-Type", "application/json"), ("X-Instance-Id", self.name.as_str())];
             return conn.send(&answer(200, &fields, report.as_bytes()));
         }
+        if head.target() == "/health" {
+            return conn.send(&answer(200, &[("X-Instance-Id", self.name.as_str())], b"ok"));
+        }
+        if self.service == "app" {
+            let run = Run { id: id.clone(), server: self.name.clone(), spoiled: false };
+            self.runs.lock().expect("lock").push(run);
+            std::thread::sleep(CALL_TIME);
+            let signature = format!("1.{id}");
+            let fields = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Response-Signature", signature.as_str()),
+                ("Keep-Alive", "timeout=10"),
+            ];
+            return conn.send(&answer(200, &fields, &[b'r'; 800]));
+        }
         let (count, size) = wanted(&body);
         let after: u64 = head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let number = self.answers.fetch_add(1, Ordering::SeqCst);
@@ -362,10 +432,12 @@
             self.name,
             body.len()
         ));
-        let is_endless = self.trouble == Trouble::Endless && crate::http::find(&body, b"endless;").is_some();
+        let is_torrent = self.trouble == Trouble::Torrent;
+        let is_endless = (self.trouble == Trouble::Endless || is_torrent)
+            && crate::http::find(&body, b"endless;").is_some();
         self.runs.lock().expect("lock").push(Run {
             id: id.clone(),
-            body,
+            server: self.name.clone(),
             spoiled,
         });
         let head = format!(
@@ -377,16 +449,26 @@
             return false;
         }
         let mut event = after;
+        let (started, mut sent) = (Instant::now(), 0_u128);
         while event < count || is_endless {
-            std::thread::sleep(STEP);
+            match is_endless && is_torrent {
+                true if sent > started.elapsed().as_millis() * LINK_BYTES_PER_MS => {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                true => {}
+                false => std::thread::sleep(STEP),
+            }
             // Two events a step: requests run in batches, and an event may carry several tokens.
             let mut bytes = Vec::new();
-            for _ in 0..2 {
+            for _ in 0..if is_endless && is_torrent { 64 } else { 2 } {
                 event += 1;
                 if event > count && !is_endless {
                     break;
                 }
                 let mut text = format!("id: {event}\ndata: {}\n\n", data_of(event, size));
+                if is_endless && is_torrent && event > count {
+                    text = format!("data: {}\n\n", data_of(0, size));
+                }
                 if spoiled && event == 4 {
                     // Wrong bytes in one event; its line ends are as they were.
                     text = text.chars().map(|sign| if sign == '\n' { sign } else { '?' }).collect();
@@ -400,6 +482,7 @@
                     );
                 }
             }
+            sent += bytes.len() as u128;
             if !conn.send(&chunk(&bytes)) {
                 self.record.write(&format!("broken off {id} at {} after event {event}", self.name));
                 return false;
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -9,6 +9,8 @@
 mod endless;
 mod garbled;
 mod large_turn;
+mod memory;
+mod split;
 
 use cluster::Record;
 use std::path::Path;
@@ -32,6 +34,8 @@
     let broken = match case.as_str() {
         "large-turn" => large_turn::run(record),
         "garbled" => garbled::run(record),
+        "split" => split::run(record),
+        "memory" => memory::run(record),
         "endless" => endless::run(record),
         _ => std::process::exit(2),
     };
