--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -67,6 +67,7 @@
 pub struct Run {
     pub id: String,
     pub server: String,
+    pub body: Vec<u8>,
     pub spoiled: bool,
 }
 
@@ -239,6 +240,12 @@
         self.store.put("keyed.op", "config", config.as_bytes());
     }
 
+    /// What the engine that ran a request got.
+    pub fn body_of(&self, id: &str) -> Option<Vec<u8>> {
+        let runs = self.runs.lock().expect("lock");
+        runs.iter().rev().find(|run| run.id == id).map(|run| run.body.clone())
+    }
+
     /// Tokens of each event of the engine that ran a request.
     pub fn stride_of(&self, id: &str) -> u64 {
         let runs = self.runs.lock().expect("lock");
@@ -412,7 +419,7 @@
             return conn.send(&answer(200, &[("X-Instance-Id", self.name.as_str())], b"ok"));
         }
         if self.service == "app" {
-            let run = Run { id: id.clone(), server: self.name.clone(), spoiled: false };
+            let run = Run { id: id.clone(), server: self.name.clone(), body, spoiled: false };
             self.runs.lock().expect("lock").push(run);
             std::thread::sleep(CALL_TIME);
             let signature = format!("1.{id}");
@@ -438,6 +445,7 @@
         self.runs.lock().expect("lock").push(Run {
             id: id.clone(),
             server: self.name.clone(),
+            body,
             spoiled,
         });
         let head = format!(
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 mod garbled;
 mod large_turn;
 mod memory;
+mod resumed_turn;
 mod split;
 
 use cluster::Record;
@@ -36,6 +37,7 @@
         "garbled" => garbled::run(record),
         "split" => split::run(record),
         "memory" => memory::run(record),
+        "resumed-turn" => resumed_turn::run(record),
         "endless" => endless::run(record),
         _ => std::process::exit(2),
     };
