Review case 8: an entry with fields missing names a server (ROUTE)

It takes the place of the former case 8 (a turn that never ends spends more than its budget), whose program stays in the harness as `endless`.

--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -67,6 +67,7 @@
 pub struct Run {
     pub id: String,
     pub server: String,
+    pub path: String,
     pub body: Vec<u8>,
     pub spoiled: bool,
 }
@@ -78,6 +79,8 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub answers: Arc<AtomicU64>,
     pub stop: Arc<AtomicBool>,
+    /// Name, address and zone of each engine.
+    engines: Mutex<Vec<(String, SocketAddr, &'static str)>>,
 }
 
 pub struct Gateway {
@@ -240,6 +243,12 @@
         self.store.put("keyed.op", "config", config.as_bytes());
     }
 
+    /// Name, address and zone of an engine.
+    pub fn engine(&self, number: usize) -> (String, SocketAddr, &'static str) {
+        let engines = self.engines.lock().expect("lock");
+        engines[number % engines.len()].clone()
+    }
+
     /// What the engine that ran a request got.
     pub fn body_of(&self, id: &str) -> Option<Vec<u8>> {
         let runs = self.runs.lock().expect("lock");
@@ -267,6 +276,7 @@
             runs: Arc::default(),
             answers: Arc::default(),
             stop: Arc::default(),
+            engines: Mutex::default(),
         };
         cluster.put_config(3, routes);
         for (index, trouble) in engines.iter().enumerate() {
@@ -332,6 +342,9 @@
         let zone = ZONES[index % ZONES.len()];
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64;
         let name = format!("{prefix}-{index}-{:x}", born & 0xff_ffff);
+        if service != "app" {
+            self.engines.lock().expect("lock").push((name.clone(), address, zone));
+        }
         let engine = Engine {
             name: name.clone(),
             service,
@@ -418,8 +431,9 @@
         if head.target() == "/health" {
             return conn.send(&answer(200, &[("X-Instance-Id", self.name.as_str())], b"ok"));
         }
+        let path = head.target().to_owned();
         if self.service == "app" {
-            let run = Run { id: id.clone(), server: self.name.clone(), body, spoiled: false };
+            let run = Run { id: id.clone(), server: self.name.clone(), path, body, spoiled: false };
             self.runs.lock().expect("lock").push(run);
             std::thread::sleep(CALL_TIME);
             let signature = format!("1.{id}");
@@ -445,6 +459,7 @@
         self.runs.lock().expect("lock").push(Run {
             id: id.clone(),
             server: self.name.clone(),
+            path,
             body,
             spoiled,
         });
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -8,6 +8,7 @@
 
 mod endless;
 mod garbled;
+mod foreign;
 mod large_turn;
 mod memory;
 mod resumed_turn;
@@ -38,6 +39,7 @@
         "split" => split::run(record),
         "memory" => memory::run(record),
         "resumed-turn" => resumed_turn::run(record),
+        "foreign" => foreign::run(record),
         "endless" => endless::run(record),
         _ => std::process::exit(2),
     };
