--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 harness=target/review-2/release/review-harness-2
 [ -x "$harness" ] || { echo "run review/build-2.sh first"; exit 2; }
-"$harness" foreign review/8/record.txt
+"$harness" split review/8/record.txt
--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -26,6 +26,16 @@
 /// Pause before each event of an engine.
 const STEP: Duration = Duration::from_millis(8);
 
+/// Ids of the gateways that run, to be ended also if a case cannot run to its end.
+pub static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started.
+pub fn end_started() {
+    for id in STARTED.lock().unwrap_or_else(|broken| broken.into_inner()).drain(..) {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
+}
+
 /// What is written to `record.txt`.
 #[derive(Clone)]
 pub struct Record {
@@ -105,7 +115,7 @@
         let (clients, ready, peers) = (free_port(&ip), free_port(&ip), free_port(&ip));
         let zone = ZONES[index % ZONES.len()];
         let mut text = format!(
-            "node-name=frontend-{zone}-1\nrole=frontend\nmachine-class=frontend\nserves=frontend\n\
+            "node-name=frontend-{zone}-{index}\nrole=frontend\nmachine-class=frontend\nserves=frontend\n\
              ip={ip}\nzone={zone}\nregion=north\nlisten.frontend={ip}:{clients}\n\
              listen.readiness={ip}:{ready}\ninternal-ports={peers},{peers}\nbootstrap=true\n"
         );
@@ -126,7 +136,7 @@
              platform.call_bytes=2097152\nplatform.retention-s=300\nplatform.part_mb=200\n\
              platform.ttl-min-ms=1000\n"
         ));
-        let name = format!("frontend-{zone}-1");
+        let name = format!("frontend-{zone}-{index}");
         let settings = folder.join(format!("{name}.conf"));
         std::fs::write(&settings, text).expect("settings");
         let address = |port| format!("{ip}:{port}").parse().expect("address");
@@ -151,6 +161,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("target/release/fieldhook-frontend");
+        STARTED.lock().expect("lock").push(child.id());
         self.child = Some(child);
     }
 
@@ -164,6 +175,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            STARTED.lock().expect("lock").retain(|id| *id != child.id());
         }
     }
 
@@ -206,12 +218,17 @@
 
 impl Cluster {
     pub fn start(record: Record, routes: &[Route], engines: &[Trouble]) -> Self {
-        Self::start_services(record, routes, engines, engines.len())
+        Self::start_services(record, routes, engines, engines.len(), ZONES.len())
+    }
+
+    /// Starts a cluster with this many gateways.
+    pub fn start_gateways(record: Record, routes: &[Route], engines: &[Trouble], gateways: usize) -> Self {
+        Self::start_services(record, routes, engines, engines.len(), gateways)
     }
 
     /// Starts a cluster in which the second half of the engines belongs to a second service.
     pub fn start_with_second_service(record: Record, routes: &[Route], engines: &[Trouble]) -> Self {
-        Self::start_services(record, routes, engines, engines.len() / 2)
+        Self::start_services(record, routes, engines, engines.len() / 2, ZONES.len())
     }
 
     /// Writes a configuration, as the operator.
@@ -265,10 +282,16 @@
         }
     }
 
-    fn start_services(record: Record, routes: &[Route], engines: &[Trouble], first_service: usize) -> Self {
+    fn start_services(
+        record: Record,
+        routes: &[Route],
+        engines: &[Trouble],
+        first_service: usize,
+        gateways: usize,
+    ) -> Self {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("temporary folder");
-        let store = Store::start();
+        let store = Store::start(gateways);
         let cluster = Self {
             record,
             store: store.clone(),
@@ -286,8 +309,8 @@
         for index in 0..ZONES.len() {
             cluster.start_server(index, Trouble::None, ("app", "app"));
         }
-        for index in 0..ZONES.len() {
-            let mut gateway = Gateway::new(index, &folder, store.address);
+        for index in 0..gateways {
+            let mut gateway = Gateway::new(index, &folder, store.addresses[index]);
             gateway.start();
             cluster.gateways.lock().expect("lock").push(gateway);
         }
@@ -453,6 +476,7 @@
             self.name,
             body.len()
         ));
+        let is_slow = body.starts_with(b"slow;");
         let is_torrent = self.trouble == Trouble::Torrent;
         let is_endless = (self.trouble == Trouble::Endless || is_torrent)
             && crate::http::find(&body, b"endless;").is_some();
@@ -479,6 +503,7 @@
                     std::thread::sleep(Duration::from_millis(1));
                 }
                 true => {}
+                false if is_slow => std::thread::sleep(STEP * 8),
                 false => std::thread::sleep(STEP),
             }
             // Two events a step: requests run in batches, and an event may carry several tokens.
--- a/review/harness-2/src/large_turn.rs
+++ b/review/harness-2/src/large_turn.rs
@@ -35,6 +35,11 @@
 }
 
 pub fn send(client: &mut Client, turn: &Turn, budget: u64) -> Answer {
+    send_within(client, turn, budget, 4_000)
+}
+
+/// Sends a turn with this deadline in milliseconds.
+pub fn send_within(client: &mut Client, turn: &Turn, budget: u64, deadline_ms: u64) -> Answer {
     let mut fields = vec![
         ("X-Request-Id", turn.id.clone()),
         ("X-Program-Id", turn.program.clone()),
@@ -43,13 +48,13 @@
         ("X-Model", "m".to_owned()),
         ("X-Token-Usage", format!("{},{}", turn.input.len() / 4, turn.most)),
         ("X-Prompt-Prefix", format!("5c1e07a2:512,{}:100", turn.id)),
-        ("X-Deadline-Ms", TIMEOUT_MS.to_string()),
+        ("X-Deadline-Ms", deadline_ms.to_string()),
         ("X-Token-Budget", budget.to_string()),
     ];
     if let Some(previous) = &turn.previous {
         fields.push(("X-Previous-Turn", previous.clone()));
     }
-    let limit = Duration::from_millis(TIMEOUT_MS + 1_000);
+    let limit = Duration::from_millis(deadline_ms + 1_000);
     client.send("/chat/turn", &fields, &turn.input, limit, usize::MAX)
 }
 
@@ -86,7 +91,7 @@
                         most: 8 * STRIDE,
                     };
                     let at_ms = record.ms();
-                    let answer = send(&mut client, &turn, BUDGET);
+                    let answer = send_within(&mut client, &turn, BUDGET, TIMEOUT_MS);
                     record.write(&format!(
                         "small turn {} of {program} by gateway {} at {at_ms}: status={} whole={} events={} took={} kept={}",
                         turn.id, at % 3, answer.status, answer.whole, answer.events.len(), answer.took_ms, answer.kept
@@ -125,7 +130,7 @@
     };
     let (first, large_record) = (cluster.address(0), record.clone());
     let large_sent = std::thread::spawn(move || {
-        let answer = send(&mut Client::new(first), &large, BUDGET);
+        let answer = send_within(&mut Client::new(first), &large, BUDGET, TIMEOUT_MS);
         large_record.write(&format!(
             "large turn {}: status={} whole={} events={} took={}",
             large.id, answer.status, answer.whole, answer.events.len(), answer.took_ms
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod http;
 mod store;
+mod throttled;
 
 mod endless;
 mod garbled;
@@ -12,6 +13,7 @@
 mod large_turn;
 mod memory;
 mod resumed_turn;
+mod returns;
 mod split;
 
 use cluster::Record;
@@ -33,15 +35,28 @@
         std::process::exit(2);
     }
     let record = Record::new(Path::new(record));
-    let broken = match case.as_str() {
+    let outcome = std::panic::catch_unwind(|| run(case, record));
+    cluster::end_started();
+    match outcome {
+        Ok(Some(broken)) => std::process::exit(i32::from(broken)),
+        Ok(None) => eprintln!("there is no such case"),
+        Err(_) => eprintln!("the case could not run"),
+    }
+    std::process::exit(2);
+}
+
+/// Runs a case; returns whether the rule was broken, or `None` without such a case.
+fn run(case: &str, record: Record) -> Option<bool> {
+    Some(match case {
         "large-turn" => large_turn::run(record),
         "garbled" => garbled::run(record),
         "split" => split::run(record),
         "memory" => memory::run(record),
         "resumed-turn" => resumed_turn::run(record),
         "foreign" => foreign::run(record),
+        "returns" => returns::run(record),
+        "throttled" => throttled::run(record),
         "endless" => endless::run(record),
-        _ => std::process::exit(2),
-    };
-    std::process::exit(i32::from(broken));
+        _ => return None,
+    })
 }
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -55,24 +55,44 @@
 
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
+    /// One address for each gateway.
+    pub addresses: Vec<SocketAddr>,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Gateways that are turned away with 429.
+    throttled: Arc<Mutex<Vec<usize>>>,
 }
 
 impl Store {
-    pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind the store");
-        let store = Self { address: listener.local_addr().expect("address"), state: Arc::default() };
-        let inner = store.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = inner.clone();
-                std::thread::spawn(move || store.serve(Conn::new(stream)));
-            }
-        });
+    pub fn start(gateways: usize) -> Self {
+        let listeners: Vec<TcpListener> =
+            (0..gateways).map(|_| TcpListener::bind("127.0.0.1:0").expect("bind the store")).collect();
+        let store = Self {
+            addresses: listeners.iter().map(|listener| listener.local_addr().expect("address")).collect(),
+            state: Arc::default(),
+            throttled: Arc::default(),
+        };
+        for (gateway, listener) in listeners.into_iter().enumerate() {
+            let inner = store.clone();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = inner.clone();
+                    std::thread::spawn(move || store.serve(Conn::new(stream), gateway));
+                }
+            });
+        }
         store
     }
 
+    /// Turns these gateways away, and serves all others.
+    pub fn throttle(&self, gateways: &[usize]) {
+        *self.throttled.lock().expect("lock") = gateways.to_vec();
+        self.state.1.notify_all();
+    }
+
+    fn is_throttled(&self, gateway: usize) -> bool {
+        self.throttled.lock().expect("lock").contains(&gateway)
+    }
+
     /// Writes a record as the operator or a server.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
@@ -88,7 +108,7 @@
         self.state.0.lock().expect("lock").oversize
     }
 
-    fn serve(&self, mut conn: Conn) {
+    fn serve(&self, mut conn: Conn, gateway: usize) {
         while let Ok(Some(head)) = conn.head() {
             let Ok(Some(body)) = conn.whole_body(&head) else { return };
             let target = head.target().to_owned();
@@ -96,6 +116,7 @@
             let query: HashMap<&str, &str> =
                 query.split('&').filter_map(|pair| pair.split_once('=')).collect();
             let (status, body) = match path {
+                _ if self.is_throttled(gateway) => (429, b"{}".to_vec()),
                 "/fieldhook/log-append" => self.append(&query, &body),
                 "/fieldhook/log-read" => self.read(&query),
                 "/fieldhook/log-newest" => self.newest(&query),
