--- a/review/harness-2/src/cluster.rs
+++ b/review/harness-2/src/cluster.rs
@@ -102,9 +102,10 @@
     pub child: Option<Child>,
 }
 
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind(format!("{ip}:0")).expect("a free port");
-    listener.local_addr().expect("address").port()
+/// Free ports, all different.
+fn free_ports<const COUNT: usize>(ip: &str) -> [u16; COUNT] {
+    let listeners = [(); COUNT].map(|()| TcpListener::bind(format!("{ip}:0")).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("address").port())
 }
 
 impl Gateway {
@@ -112,7 +113,7 @@
         let process = std::process::id();
         // An address of its own, since all gateways serve metrics on the same port.
         let ip = format!("127.{}.{}.{}", 60 + index, process >> 8 & 0xff, (process & 0xff).max(1));
-        let (clients, ready, peers) = (free_port(&ip), free_port(&ip), free_port(&ip));
+        let [clients, ready, peers] = free_ports(&ip);
         let zone = ZONES[index % ZONES.len()];
         let mut text = format!(
             "node-name=frontend-{zone}-{index}\nrole=frontend\nmachine-class=frontend\nserves=frontend\n\
