Streams continue after the last event that was sent, not the last one read

What callers saw: a resumable stream that was complete (200, last chunk) and lacked an event.

Cause: `forward_events` moved `Delivery::last_event` when it decoded an event. A later event of the same piece that was a gap, or did not end, returned `Broken` and dropped the batch. One field stood for two facts: what was read, and what the client has.

Change: events that were read are a `Batch` with a position of its own; `Delivery::last_event` moves only when a batch is sent. What was decoded before invalid bytes is sent before the attempt ends, without comments at its end. If the client has nothing yet, nothing is sent: the next server begins the stream again, or the client gets an error status.

A turn's tokens and output were counted on sending already.

Test, before the fix: turns::events_before_invalid_bytes_reach_the_client_once left: "id: 2\ndata: e2..." right: "id: 0\ndata: e0..." After it: passes, with the 19 other tests of turns and endless responses.

--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -23,12 +23,47 @@
 #[derive(Default)]
 struct Delivery {
     head_sent: bool,
+    /// Last event that was sent to the client, after which another server continues.
     last_event: Option<u64>,
     /// Server of the first event, once one has arrived.
     origin: Option<StreamOrigin>,
     events: u64,
 }
 
+/// Events that were read from the server and not yet sent to the client.
+#[derive(Default)]
+struct Batch {
+    events: Vec<Event>,
+    /// Number of events that are no comments.
+    count: usize,
+    /// Id of the last event, which is the last one sent to the client if the batch holds none with an
+    /// id.
+    last_event: Option<u64>,
+}
+
+impl Batch {
+    /// Creates a batch of events that follow the last one sent to the client.
+    fn after(last_event: Option<u64>) -> Self {
+        Self {
+            last_event,
+            ..Self::default()
+        }
+    }
+
+    fn push(&mut self, event: Event) {
+        self.last_event = event.id.or(self.last_event);
+        self.count += usize::from(event.has_content());
+        self.events.push(event);
+    }
+
+    /// Removes the comments at the end: the stream may go on at another server, whose response they
+    /// don't belong to.
+    fn remove_trailing_comments(&mut self) {
+        let length = self.events.iter().rposition(Event::has_content);
+        self.events.truncate(length.map_or(0, |last| last + 1));
+    }
+}
+
 /// How forwarding a stream ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -190,9 +225,7 @@
     writer: &mut ClientWriter,
 ) -> StreamEnd {
     let mut events = EventDecoder::default();
-    let mut batch = Vec::new();
-    // Number of events in the batch that are no comments.
-    let mut count = 0;
+    let mut batch = Batch::after(delivery.last_event);
     loop {
         let next = attempt.connection.next_piece(&mut attempt.response.body);
         let next = silence::abort_if_silent(context, &attempt.server, next);
@@ -208,7 +241,7 @@
                 return StreamEnd::Broken(ExchangeError::InvalidResponse);
             }
             Ok(Piece::End) => {
-                let is_sent = batch.is_empty()
+                let is_sent = batch.events.is_empty()
                     || !delivery.head_sent
                     || deliver(context, attempt, turn, delivery, &batch, writer).await;
                 return match is_sent {
@@ -219,45 +252,70 @@
             Ok(Piece::Incomplete) => {}
             Err(error) => return StreamEnd::Broken(error),
         }
-        loop {
-            let event = match events.next_event() {
-                Ok(Some(event)) => event,
-                Ok(None) => break,
-                Err(EndlessInput) => return StreamEnd::Broken(ExchangeError::InvalidResponse),
-            };
-            let order = event_order(&event, delivery.last_event);
-            let is_progress = event.has_content() && order == EventOrder::Next;
-            if order == EventOrder::Gap || events.record_progress(&event, is_progress).is_err() {
-                return StreamEnd::Broken(ExchangeError::InvalidResponse);
-            }
-            if order == EventOrder::Next {
-                delivery.last_event = event.id.or(delivery.last_event);
-                count += usize::from(event.has_content());
-                batch.push(event);
-            }
+        let decoded = decode_events(&mut events, &mut batch);
+        match decoded {
+            // The stream may begin again, or the client gets an error status.
+            Err(error) if !delivery.head_sent => return StreamEnd::Broken(error),
+            Err(_) => batch.remove_trailing_comments(),
+            Ok(()) => {}
         }
-        // Comments wait for the next event: until then the stream may go on at another server, whose
-        // response they don't belong to.
-        if count == 0 {
-            continue;
+        // Comments wait for the next event, because the stream may go on at another server until then.
+        if batch.count > 0 {
+            if let Some(end) = send_batch(context, attempt, turn, delivery, &batch, writer).await {
+                return end;
+            }
+            batch = Batch::after(delivery.last_event);
         }
-        if delivery.origin.is_none() {
-            let recording = stream_origin::record(context, attempt);
-            let Ok(origin) = writer.while_draining(recording).await else {
-                return StreamEnd::ClientGone;
-            };
-            delivery.origin = Some(origin);
+        if let Err(error) = decoded {
+            return StreamEnd::Broken(error);
         }
-        if let Some(turn) = turn
-            && !turn.wait_allowed(count, context.deadline).await
-        {
-            return StreamEnd::NotDurable;
+    }
+}
+
+/// Moves the complete events to the batch, up to the first one that is not valid.
+fn decode_events(events: &mut EventDecoder, batch: &mut Batch) -> Result<(), ExchangeError> {
+    loop {
+        let event = match events.next_event() {
+            Ok(Some(event)) => event,
+            Ok(None) => return Ok(()),
+            Err(EndlessInput) => return Err(ExchangeError::InvalidResponse),
+        };
+        let order = event_order(&event, batch.last_event);
+        let is_progress = event.has_content() && order == EventOrder::Next;
+        if order == EventOrder::Gap || events.record_progress(&event, is_progress).is_err() {
+            return Err(ExchangeError::InvalidResponse);
         }
-        if !deliver(context, attempt, turn, delivery, &batch, writer).await {
-            return StreamEnd::ClientGone;
+        if order == EventOrder::Next {
+            batch.push(event);
         }
-        batch.clear();
-        count = 0;
+    }
+}
+
+/// Sends events to the client once the origin of the stream is recorded and the budget allows them.
+/// Returns how the stream ends if they were not sent.
+async fn send_batch(
+    context: &RequestContext,
+    attempt: &Attempt,
+    turn: &mut Option<&mut Turn>,
+    delivery: &mut Delivery,
+    batch: &Batch,
+    writer: &mut ClientWriter,
+) -> Option<StreamEnd> {
+    if delivery.origin.is_none() {
+        let recording = stream_origin::record(context, attempt);
+        let Ok(origin) = writer.while_draining(recording).await else {
+            return Some(StreamEnd::ClientGone);
+        };
+        delivery.origin = Some(origin);
+    }
+    if let Some(turn) = turn
+        && !turn.wait_allowed(batch.count, context.deadline).await
+    {
+        return Some(StreamEnd::NotDurable);
+    }
+    match deliver(context, attempt, turn, delivery, batch, writer).await {
+        true => None,
+        false => Some(StreamEnd::ClientGone),
     }
 }
 
@@ -268,7 +326,7 @@
     Gap,
 }
 
-/// Compares the id of an event with the last one delivered. Ids increase by one; events that the
+/// Compares the id of an event with the last one before it. Ids increase by one; events that the
 /// client already has are skipped.
 fn event_order(event: &Event, last_event: Option<u64>) -> EventOrder {
     match (event.id, last_event) {
@@ -283,7 +341,7 @@
     attempt: &Attempt,
     turn: &mut Option<&mut Turn>,
     delivery: &mut Delivery,
-    batch: &[Event],
+    batch: &Batch,
     writer: &mut ClientWriter,
 ) -> bool {
     let mut bytes = Vec::new();
@@ -307,7 +365,7 @@
             stream_origin::log_resumption(context, known, &attempt.server);
         }
     }
-    for event in batch {
+    for event in &batch.events {
         // Counted before it is written, because the client may receive it even if the write fails.
         if let Some(turn) = turn {
             turn.record_delivered(event);
@@ -315,6 +373,7 @@
         delivery.events += u64::from(event.has_content());
         bytes.extend_from_slice(&chunk(&event.raw));
     }
+    delivery.last_event = batch.last_event;
     writer.send(&bytes).await.is_ok()
 }
 
--- a/crates/gateway/tests/gateway/support/act.rs
+++ b/crates/gateway/tests/gateway/support/act.rs
@@ -37,6 +37,8 @@
     BreakUnlessResumed(Vec<String>, usize),
     /// Respond with these bytes as the complete body, which need not be valid events.
     RawStream(String),
+    /// Respond with these pieces of a stream, with a pause between them.
+    RawPieces(Vec<String>),
     /// Send events with these texts and a pause before each, starting after the event that the
     /// request names.
     Paced(Vec<String>, Duration),
--- a/crates/gateway/tests/gateway/support/response.rs
+++ b/crates/gateway/tests/gateway/support/response.rs
@@ -7,6 +7,9 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+/// Pause after each piece of a stream.
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
+
 /// Returns the number at the end of the target of a request.
 pub fn number_in_target(request: &Seen) -> usize {
     let number = request.head.target.rsplit('/').next();
@@ -58,6 +61,17 @@
     true
 }
 
+/// Sends pieces of a stream as chunks, with a pause in which each is read alone.
+pub async fn send_pieces(stream: &mut TcpStream, id: &str, pieces: &[String]) -> bool {
+    send_events_head(stream, id).await;
+    for piece in pieces {
+        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+        let _ = stream.write_all(chunk.as_bytes()).await;
+        sleep(PIECE_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
 pub async fn send_paced(
     stream: &mut TcpStream,
     id: &str,
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -5,7 +5,7 @@
 use super::process::Process;
 use super::response::{
     not_run, number_in_target, response_head, send_events, send_events_head_of, send_large,
-    send_paced,
+    send_paced, send_pieces,
 };
 use bytes::BytesMut;
 use fieldhook_gateway::http::body::{BodyDecoder, Piece};
@@ -437,6 +437,11 @@
             Act::RawStream(body) => {
                 let _ = stream.write_all(response(&id, 200, &body).as_bytes()).await;
             }
+            Act::RawPieces(pieces) => {
+                if !send_pieces(&mut stream, &id, &pieces).await {
+                    return;
+                }
+            }
             Act::Endless(kind) => {
                 send_events_head_of(&mut stream, kind.head(), &id).await;
                 let _ = stream.write_all(kind.beginning()).await;
--- a/crates/gateway/tests/gateway/turns.rs
+++ b/crates/gateway/tests/gateway/turns.rs
@@ -1,6 +1,6 @@
 //! Turns of programs: chains, budgets, interrupted and resumed streams.
 
-use crate::support::{Act, Seen, Server, World, config, run};
+use crate::support::{Act, Reply, Seen, Server, World, config, run};
 use fieldhook_emulator::log::memory::LogFault;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -101,6 +101,55 @@
     });
 }
 
+/// Guards against an event that was read together with invalid bytes: the stream must not continue
+/// after it at another server unless the client has it.
+#[test]
+fn events_before_invalid_bytes_reach_the_client_once() {
+    let endless = "x".repeat(300 << 10);
+    let invalid = [
+        "xx: 2\nxxxx: e2\n\nid: 3\ndata: e3\n\n",
+        ": a comment\n\nid: 3\ndata: e3\n\n",
+        "id: 4\ndata: e4\n\n",
+        "id: 2\nda",
+        &endless,
+    ];
+    let (first, second) = ("id: 0\ndata: e0\n\n", "id: 1\ndata: e1\n\n");
+    for invalid in invalid {
+        for pieces in [
+            vec![format!("{first}{second}{invalid}")],
+            vec![first.to_owned(), format!("{second}{invalid}")],
+        ] {
+            let name = format!("{} pieces, {:.20?}", pieces.len(), invalid);
+            run(async move {
+                let reply = continue_after(Act::RawPieces(pieces)).await;
+                assert!(reply.complete, "{name}");
+                let wanted: String = (0..4)
+                    .map(|id| format!("id: {id}\ndata: e{id}\n\n"))
+                    .collect();
+                assert_eq!(reply.text(), wanted, "{name}");
+            });
+        }
+    }
+}
+
+/// Asks for a stream that one server breaks off in this way and another one continues.
+async fn continue_after(broken: Act) -> Reply {
+    let a = Server::start("a", broken.clone()).await;
+    let b = Server::start("b", broken).await;
+    let world = World::new().await;
+    let gateway = world.ready(&[&a, &b]).await;
+    let request = gateway.ask("POST", "/resume/1", "Request: t1\r\nProgram: p\r\n", "A;");
+    let recovery = async {
+        while a.count() + b.count() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let other = if a.count() == 0 { &a } else { &b };
+        other.set(events(&["e0", "e1", "e2", "e3"]));
+    };
+    let (reply, ()) = futures_util::future::join(request, recovery).await;
+    reply
+}
+
 /// Guards against a program that exceeds its budget, or is refused before it reaches it.
 #[test]
 fn turn_over_budget_is_refused_and_not_run() {
