Streams end at the maximum tokens of the turn; kept output is accounted for

What callers saw: calls of other clients, run by sound servers, that ended without an answer.

Cause: `Turn::output`, which collects the data of a turn that later turns continue from, had no limit and was outside the count of buffer memory. The stream itself was limited by its deadline alone, although the client names the most tokens that it wants.

Change: a response has at most the events that hold the tokens the client asked for; what comes after is the fault of the server (`events_rejected`, cause `excess`), as is a gap. The output of a turn is on the account of its request, twice, for the copy in the record; when there is no memory the stream is cut. Both limits hold for budgets too: a turn hands out no more than it reserved.

--- a/crates/emulator/src/endless.rs
+++ b/crates/emulator/src/endless.rs
@@ -11,6 +11,8 @@
     Event,
     /// Comment lines and empty events.
     Comments,
+    /// Events with data, as of a stream that never ends.
+    Data,
     /// Trailer lines after the last chunk.
     Trailers,
     /// A body that may be that of a large response.
@@ -32,7 +34,8 @@
 const REPETITIONS: usize = 256;
 
 impl Endless {
-    /// The kinds that are no response on any route.
+    /// The kinds that are no response on any route. [`Self::Data`] and [`Self::Body`] may be the
+    /// beginning of a large one.
     pub const ALL: [Self; 5] = [
         Self::Interim,
         Self::OtherResponse,
@@ -46,7 +49,7 @@
         match self {
             Self::Interim => Head::None,
             Self::OtherResponse => Head::Other,
-            Self::Event | Self::Comments | Self::Trailers | Self::Body => Head::Own,
+            Self::Event | Self::Comments | Self::Data | Self::Trailers | Self::Body => Head::Own,
         }
     }
 
@@ -55,7 +58,7 @@
         match self {
             Self::Event => b"7\r\ndata: x\r\n",
             Self::Trailers => b"0\r\n",
-            Self::Interim | Self::OtherResponse | Self::Comments | Self::Body => b"",
+            Self::Interim | Self::OtherResponse | Self::Comments | Self::Data | Self::Body => b"",
         }
     }
 
@@ -65,6 +68,7 @@
             Self::Interim => b"HTTP/1.1 102 Processing\r\n\r\n",
             Self::OtherResponse | Self::Event | Self::Body => b"10\r\nxxxxxxxxxxxxxxxx\r\n",
             Self::Comments => b"10\r\n: comment 12345\n\r\n1\r\n\n\r\n",
+            Self::Data => b"10\r\ndata: 12345678\n\n\r\n",
             Self::Trailers => b"Trailer: more\r\n",
         };
         unit.repeat(REPETITIONS)
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,10 +10,12 @@
 use super::silence;
 use super::stream_origin;
 use super::turn::Turn;
+use super::turn_open::tokens_per_event;
 use super::writer::ClientWriter;
 use crate::http::body::Piece;
 use crate::http::events::{EndlessInput, Event, EventDecoder};
 use crate::http::write::{LAST_CHUNK, ResponseFraming, chunk, response_head};
+use crate::memory::MemoryExhausted;
 use crate::upstream::connection::ExchangeError;
 use fieldhook_ledger::streams::StreamOrigin;
 use fieldhook_traffic::attempt::AttemptFailure;
@@ -28,6 +30,8 @@
     /// Server of the first event, once one has arrived.
     origin: Option<StreamOrigin>,
     events: u64,
+    /// Number of further events with data that the response may have, if it is limited.
+    data_events_left: Option<u64>,
 }
 
 /// Events that were read from the server and not yet sent to the client.
@@ -39,21 +43,56 @@
     /// Id of the last event, which is the last one sent to the client if the batch holds none with an
     /// id.
     last_event: Option<u64>,
+    /// Number of events with data that may follow the last event, if it is limited.
+    data_events_left: Option<u64>,
+}
+
+/// Why the events of a server are not passed on any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum InvalidEvents {
+    /// An event is missing.
+    Gap,
+    /// An event does not end, or bytes that are no event do not.
+    Endless,
+    /// There are more tokens than the client asked for.
+    Excess,
+}
+
+impl InvalidEvents {
+    /// Value of the log field `cause`.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Gap => "gap",
+            Self::Endless => "endless",
+            Self::Excess => "excess",
+        }
+    }
 }
 
 impl Batch {
-    /// Creates a batch of events that follow the last one sent to the client.
-    fn after(last_event: Option<u64>) -> Self {
+    /// Creates a batch of events that follow what was sent to the client.
+    fn after(delivery: &Delivery) -> Self {
         Self {
-            last_event,
+            last_event: delivery.last_event,
+            data_events_left: delivery.data_events_left,
             ..Self::default()
         }
     }
 
-    fn push(&mut self, event: Event) {
+    /// Appends the next event.
+    ///
+    /// # Errors
+    /// The response may not have another event with data.
+    fn push(&mut self, event: Event) -> Result<(), InvalidEvents> {
+        if event.data.is_some()
+            && let Some(left) = &mut self.data_events_left
+        {
+            *left = left.checked_sub(1).ok_or(InvalidEvents::Excess)?;
+        }
         self.last_event = event.id.or(self.last_event);
         self.count += usize::from(event.has_content());
         self.events.push(event);
+        Ok(())
     }
 
     /// Removes the comments at the end: the stream may go on at another server, whose response they
@@ -74,6 +113,8 @@
     ClientGone,
     /// The budget reservation did not become durable.
     NotDurable,
+    /// There is no memory for the output, which later turns continue from.
+    MemoryExhausted,
 }
 
 /// Serves a request with a streamed response.
@@ -85,6 +126,7 @@
     let mut delivery = Delivery {
         last_event: context.meta.last_event,
         origin: context.resumed.as_ref().map(|known| known.origin.clone()),
+        data_events_left: max_data_events(context),
         ..Delivery::default()
     };
     let attempts = run_attempts(context, &mut turn, &mut delivery, writer);
@@ -99,6 +141,13 @@
     respond_or_abort(context, &delivery, response, writer).await
 }
 
+/// Returns the number of events that hold the maximum tokens the client asked for, if it named a
+/// maximum. A server that sends more is faulty, and may never stop.
+fn max_data_events(context: &RequestContext) -> Option<u64> {
+    let max_tokens = context.meta.max_tokens;
+    (max_tokens > 0).then(|| max_tokens.div_ceil(tokens_per_event(context)))
+}
+
 /// Writes the remaining output to the client, however slowly it reads.
 async fn flush_pending(action: ConnectionAction, writer: &mut ClientWriter) -> ConnectionAction {
     match writer.flush().await {
@@ -170,6 +219,9 @@
                     StreamEnd::NotDurable => {
                         return Err(LocalResponse::new(502, "its budget could not be reserved"));
                     }
+                    StreamEnd::MemoryExhausted => {
+                        return Err(LocalResponse::new(502, "there is no memory for its output"));
+                    }
                     StreamEnd::Broken(error) => {
                         attempt.fail(context, error).await;
                         DispatchFailure::Attempt(AttemptFailure::MayHaveRun)
@@ -225,7 +277,7 @@
     writer: &mut ClientWriter,
 ) -> StreamEnd {
     let mut events = EventDecoder::default();
-    let mut batch = Batch::after(delivery.last_event);
+    let mut batch = Batch::after(delivery);
     loop {
         let next = attempt.connection.next_piece(&mut attempt.response.body);
         let next = silence::abort_if_silent(context, &attempt.server, next);
@@ -241,58 +293,74 @@
                 return StreamEnd::Broken(ExchangeError::InvalidResponse);
             }
             Ok(Piece::End) => {
-                let is_sent = batch.events.is_empty()
-                    || !delivery.head_sent
-                    || deliver(context, attempt, turn, delivery, &batch, writer).await;
-                return match is_sent {
-                    true => StreamEnd::Complete,
-                    false => StreamEnd::ClientGone,
-                };
+                if batch.events.is_empty() || !delivery.head_sent {
+                    return StreamEnd::Complete;
+                }
+                let delivered = deliver(context, attempt, turn, delivery, &batch, writer).await;
+                return delivered.err().unwrap_or(StreamEnd::Complete);
             }
             Ok(Piece::Incomplete) => {}
             Err(error) => return StreamEnd::Broken(error),
         }
         let decoded = decode_events(&mut events, &mut batch);
-        match decoded {
-            // The stream may begin again, or the client gets an error status.
-            Err(error) if !delivery.head_sent => return StreamEnd::Broken(error),
-            Err(_) => batch.remove_trailing_comments(),
-            Ok(()) => {}
+        if let Err(cause) = decoded {
+            log_invalid(context, attempt, &batch, cause);
+            if !delivery.head_sent {
+                // The stream may begin again, or the client gets an error status.
+                return StreamEnd::Broken(ExchangeError::InvalidResponse);
+            }
+            batch.remove_trailing_comments();
         }
         // Comments wait for the next event, because the stream may go on at another server until then.
         if batch.count > 0 {
-            if let Some(end) = send_batch(context, attempt, turn, delivery, &batch, writer).await {
+            let sent = send_batch(context, attempt, turn, delivery, &batch, writer).await;
+            if let Err(end) = sent {
                 return end;
             }
-            batch = Batch::after(delivery.last_event);
+            batch = Batch::after(delivery);
         }
-        if let Err(error) = decoded {
-            return StreamEnd::Broken(error);
+        if decoded.is_err() {
+            return StreamEnd::Broken(ExchangeError::InvalidResponse);
         }
     }
 }
 
 /// Moves the complete events to the batch, up to the first one that is not valid.
-fn decode_events(events: &mut EventDecoder, batch: &mut Batch) -> Result<(), ExchangeError> {
-    loop {
-        let event = match events.next_event() {
-            Ok(Some(event)) => event,
-            Ok(None) => return Ok(()),
-            Err(EndlessInput) => return Err(ExchangeError::InvalidResponse),
-        };
+fn decode_events(events: &mut EventDecoder, batch: &mut Batch) -> Result<(), InvalidEvents> {
+    let endless = |EndlessInput| InvalidEvents::Endless;
+    while let Some(event) = events.next_event().map_err(endless)? {
         let order = event_order(&event, batch.last_event);
         let is_progress = event.has_content() && order == EventOrder::Next;
-        if order == EventOrder::Gap || events.record_progress(&event, is_progress).is_err() {
-            return Err(ExchangeError::InvalidResponse);
-        }
-        if order == EventOrder::Next {
-            batch.push(event);
+        events
+            .record_progress(&event, is_progress)
+            .map_err(endless)?;
+        match order {
+            EventOrder::Next => batch.push(event)?,
+            EventOrder::Duplicate => {}
+            EventOrder::Gap => return Err(InvalidEvents::Gap),
         }
     }
+    Ok(())
+}
+
+/// Logs why no more events of a server are passed on.
+fn log_invalid(context: &RequestContext, attempt: &Attempt, batch: &Batch, cause: InvalidEvents) {
+    tracing::info!(
+        event = "events_rejected",
+        request = context.meta.id,
+        program = context.meta.program,
+        server = attempt.server.id,
+        cause = cause.name(),
+        last_event = batch.last_event,
+        most = context.meta.max_tokens,
+        age_ms = context.age_ms()
+    );
 }
 
 /// Sends events to the client once the origin of the stream is recorded and the budget allows them.
-/// Returns how the stream ends if they were not sent.
+///
+/// # Errors
+/// They were not sent; contains how the stream ends.
 async fn send_batch(
     context: &RequestContext,
     attempt: &Attempt,
@@ -300,23 +368,20 @@
     delivery: &mut Delivery,
     batch: &Batch,
     writer: &mut ClientWriter,
-) -> Option<StreamEnd> {
+) -> Result<(), StreamEnd> {
     if delivery.origin.is_none() {
         let recording = stream_origin::record(context, attempt);
         let Ok(origin) = writer.while_draining(recording).await else {
-            return Some(StreamEnd::ClientGone);
+            return Err(StreamEnd::ClientGone);
         };
         delivery.origin = Some(origin);
     }
     if let Some(turn) = turn
         && !turn.wait_allowed(batch.count, context.deadline).await
     {
-        return Some(StreamEnd::NotDurable);
-    }
-    match deliver(context, attempt, turn, delivery, batch, writer).await {
-        true => None,
-        false => Some(StreamEnd::ClientGone),
+        return Err(StreamEnd::NotDurable);
     }
+    deliver(context, attempt, turn, delivery, batch, writer).await
 }
 
 #[derive(PartialEq, Eq)]
@@ -336,6 +401,10 @@
     }
 }
 
+/// Sends events to the client.
+///
+/// # Errors
+/// They were not sent; contains how the stream ends.
 async fn deliver(
     context: &RequestContext,
     attempt: &Attempt,
@@ -343,38 +412,48 @@
     delivery: &mut Delivery,
     batch: &Batch,
     writer: &mut ClientWriter,
-) -> bool {
+) -> Result<(), StreamEnd> {
+    // Recorded before it is written, because the client may receive it even if the write fails.
+    if let Some(turn) = turn {
+        for event in &batch.events {
+            let recorded = turn.record_delivered(event, &context.memory_account);
+            recorded.map_err(|MemoryExhausted| StreamEnd::MemoryExhausted)?;
+        }
+    }
     let mut bytes = Vec::new();
     if !delivery.head_sent {
         bytes = stream_head(context, attempt);
         delivery.head_sent = true;
-        context
-            .daemon
-            .metrics
-            .first_byte_seconds
-            .observe(context.started.elapsed().as_secs_f64());
-        tracing::info!(
-            event = "first_event",
-            request = context.meta.id,
-            program = context.meta.program,
-            server = attempt.server.id,
-            software = attempt.server.software_version.as_deref(),
-            age_ms = context.age_ms()
-        );
-        if let Some(known) = &context.resumed {
-            stream_origin::log_resumption(context, known, &attempt.server);
-        }
+        record_first_event(context, attempt);
     }
     for event in &batch.events {
-        // Counted before it is written, because the client may receive it even if the write fails.
-        if let Some(turn) = turn {
-            turn.record_delivered(event);
-        }
-        delivery.events += u64::from(event.has_content());
         bytes.extend_from_slice(&chunk(&event.raw));
     }
+    delivery.events += batch.count as u64;
     delivery.last_event = batch.last_event;
-    writer.send(&bytes).await.is_ok()
+    delivery.data_events_left = batch.data_events_left;
+    let sent = writer.send(&bytes).await;
+    sent.map_err(|_| StreamEnd::ClientGone)
+}
+
+/// Logs and counts that the first event of a response is sent.
+fn record_first_event(context: &RequestContext, attempt: &Attempt) {
+    context
+        .daemon
+        .metrics
+        .first_byte_seconds
+        .observe(context.started.elapsed().as_secs_f64());
+    tracing::info!(
+        event = "first_event",
+        request = context.meta.id,
+        program = context.meta.program,
+        server = attempt.server.id,
+        software = attempt.server.software_version.as_deref(),
+        age_ms = context.age_ms()
+    );
+    if let Some(known) = &context.resumed {
+        stream_origin::log_resumption(context, known, &attempt.server);
+    }
 }
 
 fn stream_head(context: &RequestContext, attempt: &Attempt) -> Vec<u8> {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -3,6 +3,7 @@
 
 use crate::http::events::Event;
 use crate::ledger::client::{LedgerClient, OpenedTurn};
+use crate::memory::{MemoryAccount, MemoryExhausted};
 use crate::metrics::Metrics;
 use bytes::{Bytes, BytesMut};
 use fieldhook_ledger::message::{CloseTurn, OpenTurn, TurnContent};
@@ -12,6 +13,8 @@
 
 /// Maximum size of the input or output in one log record, in bytes.
 pub(super) const MAX_RECORD_BYTES: usize = 200 << 10;
+/// Number of copies of the output in memory: the collected one, and the one in the record.
+const OUTPUT_COPIES: usize = 2;
 
 /// A turn in progress. Dropping it reports its end to the ledger, unless that was done before.
 pub struct Turn {
@@ -63,16 +66,26 @@
             .await
     }
 
-    /// Counts an event that is about to be sent to the client.
-    pub fn record_delivered(&mut self, event: &Event) {
+    /// Counts an event that is about to be sent to the client, and keeps its data if the route
+    /// retains context. `memory_account` accounts for what is kept.
+    ///
+    /// # Errors
+    /// There is no memory for the data; the event must not be sent.
+    pub fn record_delivered(
+        &mut self,
+        event: &Event,
+        memory_account: &MemoryAccount,
+    ) -> Result<(), MemoryExhausted> {
         let Some(data) = &event.data else {
-            return;
+            return Ok(());
         };
-        self.tokens += self.tokens_per_event;
         if self.request.retains_context {
+            memory_account.grow((data.len() + 1) * OUTPUT_COPIES)?;
             self.output.extend_from_slice(data);
             self.output.extend_from_slice(b"\n");
         }
+        self.tokens += self.tokens_per_event;
+        Ok(())
     }
 
     /// Ends the turn, whether it is complete or not. Dropping it reports its end unless that was
--- a/crates/gateway/src/serve/turn_open.rs
+++ b/crates/gateway/src/serve/turn_open.rs
@@ -215,7 +215,8 @@
     }
 }
 
-fn tokens_per_event(context: &RequestContext) -> u64 {
+/// Tokens that each event of the stream stands for.
+pub(super) fn tokens_per_event(context: &RequestContext) -> u64 {
     let routes = context.daemon.routes.borrow();
     let service = routes.as_ref().and_then(|table| {
         let part = context.entry.route.services.first()?;
--- a/crates/gateway/tests/gateway/endless_responses.rs
+++ b/crates/gateway/tests/gateway/endless_responses.rs
@@ -1,7 +1,8 @@
 //! Servers that send bytes without end in place of a response.
 
-use crate::support::{Act, Gateway, Server, World, run};
+use crate::support::{Act, Gateway, Reply, Server, World, run};
 use fieldhook_emulator::endless::Endless;
+use fieldhook_gateway::settings::SlowPeers;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -145,3 +146,73 @@
         }
     });
 }
+
+/// Sends a turn to a server whose stream of events never ends, and returns what the client gets.
+async fn ask_for_endless_turn(world: &World, server: &Server, path: &str, fields: &str) -> Reply {
+    let gateway = gateway_with(world, server).await;
+    let started = Instant::now();
+    let mut client = gateway.client().await;
+    let fields = format!("Request: r\r\nProgram: p\r\nDeadline: 6000\r\n{fields}");
+    client.send("POST", path, &fields, "word").await;
+    let closed = assert_closed_early(server, Endless::Data, started);
+    let (reply, ()) = futures_util::future::join(client.reply_unless_closed(), closed).await;
+    let reply = reply.expect("a reply");
+    assert!(reply.head.status == 502 || !reply.complete);
+    while gateway.daemon.memory.used_bytes() > 0 {
+        assert!(started.elapsed() < CLOSED_WITHIN, "memory stays in use");
+        sleep(Duration::from_millis(5)).await;
+    }
+    reply
+}
+
+/// Guards against a turn that collects events, and spends tokens, until its deadline.
+#[test]
+fn stream_is_cut_after_the_maximum_tokens_of_the_turn() {
+    run(async {
+        for (path, budget) in [
+            ("/chat/1", "Budget: 9000\r\n"),
+            ("/chat/1", ""),
+            ("/resume/1", "Budget: 9000\r\n"),
+            ("/resume/1", ""),
+        ] {
+            let world = World::new().await;
+            let server = Server::start("s0", Act::Endless(Endless::Data)).await;
+            // Each event has ten tokens.
+            let fields = format!("{budget}Most: 25\r\n");
+            let reply = ask_for_endless_turn(&world, &server, path, &fields).await;
+            let events = reply.text().matches("data: ").count();
+            assert!(events <= 3, "{path} {budget}: {events} events");
+        }
+    });
+}
+
+/// Guards against a sound answer of the maximum length that is taken for one without end.
+#[test]
+fn stream_with_the_maximum_tokens_of_the_turn_is_complete() {
+    run(async {
+        let events = vec!["word".to_owned(); 3];
+        let server = Server::start("s0", Act::Events(events, None)).await;
+        let world = World::new().await;
+        let gateway = gateway_with(&world, &server).await;
+        for path in ["/chat/1", "/resume/1"] {
+            let fields = "Request: r\r\nProgram: p\r\nMost: 25\r\n";
+            let reply = gateway.ask("POST", path, fields, "word").await;
+            assert_eq!(reply.head.status, 200, "{path}");
+            assert!(reply.complete, "{path}");
+        }
+    });
+}
+
+/// Guards against the output of kept turns that takes all memory of the machine.
+#[test]
+fn output_kept_for_later_turns_is_limited_by_the_buffer_memory() {
+    run(async {
+        let world = World::new().await;
+        world.slow_peers.set(SlowPeers {
+            held_bytes: 512 << 10,
+            ..SlowPeers::default()
+        });
+        let server = Server::start("s0", Act::Endless(Endless::Data)).await;
+        ask_for_endless_turn(&world, &server, "/chat/1", "").await;
+    });
+}
