A log that refuses all calls of a daemon counts as lost there

Cause: `StoreConnections::record_health` took every status but 503 for an answer, although the adapter maps 429 and 503 to the same error. So a daemon whose calls were all refused told its peers that the log answers it; they left it in place as the owner, it stayed ready, and it did not ask its peers for the configuration.

Change: a refusal because of the call rate (429) is neither an answer nor at once a failure. The service may refuse some calls of all daemons, where another owner would only make more; after 300 ms of refusals without any call that is served, they count as failures since the first of them. All users of `LogHealth` (owners, readiness, reach, relay, configuration from peers, counts of ends) follow, since none reads the status itself.

--- a/crates/gateway/src/store_exchange.rs
+++ b/crates/gateway/src/store_exchange.rs
@@ -100,13 +100,13 @@
         }
     }
 
-    /// Records whether a response shows that the service is healthy. A busy service responds with
-    /// 503, which counts as a failure.
+    /// Records whether a response shows that the service serves this daemon. It does not if it is
+    /// busy (503) or refuses the call because of the call rate (429).
     fn record_health(&self, response: &StoreResponse, called: Instant) {
-        if response.status == 503 {
-            self.log_health.record_failure();
-        } else {
-            self.log_health.record_answer_to(called.into_std());
+        match response.status {
+            429 => self.log_health.record_refusal(),
+            503 => self.log_health.record_failure(),
+            _ => self.log_health.record_answer_to(called.into_std()),
         }
     }
 
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 Fine\r\nContent-Length: 0\r\n\r\n";
 
@@ -57,3 +57,62 @@
         assert_eq!(next, Ok(200));
     });
 }
+
+/// Time after which a daemon that the log refuses has to count as cut off from it.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Starts a log that answers the calls with these statuses, again and again, and returns a client
+/// that makes calls to it until the given time has passed.
+async fn call_for(statuses: &'static [u16], time: Duration) -> Rc<LogHealth> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let next = Rc::new(Cell::new(0));
+    ntex::rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let next = next.clone();
+            ntex::rt::spawn(async move {
+                let mut request = [0; 1_024];
+                while stream.read(&mut request).await.is_ok_and(|size| size > 0) {
+                    let status = statuses[next.get() % statuses.len()];
+                    next.set(next.get() + 1);
+                    let response = format!("HTTP/1.1 {status} Fine\r\nContent-Length: 0\r\n\r\n");
+                    let _ = stream.write_all(response.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let health = Rc::new(LogHealth::default());
+    let store = StoreConnections::new(address, health.clone());
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        store.exchange(call()).await.expect("a response");
+        sleep(Duration::from_millis(20)).await;
+    }
+    health
+}
+
+/// Guards against an owner that the log refuses, and that other daemons therefore leave in place.
+#[test]
+fn daemon_whose_calls_are_all_refused_is_cut_off_from_the_log() {
+    run(async {
+        for status in [&[429_u16], &[503]] {
+            let health = call_for(status, CUT_OFF_AFTER).await;
+            assert!(health.is_failing(), "{status:?}");
+            assert!(health.is_lost(), "{status:?}");
+            assert!(!health.answered_within(CUT_OFF_AFTER), "{status:?}");
+            assert!(!health.confirmed_within(CUT_OFF_AFTER), "{status:?}");
+        }
+    });
+}
+
+/// Guards against owners that are replaced because all daemons together exceed the call rate.
+#[test]
+fn daemon_whose_calls_are_refused_in_part_reaches_the_log() {
+    run(async {
+        let health = call_for(&[200, 429, 429, 429, 429], CUT_OFF_AFTER).await;
+        assert!(!health.is_failing());
+        assert!(health.no_failure_for(CUT_OFF_AFTER));
+        let health = call_for(&[429], Duration::from_millis(150)).await;
+        assert!(!health.is_failing());
+    });
+}
--- a/crates/log/src/log_health.rs
+++ b/crates/log/src/log_health.rs
@@ -10,6 +10,10 @@
 /// Shorter failures do not trigger [`LogHealth::recovered`]: where only some partitions are down,
 /// failures and answers alternate.
 const MIN_OUTAGE: Duration = Duration::from_millis(120);
+/// Refusals because of the call rate count as failures if no call has been served for this long.
+/// Until then they may be due to the rate of all daemons together, which another owner would only
+/// raise.
+const REFUSED_AFTER: Duration = Duration::from_millis(300);
 
 /// Health of the log service as seen by this daemon. Logs each loss and each recovery once.
 #[derive(Default)]
@@ -18,6 +22,8 @@
     /// When the newest call was made that the service has answered.
     last_confirmed: Cell<Option<Instant>>,
     first_failure: Cell<Option<Instant>>,
+    /// When the first call since the last answer was refused because of the call rate.
+    first_refusal: Cell<Option<Instant>>,
     last_failure: Cell<Option<Instant>>,
     /// Notified when the service answers after an outage, so that waiting calls can be repeated at
     /// once.
@@ -40,6 +46,7 @@
     /// Records that the service answered.
     pub fn record_answer(&self) {
         self.last_answer.set(Some(Instant::now()));
+        self.first_refusal.set(None);
         let since = self.first_failure.take();
         if since.is_some_and(|since| since.elapsed() >= MIN_OUTAGE) {
             self.recovered.notify_waiters();
@@ -51,8 +58,24 @@
 
     /// Records that a call got no answer.
     pub fn record_failure(&self) {
+        self.record_failure_since(Instant::now());
+    }
+
+    /// Records that the service refused a call because of the call rate. It may refuse some calls of
+    /// all daemons, or all calls of this one; see [`REFUSED_AFTER`].
+    pub fn record_refusal(&self) {
+        let since = self.first_refusal.get().unwrap_or_else(Instant::now);
+        self.first_refusal.set(Some(since));
+        if since.elapsed() >= REFUSED_AFTER {
+            self.record_failure_since(since);
+        }
+    }
+
+    /// Records a failure that is part of one which began at this time, unless calls have failed for
+    /// longer.
+    fn record_failure_since(&self, began: Instant) {
         let now = Instant::now();
-        let since = self.first_failure.get().unwrap_or(now);
+        let since = self.first_failure.get().unwrap_or(began);
         self.first_failure.set(Some(since));
         self.last_failure.set(Some(now));
         if now - since >= LOST_AFTER && !self.lost.replace(true) {
