Events are counted with the tokens of the service that sends them

Cause: a turn took the tokens of each event from the first service of the route, not from the one that its request goes to, and from the newest configuration: a service that was no longer part of it counted 1.

Change: `RequestContext` holds the configuration with which the request was routed, and `tokens_per_event` asks that for the service of the request. The limit on the events of a response uses the same.

--- a/crates/gateway/src/serve/homes.rs
+++ b/crates/gateway/src/serve/homes.rs
@@ -48,7 +48,7 @@
     let Some(table) = context.daemon.routes.borrow().clone() else {
         return context.homes.clone();
     };
-    if table.config.version == context.version {
+    if table.config.version == context.table.config.version {
         return context.homes.clone();
     }
     let previous = &context.entry.route;
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -17,7 +17,7 @@
 use fieldhook_ledger::message::RequestKey;
 use fieldhook_log::reach::Reach;
 use fieldhook_topology::region;
-use fieldhook_traffic::route_table::RouteEntry;
+use fieldhook_traffic::route_table::{RouteEntry, RouteTable};
 use fieldhook_traffic::tenants::Tenant;
 use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
@@ -49,6 +49,8 @@
 pub struct RequestContext {
     /// Shared state of the daemon.
     pub daemon: Rc<Daemon>,
+    /// Configuration in force when the request arrived.
+    pub table: Rc<RouteTable>,
     /// Matching route.
     pub entry: Rc<RouteEntry>,
     /// Values of the header fields read by the dialect.
@@ -56,10 +58,8 @@
     /// Tenant when the request arrived.
     pub tenant: Option<Rc<Tenant>>,
     /// Regions that may process the request and store its data, according to its route and its
-    /// tenant.
+    /// tenant in that configuration.
     pub homes: region::RegionSet,
-    /// Version of the configuration that determined `homes`.
-    pub version: u64,
     /// Method as received.
     pub method: String,
     /// Request target (path and query) as received.
@@ -97,6 +97,13 @@
         self.service.get().map(String::as_str)
     }
 
+    /// Tokens that each event of the response stands for, according to the service of the request.
+    pub fn tokens_per_event(&self) -> u64 {
+        let config = &self.table.config;
+        let service = self.service().and_then(|name| config.service(name));
+        service.map_or(1, |service| service.tokens_per_event.max(1))
+    }
+
     /// Name of the tenant.
     pub fn tenant_name(&self) -> Option<&str> {
         self.tenant.as_ref().map(|tenant| &*tenant.name)
@@ -325,13 +332,13 @@
     };
     Ok(RequestContext {
         daemon: daemon.clone(),
+        table,
         deadline: request.started + Duration::from_millis(allowed_ms),
         content: identity.key(),
         entry,
         meta,
         tenant,
         homes,
-        version: table.config.version,
         method: head.method,
         target: head.target,
         headers,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -10,7 +10,6 @@
 use super::silence;
 use super::stream_origin;
 use super::turn::Turn;
-use super::turn_open::tokens_per_event;
 use super::writer::ClientWriter;
 use crate::http::body::Piece;
 use crate::http::events::{EndlessInput, Event, EventDecoder};
@@ -145,7 +144,7 @@
 /// maximum. A server that sends more is faulty, and may never stop.
 fn max_data_events(context: &RequestContext) -> Option<u64> {
     let max_tokens = context.meta.max_tokens;
-    (max_tokens > 0).then(|| max_tokens.div_ceil(tokens_per_event(context)))
+    (max_tokens > 0).then(|| max_tokens.div_ceil(context.tokens_per_event()))
 }
 
 /// Writes the remaining output to the client, however slowly it reads.
--- a/crates/gateway/src/serve/turn_open.rs
+++ b/crates/gateway/src/serve/turn_open.rs
@@ -208,23 +208,13 @@
         prompt: context.body.clone(),
         output: BytesMut::new(),
         tokens: 0,
-        tokens_per_event: tokens_per_event(context),
+        tokens_per_event: context.tokens_per_event(),
         retention_ms: context.entry.route.retention_ms,
         last_server: context.last_server.clone(),
         closed: false,
     }
 }
 
-/// Tokens that each event of the stream stands for.
-pub(super) fn tokens_per_event(context: &RequestContext) -> u64 {
-    let routes = context.daemon.routes.borrow();
-    let service = routes.as_ref().and_then(|table| {
-        let part = context.entry.route.services.first()?;
-        table.config.service(&part.service).cloned()
-    });
-    service.map_or(1, |service| service.tokens_per_event.max(1))
-}
-
 fn turn_refusal(
     failure: &OpenFailure,
     context: &RequestContext,
--- a/crates/gateway/tests/gateway/turns.rs
+++ b/crates/gateway/tests/gateway/turns.rs
@@ -1,7 +1,8 @@
 //! Turns of programs: chains, budgets, interrupted and resumed streams.
 
-use crate::support::{Act, Reply, Seen, Server, World, config, run};
+use crate::support::{Act, Reply, SERVERS, Seen, Server, World, config, run};
 use fieldhook_emulator::log::memory::LogFault;
+use fieldhook_traffic::config::{Service, WeightedService};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -177,6 +178,65 @@
     });
 }
 
+/// Guards against the events of one part of a split that are counted with the tokens of another: its
+/// program would exceed its budget, or be refused before it reaches it.
+#[test]
+fn events_count_as_many_tokens_as_those_of_their_service() {
+    run(async {
+        for names in [["small", "large"], ["large", "small"]] {
+            // A turn begins if its maximum of 80 tokens fits into what is left of 200. Two events have 20
+            // tokens at the small service, so that 7 turns fit, and 80 at the large one.
+            for (used, fitting) in [("small", 7), ("large", 2)] {
+                let turns = complete_turns_of_split(names, used, 200).await;
+                assert_eq!(turns, fitting, "{names:?}, {used}");
+            }
+        }
+    });
+}
+
+/// Has a program take turns of two events on a route that is split between two services, of which
+/// only one has a server, until its budget is spent. Returns the number of complete turns.
+async fn complete_turns_of_split(names: [&str; 2], used: &str, budget: u64) -> u64 {
+    let server = Server::start("s1", events(&["one", "two"])).await;
+    let world = World::new().await;
+    let mut split = config(1);
+    let service = split.services[0].clone();
+    split.services = vec![
+        Service {
+            name: "small".to_owned(),
+            tokens_per_event: 10,
+            ..service.clone()
+        },
+        Service {
+            name: "large".to_owned(),
+            tokens_per_event: 40,
+            ..service
+        },
+    ];
+    for route in &mut split.routes {
+        route.services = names
+            .map(|name| WeightedService {
+                service: name.to_owned(),
+                weight: u32::from(name == used),
+            })
+            .to_vec();
+    }
+    world.configs.borrow_mut()[0] = split;
+    let entry = format!("{used} {} version=v1", server.address);
+    world.put(SERVERS, &server.id, &entry).await;
+    let gateway = world.settled_gateway("g1", 1).await;
+    for turn in 0..20 {
+        let fields = format!("Request: t{turn}\r\nProgram: p\r\nBudget: {budget}\r\nMost: 80\r\n");
+        let reply = gateway.ask("POST", "/chat/1", &fields, "A;").await;
+        match reply.head.status {
+            200 => assert!(reply.complete),
+            402 => return turn,
+            status => panic!("turn {turn}: {status}"),
+        }
+    }
+    panic!("the budget is never spent");
+}
+
 /// Guards against a client that gets a complete stream although its turn is not stored, so that the
 /// next turn could not continue from it.
 #[test]
