A response that is reset while its upload is written is not complete

What callers saw (reported by operators): a server answered a long upload with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the write that failed took the error of the socket with it. The read after it then found the end of the stream without an error, as if the server had closed in good order, and a body without a length ends there.

Change: a connection remembers that a write has failed; from then on the end of the stream completes no body, and nothing more is written. An orderly close during an upload still does, and a body with a length or in chunks does not depend on it.

Checked besides: idle connections are peeked at, which may take an error too, but are discarded then; responses of the log and of fieldhook-http without a length are errors; peers and clients send framed messages only.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -76,6 +76,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     reusable: bool,
+    /// A write has failed. It took the error of the socket with it, so that a reset now reads like
+    /// the end of the stream.
+    write_failed: bool,
     /// Id of the newest request that was sent. Its response may arrive once more, late, in the place
     /// of the next one.
     last_request: String,
@@ -110,6 +113,7 @@
             stream,
             buffer: BytesMut::new(),
             reusable: true,
+            write_failed: false,
             last_request: String::new(),
             idle_since: Instant::now(),
             idle_limit: Duration::ZERO,
@@ -244,10 +248,13 @@
             self.buffer.reserve(READ_SIZE);
             let unsent = &outgoing.bytes[*written..];
             tokio::select! {
-                sent = writer.write(unsent), if !unsent.is_empty() => match sent {
+                sent = writer.write(unsent), if !unsent.is_empty() && !self.write_failed => match sent {
                     Ok(size) if size > 0 => *written += size,
                     // The server may respond without having read the rest of the request.
-                    _ => self.reusable = false,
+                    _ => {
+                        self.reusable = false;
+                        self.write_failed = true;
+                    }
                 },
                 read = reader.read_buf(&mut self.buffer) => match read {
                     Ok(size) if size > 0 => {}
@@ -282,7 +289,9 @@
             }
             self.buffer.reserve(READ_SIZE);
             match self.stream.read_buf(&mut self.buffer).await {
-                Ok(0) if body.is_complete_on_close() => return Ok(Piece::End),
+                Ok(0) if body.is_complete_on_close() && !self.write_failed => {
+                    return Ok(Piece::End);
+                }
                 Ok(size) if size > 0 => {}
                 _ => return Err(ExchangeError::ConnectionLost),
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod deadly_requests;
 mod detached_attempts;
+mod early_responses;
 mod endless_responses;
 mod evacuation;
 mod expired_chains;
