Responses with a status outside of 200 to 599 are rejected

What callers saw (reported by operators): a server in trouble sent an answer whose status was 000, and the client got it as an answer. Here 000 to 099 and 101 were skipped as if they were interim responses and what followed was taken for the answer; 600 to 999 were passed on, by the gateway and by the client of fieldhookd.

Cause: the parser of heads accepts any three digits, and the decoder took everything below 200 for an interim response. An interim response with `Content-Length` or `Transfer-Encoding` was skipped without its body, which became the next head.

Tests, before the fix: invalid_heads::statuses_other_than_those_of_http_are_malformed (000 accepted), interim_responses_have_no_body_and_switch_no_protocol, response_with_an_invalid_head_does_not_reach_the_client (200 where 502 is due), and response_with_an_invalid_head_is_an_error of fieldhook-http (101: Ok). After it they pass.

--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -166,6 +166,19 @@
     })
 }
 
+/// Checks that a response is one that may follow any request.
+fn check_status(status: u16, headers: &Headers) -> Result<(), HeadError> {
+    let has_body = headers.has("content-length") || headers.has("transfer-encoding");
+    match status {
+        101 => Err(HeadError::Malformed(
+            "a switch of protocols that was not asked for",
+        )),
+        100..=199 if has_body => Err(HeadError::Malformed("an interim response with a body")),
+        100..=599 => Ok(()),
+        _ => Err(HeadError::Malformed("the status is not one of 100 to 599")),
+    }
+}
+
 /// Incremental decoder for the head of one response. Interim responses (1xx) before it are skipped,
 /// and count towards its size: a server may send them without end.
 #[derive(Clone, Copy, Debug)]
@@ -216,6 +229,7 @@
     };
     let status = response.code.unwrap_or_default();
     let headers = collect_headers(response.headers);
+    check_status(status, &headers)?;
     let closes = response.version != Some(1) || headers.contains_token("connection", "close");
     let has_no_body = request_method == "HEAD" || status == 204 || status == 304 || status < 200;
     let framing = match (is_chunked(&headers)?, content_length(&headers)?) {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod homes;
 mod incarnations;
 mod input;
+mod invalid_heads;
 mod keep_alive;
 mod late_responses;
 mod limits;
--- a/crates/gateway/tests/gateway/support/act.rs
+++ b/crates/gateway/tests/gateway/support/act.rs
@@ -37,6 +37,9 @@
     BreakUnlessResumed(Vec<String>, usize),
     /// Respond with these bytes as the complete body, which need not be valid events.
     RawStream(String),
+    /// Send these bytes, in which `{id}` stands for the id of the request, and then the response with
+    /// this body.
+    Before(&'static str, String),
     /// Respond with these pieces of a stream, with a pause between them.
     RawPieces(Vec<String>),
     /// Send events with these texts and a pause before each, starting after the event that the
--- a/crates/gateway/tests/gateway/support/server.rs
+++ b/crates/gateway/tests/gateway/support/server.rs
@@ -437,6 +437,10 @@
             Act::RawStream(body) => {
                 let _ = stream.write_all(response(&id, 200, &body).as_bytes()).await;
             }
+            Act::Before(bytes, body) => {
+                let both = bytes.replace("{id}", &id) + &response(&id, 200, &body);
+                let _ = stream.write_all(both.as_bytes()).await;
+            }
             Act::RawPieces(pieces) => {
                 if !send_pieces(&mut stream, &id, &pieces).await {
                     return;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -119,6 +119,10 @@
         }
         let response = request.send_body(body).await;
         let response = response.map_err(|error| classify_error(&error))?;
+        if !(200..600).contains(&response.status().as_u16()) {
+            let cause = "the status is not one of 200 to 599";
+            return Err(SendError::Unknown(cause.to_owned()));
+        }
         if !is_framed(&response) {
             let cause = "the response has no length";
             return Err(SendError::Unknown(cause.to_owned()));
