A line feed alone ends no line of a response head

What callers saw (reported by operators): an answer in whose head the name of a field held a control byte, with a body that was not the server's.

Cause: the parser takes a line feed without a carriage return for the end of a line. Where that was the damaged byte, the head ended in the middle, and the fields after it became the body. All other bytes that HTTP does not allow in names, values and reasons were rejected already, by a library's defaults that no test held; lines after the last chunk were not looked at.

Change: a head with a bare line feed is malformed, and so is a trailer line that is no field. Client requests are not affected; they are encoded anew for the server.

Tests, before the fix: invalid_heads::field_names_with_invalid_bytes_are_malformed ("10 at 0": accepted) and trailer_lines_that_are_no_fields_are_malformed ("who": the body is complete). After it they pass. values_and_reasons_with_control_bytes_are_malformed, and all other bytes at eight positions of a name, passed before too.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,5 +1,6 @@
 //! Decoding of message bodies.
 
+use super::headers::is_field_line;
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Longest chunk-size line or trailer line accepted, in bytes.
@@ -184,14 +185,18 @@
     }
 }
 
-/// Removes a line from the buffer and returns its length without the line ending, or `None` if the
-/// line is incomplete.
+/// Removes a trailer line from the buffer and returns its length without the line ending, or `None` if
+/// the line is incomplete.
+///
+/// # Errors
+/// The line is too long, or not a field.
 fn skip_trailer_line(buffer: &mut BytesMut) -> Result<Option<usize>, InvalidFraming> {
     match buffer.windows(2).position(|pair| pair == b"\r\n") {
-        Some(length) => {
+        Some(length) if length == 0 || is_field_line(&buffer[..length]) => {
             buffer.advance(length + 2);
             Ok(Some(length))
         }
+        Some(_) => Err(InvalidFraming),
         None if buffer.len() > MAX_LINE_BYTES => Err(InvalidFraming),
         None => Ok(None),
     }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -166,6 +166,14 @@
     })
 }
 
+/// Whether a line ends with a line feed alone. The parser accepts that, but a damaged byte could then
+/// end the head, and the rest of it would become the body.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    let mut before = 0;
+    head.iter()
+        .any(|byte| std::mem::replace(&mut before, *byte) != b'\r' && *byte == b'\n')
+}
+
 /// Checks that a response is one that may follow any request.
 fn check_status(status: u16, headers: &Headers) -> Result<(), HeadError> {
     let has_body = headers.has("content-length") || headers.has("transfer-encoding");
@@ -227,6 +235,11 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(HeadError::Malformed("invalid response head")),
     };
+    if has_bare_line_feed(&buffer[..length]) {
+        return Err(HeadError::Malformed(
+            "a line feed without a carriage return",
+        ));
+    }
     let status = response.code.unwrap_or_default();
     let headers = collect_headers(response.headers);
     check_status(status, &headers)?;
--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -13,6 +13,26 @@
     "upgrade",
 ];
 
+/// Whether a line, without its line ending, is a field: a name of the characters that HTTP allows, a
+/// colon, and a value without control characters.
+pub fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    !name.is_empty() && name.iter().all(is_name_byte) && value.iter().all(is_value_byte)
+}
+
+/// A character of a token (RFC 9110, section 5.6.2).
+fn is_name_byte(byte: &u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte)
+}
+
+/// A character of a field value (RFC 9110, section 5.5).
+fn is_value_byte(byte: &u8) -> bool {
+    *byte == b'\t' || !byte.is_ascii_control()
+}
+
 /// One header field.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Field {
