fieldhook-http: a body in an unknown transfer coding is an error

What callers saw: a complete, empty 200 in place of a body of four bytes, where a response had `Transfer-Encoding: identity` and ended with its connection.

Cause: `is_framed` asked whether the field exists, not whether it names the one coding that the library decodes.

Change: a transfer coding other than `chunked` is an error, also beside a `Content-Length`.

Test: response_with_an_invalid_head_is_an_error has both forms, and the invalid names and values, which the library rejects.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -229,11 +229,16 @@
 }
 
 /// Whether the head tells where the body ends. The library takes a body that ends with the connection
-/// for an empty one.
+/// for an empty one, also with a transfer coding that it does not know.
 fn is_framed(response: &ClientResponse) -> bool {
     let headers = response.headers();
     let has_no_body = matches!(response.status().as_u16(), 204 | 304);
-    has_no_body || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let coding = headers.get(TRANSFER_ENCODING);
+    has_no_body
+        || match coding {
+            Some(coding) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+            None => headers.contains_key(CONTENT_LENGTH),
+        }
 }
 
 fn decode_json<T: DeserializeOwned>(response: TextResponse) -> Result<T, SendError> {
--- a/crates/http/tests/invalid_heads.rs
+++ b/crates/http/tests/invalid_heads.rs
@@ -7,12 +7,21 @@
 use std::thread;
 use std::time::Duration;
 
-const INVALID: [&str; 5] = [
+const INVALID: [&str; 14] = [
     "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nwhat",
     "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nwhat",
     "HTTP/1.1 101 OK\r\nContent-Length: 4\r\n\r\nwhat",
     "HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nwhat",
     "HTTP/1.1 999 OK\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 O\u{1}K\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nA b: x\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nA\u{1}: x\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nA: \u{1}\r\nContent-Length: 4\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n folded\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nConnection: close\r\n\r\nwhat",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nwhat",
 ];
 
 /// Serves one connection for each response. Returns the address.
