Events between reading and sending have a module of their own

`Position` is one type for both facts, what was read and what was sent, and `Batch` reads from the decoder.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,8 @@
 //! store its data, and [`quota`] enforces the limit of the tenant. [`local_response`] contains the
 //! responses that the gateway generates itself.
 //!
-//! [`buffered`] and [`stream`] obtain the response in one or more attempts. [`dispatch`] makes an
+//! [`buffered`] and [`stream`] obtain the response in one or more attempts; `event_batch` holds the
+//! events of a stream until they are sent. [`dispatch`] makes an
 //! attempt: [`selection`] picks a server, `cold` limits requests to cold servers, [`send_check`]
 //! verifies that the server may still be used, [`send_permit`] limits requests under which servers
 //! ended, and `silence` stops waiting for a server whose
@@ -27,6 +28,7 @@
 pub mod connection;
 pub mod content;
 pub mod dispatch;
+mod event_batch;
 pub mod homes;
 pub mod listener;
 pub mod local_response;
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -4,6 +4,7 @@
 use super::attempt::{Attempt, DispatchFailure};
 use super::buffered;
 use super::dispatch::{Continuation, dispatch};
+use super::event_batch::{Batch, InvalidEvents, Position};
 use super::local_response::LocalResponse;
 use super::request::{ConnectionAction, RETRY_LATER_MS, RequestContext};
 use super::retry::RetryState;
@@ -12,7 +13,7 @@
 use super::turn::Turn;
 use super::writer::ClientWriter;
 use crate::http::body::Piece;
-use crate::http::events::{EndlessInput, Event, EventDecoder};
+use crate::http::events::EventDecoder;
 use crate::http::write::{LAST_CHUNK, ResponseFraming, chunk, response_head};
 use crate::memory::MemoryExhausted;
 use crate::upstream::connection::ExchangeError;
@@ -24,82 +25,11 @@
 #[derive(Default)]
 struct Delivery {
     head_sent: bool,
-    /// Last event that was sent to the client, after which another server continues.
-    last_event: Option<u64>,
+    /// Position after the last event that was sent, from which another server continues.
+    position: Position,
     /// Server of the first event, once one has arrived.
     origin: Option<StreamOrigin>,
     events: u64,
-    /// Number of further events with data that the response may have, if it is limited.
-    data_events_left: Option<u64>,
-}
-
-/// Events that were read from the server and not yet sent to the client.
-#[derive(Default)]
-struct Batch {
-    events: Vec<Event>,
-    /// Number of events that are no comments.
-    count: usize,
-    /// Id of the last event, which is the last one sent to the client if the batch holds none with an
-    /// id.
-    last_event: Option<u64>,
-    /// Number of events with data that may follow the last event, if it is limited.
-    data_events_left: Option<u64>,
-}
-
-/// Why the events of a server are not passed on any further.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum InvalidEvents {
-    /// An event is missing.
-    Gap,
-    /// An event does not end, or bytes that are no event do not.
-    Endless,
-    /// There are more tokens than the client asked for.
-    Excess,
-}
-
-impl InvalidEvents {
-    /// Value of the log field `cause`.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Gap => "gap",
-            Self::Endless => "endless",
-            Self::Excess => "excess",
-        }
-    }
-}
-
-impl Batch {
-    /// Creates a batch of events that follow what was sent to the client.
-    fn after(delivery: &Delivery) -> Self {
-        Self {
-            last_event: delivery.last_event,
-            data_events_left: delivery.data_events_left,
-            ..Self::default()
-        }
-    }
-
-    /// Appends the next event.
-    ///
-    /// # Errors
-    /// The response may not have another event with data.
-    fn push(&mut self, event: Event) -> Result<(), InvalidEvents> {
-        if event.data.is_some()
-            && let Some(left) = &mut self.data_events_left
-        {
-            *left = left.checked_sub(1).ok_or(InvalidEvents::Excess)?;
-        }
-        self.last_event = event.id.or(self.last_event);
-        self.count += usize::from(event.has_content());
-        self.events.push(event);
-        Ok(())
-    }
-
-    /// Removes the comments at the end: the stream may go on at another server, whose response they
-    /// don't belong to.
-    fn remove_trailing_comments(&mut self) {
-        let length = self.events.iter().rposition(Event::has_content);
-        self.events.truncate(length.map_or(0, |last| last + 1));
-    }
 }
 
 /// How forwarding a stream ended.
@@ -123,9 +53,11 @@
     writer: &mut ClientWriter,
 ) -> ConnectionAction {
     let mut delivery = Delivery {
-        last_event: context.meta.last_event,
+        position: Position {
+            last_event: context.meta.last_event,
+            data_events_left: max_data_events(context),
+        },
         origin: context.resumed.as_ref().map(|known| known.origin.clone()),
-        data_events_left: max_data_events(context),
         ..Delivery::default()
     };
     let attempts = run_attempts(context, &mut turn, &mut delivery, writer);
@@ -195,7 +127,7 @@
     loop {
         let started = Instant::now();
         let continuation = Continuation {
-            last_event: delivery.last_event,
+            last_event: delivery.position.last_event,
             origin: delivery.origin.as_ref(),
         };
         let failure = match dispatch(context, &mut retry.history, continuation).await {
@@ -241,7 +173,7 @@
         program = context.meta.program,
         server = attempt.server.id,
         software = attempt.server.software_version.as_deref(),
-        last_event = delivery.last_event,
+        last_event = delivery.position.last_event,
         events = delivery.events,
         age_ms = context.age_ms()
     );
@@ -276,7 +208,7 @@
     writer: &mut ClientWriter,
 ) -> StreamEnd {
     let mut events = EventDecoder::default();
-    let mut batch = Batch::after(delivery);
+    let mut batch = Batch::after(delivery.position);
     loop {
         let next = attempt.connection.next_piece(&mut attempt.response.body);
         let next = silence::abort_if_silent(context, &attempt.server, next);
@@ -301,7 +233,7 @@
             Ok(Piece::Incomplete) => {}
             Err(error) => return StreamEnd::Broken(error),
         }
-        let decoded = decode_events(&mut events, &mut batch);
+        let decoded = batch.read_from(&mut events);
         if let Err(cause) = decoded {
             log_invalid(context, attempt, &batch, cause);
             if !delivery.head_sent {
@@ -316,7 +248,7 @@
             if let Err(end) = sent {
                 return end;
             }
-            batch = Batch::after(delivery);
+            batch = Batch::after(delivery.position);
         }
         if decoded.is_err() {
             return StreamEnd::Broken(ExchangeError::InvalidResponse);
@@ -324,24 +256,6 @@
     }
 }
 
-/// Moves the complete events to the batch, up to the first one that is not valid.
-fn decode_events(events: &mut EventDecoder, batch: &mut Batch) -> Result<(), InvalidEvents> {
-    let endless = |EndlessInput| InvalidEvents::Endless;
-    while let Some(event) = events.next_event().map_err(endless)? {
-        let order = event_order(&event, batch.last_event);
-        let is_progress = event.has_content() && order == EventOrder::Next;
-        events
-            .record_progress(&event, is_progress)
-            .map_err(endless)?;
-        match order {
-            EventOrder::Next => batch.push(event)?,
-            EventOrder::Duplicate => {}
-            EventOrder::Gap => return Err(InvalidEvents::Gap),
-        }
-    }
-    Ok(())
-}
-
 /// Logs why no more events of a server are passed on.
 fn log_invalid(context: &RequestContext, attempt: &Attempt, batch: &Batch, cause: InvalidEvents) {
     tracing::info!(
@@ -350,7 +264,7 @@
         program = context.meta.program,
         server = attempt.server.id,
         cause = cause.name(),
-        last_event = batch.last_event,
+        last_event = batch.position.last_event,
         most = context.meta.max_tokens,
         age_ms = context.age_ms()
     );
@@ -383,23 +297,6 @@
     deliver(context, attempt, turn, delivery, batch, writer).await
 }
 
-#[derive(PartialEq, Eq)]
-enum EventOrder {
-    Next,
-    Duplicate,
-    Gap,
-}
-
-/// Compares the id of an event with the last one before it. Ids increase by one; events that the
-/// client already has are skipped.
-fn event_order(event: &Event, last_event: Option<u64>) -> EventOrder {
-    match (event.id, last_event) {
-        (Some(id), Some(last)) if id <= last => EventOrder::Duplicate,
-        (Some(id), Some(last)) if id > last + 1 => EventOrder::Gap,
-        _ => EventOrder::Next,
-    }
-}
-
 /// Sends events to the client.
 ///
 /// # Errors
@@ -429,8 +326,7 @@
         bytes.extend_from_slice(&chunk(&event.raw));
     }
     delivery.events += batch.count as u64;
-    delivery.last_event = batch.last_event;
-    delivery.data_events_left = batch.data_events_left;
+    delivery.position = batch.position;
     let sent = writer.send(&bytes).await;
     sent.map_err(|_| StreamEnd::ClientGone)
 }
