Partial events and comments of a stream count as buffer memory

What callers could see (reported by operators of like systems): a server sends bytes that are no answer, the machine keeps them all, runs out of memory, and the requests of other clients end with it.

Here heads (64 KiB), single events and comments (256 KiB each) have limits of their own, and buffered bodies are accounted for; a partial event and comments that wait for the next event were not. Some hundred such streams together exceed the memory of a machine. The part of a stream that waits is now on an account, and the stream ends when there is no memory for it.

Test, before the fix: endless_responses::partial_events_are_limited_by_the_buffer_memory (16 streams of 200 KiB: 128 bytes accounted). After it: between half and all of the megabyte allowed.

--- a/crates/gateway/src/http/events.rs
+++ b/crates/gateway/src/http/events.rs
@@ -94,6 +94,11 @@
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
+
+    /// Number of buffered bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
 }
 
 /// Returns the position after the blank line that ends the first event, if that line ends after
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -118,6 +118,21 @@
         self.memory.update_gauge();
     }
 
+    /// Changes the number of bytes in the account from `before` to `now`.
+    ///
+    /// # Errors
+    /// The memory is exhausted.
+    pub fn resize(&self, before: usize, now: usize) -> Result<(), MemoryExhausted> {
+        match now.checked_sub(before) {
+            Some(0) => Ok(()),
+            Some(more) => self.grow(more),
+            None => {
+                self.shrink(before - now);
+                Ok(())
+            }
+        }
+    }
+
     /// Marks the start of the delivery of the buffered data to the client.
     pub fn start_delivery(&self) {
         let now_ms = self.memory.now_ms();
--- a/crates/gateway/src/serve/event_batch.rs
+++ b/crates/gateway/src/serve/event_batch.rs
@@ -19,6 +19,8 @@
     pub events: Vec<Event>,
     /// Number of events that are no comments.
     pub count: usize,
+    /// Size of the events in bytes.
+    pub bytes: usize,
     /// Position after the last event.
     pub position: Position,
 }
@@ -105,6 +107,7 @@
         }
         self.position.last_event = event.id.or(self.position.last_event);
         self.count += usize::from(event.has_content());
+        self.bytes += event.raw.len();
         self.events.push(event);
         Ok(())
     }
@@ -113,6 +116,7 @@
     /// don't belong to.
     pub fn remove_trailing_comments(&mut self) {
         let last = self.events.iter().rposition(Event::has_content);
-        self.events.truncate(last.map_or(0, |last| last + 1));
+        let comments = self.events.split_off(last.map_or(0, |last| last + 1));
+        self.bytes -= comments.iter().map(|event| event.raw.len()).sum::<usize>();
     }
 }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -19,6 +19,7 @@
 use crate::upstream::connection::ExchangeError;
 use fieldhook_ledger::streams::StreamOrigin;
 use fieldhook_traffic::attempt::AttemptFailure;
+use fieldhook_traffic::buffer_memory::Purpose;
 use tokio::time::{Instant, timeout_at};
 
 /// How much of the response the client has received.
@@ -42,7 +43,7 @@
     ClientGone,
     /// The budget reservation did not become durable.
     NotDurable,
-    /// There is no memory for the output, which later turns continue from.
+    /// There is no memory for its events.
     MemoryExhausted,
 }
 
@@ -151,7 +152,7 @@
                         return Err(LocalResponse::new(502, "its budget could not be reserved"));
                     }
                     StreamEnd::MemoryExhausted => {
-                        return Err(LocalResponse::new(502, "there is no memory for its output"));
+                        return Err(LocalResponse::new(502, "there is no memory for its events"));
                     }
                     StreamEnd::Broken(error) => {
                         attempt.fail(context, error).await;
@@ -209,6 +210,8 @@
 ) -> StreamEnd {
     let mut events = EventDecoder::default();
     let mut batch = Batch::after(delivery.position);
+    let memory_account = context.daemon.memory.open(Purpose::InProgress);
+    let mut waiting_bytes = 0;
     loop {
         let next = attempt.connection.next_piece(&mut attempt.response.body);
         let next = silence::abort_if_silent(context, &attempt.server, next);
@@ -250,6 +253,11 @@
             }
             batch = Batch::after(delivery.position);
         }
+        let waiting = events.buffered_bytes() + batch.bytes;
+        if memory_account.resize(waiting_bytes, waiting).is_err() {
+            return StreamEnd::MemoryExhausted;
+        }
+        waiting_bytes = waiting;
         if decoded.is_err() {
             return StreamEnd::Broken(ExchangeError::InvalidResponse);
         }
--- a/crates/gateway/src/store_exchange.rs
+++ b/crates/gateway/src/store_exchange.rs
@@ -17,7 +17,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_HEAD_BYTES: usize = 16 << 10;
-const MAX_BODY_BYTES: usize = 64 << 20;
+/// Maximum size of a response body, in bytes: several times the megabyte of records that one call
+/// returns.
+const MAX_BODY_BYTES: usize = 8 << 20;
 const READ_SIZE: usize = 16 << 10;
 const MAX_IDLE: usize = 8;
 /// Connections that were idle for longer than this are not reused.
--- a/crates/gateway/tests/gateway/endless_responses.rs
+++ b/crates/gateway/tests/gateway/endless_responses.rs
@@ -216,3 +216,37 @@
         ask_for_endless_turn(&world, &server, "/chat/1", "").await;
     });
 }
+
+/// Guards against many streams that each hold a part of an event, and together take all memory.
+#[test]
+fn partial_events_are_limited_by_the_buffer_memory() {
+    const STREAMS: usize = 16;
+    const PARTIAL_BYTES: usize = 200 << 10;
+    const HELD_BYTES: u64 = 1 << 20;
+    run(async {
+        let world = World::new().await;
+        world.slow_peers.set(SlowPeers {
+            held_bytes: HELD_BYTES,
+            ..SlowPeers::default()
+        });
+        let mut pieces = vec![format!("data: {}", "x".repeat(PARTIAL_BYTES))];
+        pieces.extend(vec!["x".to_owned(); 100]);
+        let server = Server::start("s0", Act::RawPieces(pieces)).await;
+        let gateway = gateway_with(&world, &server).await;
+        let mut clients = Vec::new();
+        for number in 0..STREAMS {
+            let mut client = gateway.client().await;
+            let fields = format!("Request: r{number}\r\n");
+            client.send("POST", "/resume/1", &fields, "word").await;
+            clients.push(client);
+        }
+        let started = Instant::now();
+        let mut most_used = 0;
+        while started.elapsed() < CLOSED_WITHIN {
+            most_used = most_used.max(gateway.daemon.memory.used_bytes());
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(most_used > HELD_BYTES / 2, "{most_used} bytes");
+        assert!(most_used <= HELD_BYTES, "{most_used} bytes");
+    });
+}
