A planned stop takes only requests that it can be expected to finish

What callers saw (reported by operators of like systems): in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Here any request was taken until 0.375 of the grace, however long answers of its route take: a turn of 5.1 s that came 2.4 s after the signal was cut at 7.4 s. Whether the daemon refuses was asked once, when the request had been read: one that waited then (for a full or a cold server, a permit, the opening of its turn, a retry) was passed on as late as its wait ended. The refusal itself began with the next poll, up to 50 ms late.

Change: a daemon that stops sends a request only if its answer is due before the exit, by the longest answer of its route in the last 30 to 60 s and a quarter of that, or by its deadline, where that is earlier or no answer is known. It asks when a request has been read and before each attempt; a response that has begun goes on. What is not sent gets the 503 that says "not run" at once, and another daemon serves it. The refusal of all new requests begins on time. The decision is `fieldhook_traffic::planned_stop`, without I/O.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,6 +23,7 @@
 use fieldhook_log::reach::Reach;
 use fieldhook_traffic::assignment::prefix_hash;
 use fieldhook_traffic::directory::Directory;
+use fieldhook_traffic::planned_stop;
 use fieldhook_traffic::retry_budget;
 use fieldhook_traffic::route_table::RouteTable;
 use std::cell::{Cell, RefCell};
@@ -49,6 +50,15 @@
     Refusing,
 }
 
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedStop {
+    /// New requests are refused from then on.
+    pub refuse_at: Instant,
+    /// The process exits then at the latest.
+    pub end: Instant,
+}
+
 /// Shared state of one daemon. All of its tasks run on one thread.
 pub struct Daemon {
     /// Startup settings.
@@ -108,6 +118,8 @@
     pub client_connections: Cell<u32>,
     /// Phase of a planned stop.
     pub shutdown: watch::Sender<ShutdownPhase>,
+    /// The planned stop that is in progress.
+    pub planned_stop: Cell<Option<PlannedStop>>,
     /// Set once the platform routes new connections to other daemons. Idle connections are then
     /// closed, so that their clients reconnect there.
     pub close_idle: watch::Sender<bool>,
@@ -194,6 +206,7 @@
             in_flight: Cell::new(0),
             client_connections: Cell::new(0),
             shutdown: watch::Sender::new(ShutdownPhase::Running),
+            planned_stop: Cell::new(None),
             close_idle: watch::Sender::new(false),
             started: Instant::now(),
         })
@@ -255,7 +268,18 @@
 
     /// Returns whether new requests are refused.
     pub fn is_refusing(&self) -> bool {
-        *self.shutdown.borrow() == ShutdownPhase::Refusing
+        let stop = self.planned_stop.get();
+        stop.is_some_and(|stop| Instant::now() >= stop.refuse_at)
+    }
+
+    /// Returns whether the response to a request on a route can be expected before a planned stop
+    /// ends. `allowed` is the time until the deadline of the request.
+    pub fn can_finish(&self, route: &str, allowed: Duration) -> bool {
+        let Some(stop) = self.planned_stop.get() else {
+            return true;
+        };
+        let left = stop.end.saturating_duration_since(Instant::now());
+        planned_stop::can_finish(self.response_times.longest(route), allowed, left)
     }
 
     /// Starts all tasks. `dropped` counts dropped log lines.
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,7 +1,7 @@
 //! The planned stop: clients are moved to other daemons, partitions are handed over, and requests
 //! in progress are finished.
 
-use crate::daemon::{Daemon, ShutdownPhase};
+use crate::daemon::{Daemon, PlannedStop, ShutdownPhase};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -11,14 +11,20 @@
 const KILL_MARGIN: Duration = Duration::from_millis(600);
 
 /// Fraction of the grace period after which new requests are refused. Until then clients have time
-/// to move to other daemons; afterwards, requests in progress have time to finish.
+/// to move to other daemons; afterwards, requests in progress have time to finish. One that could not
+/// be expected to finish is refused before, see [`Daemon::can_finish`].
 const REFUSE_AFTER: f64 = 0.375;
 
 /// Runs the planned stop. Returns when the process may exit.
 pub async fn run(daemon: Rc<Daemon>) {
     let started = Instant::now();
-    let deadline =
-        started + Duration::from_millis(daemon.settings.grace_ms).saturating_sub(KILL_MARGIN);
+    let grace = Duration::from_millis(daemon.settings.grace_ms);
+    let deadline = started + grace.saturating_sub(KILL_MARGIN);
+    let refuse_at = started + grace.mul_f64(REFUSE_AFTER);
+    daemon.planned_stop.set(Some(PlannedStop {
+        refuse_at,
+        end: deadline,
+    }));
     tracing::info!(
         event = "stopping",
         in_flight = daemon.in_flight.get(),
@@ -28,10 +34,11 @@
     daemon.relay.stop_serving();
     let owner = daemon.owner.clone();
     ntex::rt::spawn(async move { owner.release().await });
-    let refuse_at = started + Duration::from_millis(daemon.settings.grace_ms).mul_f64(REFUSE_AFTER);
     while Instant::now() < deadline {
-        if Instant::now() >= refuse_at && !daemon.is_refusing() {
-            let _ = daemon.shutdown.send(ShutdownPhase::Refusing);
+        if daemon.is_refusing() {
+            daemon.shutdown.send_if_modified(|phase| {
+                std::mem::replace(phase, ShutdownPhase::Refusing) != ShutdownPhase::Refusing
+            });
         }
         let idle = daemon.in_flight.get() == 0 && daemon.client_connections.get() == 0;
         let closes_reported = daemon.ledger.pending_closes.get() == 0;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -89,6 +89,8 @@
     },
     /// The attempt failed.
     Attempt(AttemptFailure),
+    /// A response could not be expected before this daemon exits.
+    Stopping,
     /// The key of the request was revoked in the meantime.
     KeyRevoked,
     /// All servers that could handle the request are in evacuated zones.
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -41,6 +41,8 @@
     pub last_event: Option<u64>,
     /// Server of the first event.
     pub origin: Option<&'a StreamOrigin>,
+    /// The client has received a part of this response.
+    pub has_begun: bool,
 }
 
 /// Sends the request to a server that was not tried before.
@@ -54,6 +56,7 @@
 ) -> Result<Attempt, DispatchFailure> {
     for _ in 0..cold::MAX_PERMIT_REQUESTS {
         history.stage = Stage::Choosing;
+        send_check::check_stop(context, &continuation)?;
         if history.permit.is_none() {
             history.permit = Some(SendPermit::request(context).await?);
         }
@@ -95,6 +98,7 @@
         }
         send_check::recheck_server(context, &server)?;
         send_check::recheck_permit(context, history)?;
+        send_check::check_stop(context, &continuation)?;
         history.stage = Stage::Sent;
         let target = Target {
             server,
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -2,7 +2,7 @@
 //! and serves it.
 
 use super::content;
-use super::local_response::{LocalResponse, memory_full};
+use super::local_response::{LocalResponse, about_to_stop, memory_full};
 use super::reader::{BODY_COPIES, ClientRequest};
 use super::stream_origin::KnownOrigin;
 use super::turn::Turn;
@@ -285,8 +285,7 @@
             )
         })?;
     if daemon.is_refusing() {
-        let response = LocalResponse::not_run("this daemon is about to stop", RETRY_SOON_MS);
-        return Err((meta.id, response));
+        return Err((meta.id, about_to_stop()));
     }
     let Some(table) = daemon.routes.borrow().clone() else {
         let response = LocalResponse::not_run("no configuration is known yet", RETRY_LATER_MS);
@@ -317,6 +316,9 @@
         .deadline_ms
         .unwrap_or(entry.route.timeout_ms)
         .min(entry.route.timeout_ms);
+    if !daemon.can_finish(&entry.route.name, Duration::from_millis(allowed_ms)) {
+        return Err((meta.id, about_to_stop()));
+    }
     let mut headers = head.headers;
     headers.remove_hop_by_hop_fields();
     headers.remove("content-length");
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptHistory, DispatchFailure};
 use super::cold;
 use super::homes;
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, about_to_stop};
 use super::request::{RETRY_LATER_MS, RETRY_SOON_MS, RequestContext};
 use fieldhook_traffic::attempt::{Attempts, NextStep, TimeLeft};
 use fieldhook_traffic::tenants::KeyDenial;
@@ -72,6 +72,10 @@
                 return Err(LocalResponse::new(401, KeyDenial::UnknownKey.remedy()));
             }
             DispatchFailure::KeyRevoked => return Err(LocalResponse::new(502, OUTCOME_UNKNOWN)),
+            DispatchFailure::Stopping if self.attempts.may_have_run == 0 => {
+                return Err(about_to_stop());
+            }
+            DispatchFailure::Stopping => return Err(LocalResponse::new(502, OUTCOME_UNKNOWN)),
             // Only if no server has refused: such a server may have capacity again before a cold
             // one does.
             DispatchFailure::ColdServersBusy { wait_ms } if self.only_unreachable_tried() => {
--- a/crates/gateway/src/serve/send_check.rs
+++ b/crates/gateway/src/serve/send_check.rs
@@ -2,6 +2,7 @@
 //! and again right before the request is written.
 
 use super::attempt::{AttemptHistory, DispatchFailure};
+use super::dispatch::Continuation;
 use super::homes;
 use super::request::RequestContext;
 use super::stream_origin;
@@ -87,6 +88,33 @@
     }
 }
 
+/// Checks whether the response can be expected before this daemon exits, since a request may have
+/// waited. A response that has begun goes on in any case.
+///
+/// # Errors
+/// It can't; nothing was sent.
+pub fn check_stop(
+    context: &RequestContext,
+    continuation: &Continuation<'_>,
+) -> Result<(), DispatchFailure> {
+    let allowed = Duration::from_millis(context.remaining_ms());
+    let route = &context.entry.route.name;
+    if continuation.has_begun || context.daemon.can_finish(route, allowed) {
+        return Ok(());
+    }
+    tracing::info!(
+        event = "attempt_failed",
+        request = context.meta.id,
+        program = context.meta.program,
+        route,
+        outcome = "withdrawn",
+        cause = "stopping",
+        left_ms = allowed.as_millis() as u64,
+        age_ms = context.age_ms()
+    );
+    Err(DispatchFailure::Stopping)
+}
+
 /// Logs why a request is not sent to a server after all.
 fn withdraw(context: &RequestContext, server: &str, cause: &str) -> DispatchFailure {
     tracing::info!(
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -130,6 +130,7 @@
         let continuation = Continuation {
             last_event: delivery.position.last_event,
             origin: delivery.origin.as_ref(),
+            has_begun: delivery.head_sent,
         };
         let failure = match dispatch(context, &mut retry.history, continuation).await {
             Ok(attempt) if !is_success(&attempt) => {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod outage;
 mod ownership;
 mod peers;
+mod planned_stop;
 mod readers;
 mod relay;
 mod restarted_servers;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -31,6 +31,8 @@
 //! - [`balance`]: chooses a server for one attempt.
 //! - [`attempt_timeout`]: the timeout of one attempt.
 //! - [`attempt`]: decides what follows a failed attempt.
+//! - [`longest_time`]: the longest of the recent response times of a route.
+//! - [`planned_stop`]: which requests a daemon that is about to stop may still send.
 //! - [`retry_budget`]: limits the retries of a daemon over all its requests.
 
 pub mod assignment;
@@ -47,6 +49,8 @@
 pub mod hash_ring;
 pub mod health;
 pub mod idle_limit;
+pub mod longest_time;
+pub mod planned_stop;
 pub mod process_identity;
 pub mod quota;
 pub mod quota_wait;
