fieldhookd: text without end fails its call alone

What callers could see: an engine whose text never ends is read until the memory of the daemon is used up, since only a pause ends the stream; the calls of other programs end with it. A response of a server could have 256 MB.

Change: the text of a call may have `limits.body_bytes`, as a request that becomes part of the history may. A longer one is cancelled at the engine and its call fails (`answer_too_long`); it is not continued at another engine, because readers have what was sent. Responses of servers have the same limit, over `HttpClient::with_max_response`.

--- a/crates/bench/tests/processes/faults.rs
+++ b/crates/bench/tests/processes/faults.rs
@@ -11,6 +11,9 @@
 use fieldhook_model::error::{ErrorKind, Executed};
 use std::time::Duration;
 
+/// Time within which text without end has to be given up.
+const ENDLESS_LIMIT: Duration = Duration::from_secs(20);
+
 /// Kills each daemon in turn: no program and no recorded call may be lost.
 #[test]
 fn killed_daemons_lose_no_programs_or_calls() {
@@ -352,3 +355,32 @@
         );
     });
 }
+
+/// Guards against a daemon that keeps the text of an engine which never ends, until its memory is
+/// used up and the calls of other programs end with it.
+#[test]
+fn text_without_end_fails_its_call_alone() {
+    run_exclusively(async {
+        let cluster = start("endless", ClusterConfig::default()).await;
+        let endless = FaultPlan {
+            endless: 1,
+            ..FaultPlan::default()
+        };
+        for engine in cluster.engines() {
+            cluster.set_faults(&engine, &endless).await;
+        }
+        let daemons = cluster.daemon_addresses();
+        let caller = Caller::open(&cluster.client, &daemons, "riga", "endless", 100_000).await;
+        let mut caller = caller.expect("the program opens");
+        let call = caller.call_model("chat", "Who leads at half time?", 8);
+        let outcome = ntex::time::timeout(ENDLESS_LIMIT, call).await;
+        let outcome = outcome.expect("the call ends");
+        assert!(matches!(outcome, CallOutcome::Refused(_)), "{outcome:?}");
+        for engine in cluster.engines() {
+            cluster.set_faults(&engine, &FaultPlan::default()).await;
+        }
+        let outcome = caller.call_model("chat", "And who scored last?", 8).await;
+        assert!(matches!(outcome, CallOutcome::Answered(_)), "{outcome:?}");
+        assert!(caller.end_program().await);
+    });
+}
--- a/crates/daemon/src/sequencer/attempt.rs
+++ b/crates/daemon/src/sequencer/attempt.rs
@@ -38,6 +38,8 @@
     MayHaveRun,
     /// A request that is not retryable may have run, and this cannot be determined.
     OutcomeUnknown,
+    /// The output is longer than an answer may be.
+    TooLong,
     /// This daemon no longer owns the shard. The next owner continues the call.
     OwnershipLost,
 }
@@ -163,6 +165,7 @@
             AttemptEnd::OutcomeUnknown => {
                 return record_outcome(&call, &attempt, Outcome::Failed(unknown_outcome())).await;
             }
+            AttemptEnd::TooLong => return fail_call(&call, &attempt, AttemptCost::Full).await,
             AttemptEnd::OwnershipLost => return call.live.wake(),
             AttemptEnd::NotRun => AttemptCost::NotRun,
             AttemptEnd::MayHaveRun => AttemptCost::Full,
--- a/crates/daemon/src/sequencer/model_attempt.rs
+++ b/crates/daemon/src/sequencer/model_attempt.rs
@@ -31,6 +31,8 @@
 enum ReadEnd {
     Complete(Usage),
     Broken,
+    /// The text is longer than an answer may be.
+    TooLong,
 }
 
 /// Runs an attempt of a model call.
@@ -61,6 +63,17 @@
                     usage,
                 };
             }
+            ReadEnd::TooLong => {
+                tracing::warn!(
+                    event = "answer_too_long",
+                    program = %call.program,
+                    call = call.number,
+                    engine = attempt.target,
+                    bytes = call.live.text().len()
+                );
+                cancel(call, attempt);
+                return AttemptEnd::TooLong;
+            }
             ReadEnd::Broken => match resume(call, attempt).await {
                 Ok(resumed) => response = resumed,
                 Err(end) => return end,
@@ -191,7 +204,13 @@
         };
         for event in events {
             match serde_json::from_str(&event.data) {
-                Ok(GenerateEvent::Text(text)) => call.live.push(&text),
+                Ok(GenerateEvent::Text(text)) => {
+                    // The answer becomes part of the history, as a request of that size could.
+                    if call.live.text().len() + text.len() > limits.body_bytes {
+                        return ReadEnd::TooLong;
+                    }
+                    call.live.push(&text);
+                }
                 Ok(GenerateEvent::Done(usage)) => return ReadEnd::Complete(usage),
                 Err(_) => return ReadEnd::Broken,
             }
--- a/crates/daemon/src/sequencer/server_attempt.rs
+++ b/crates/daemon/src/sequencer/server_attempt.rs
@@ -6,7 +6,7 @@
 
 use crate::sequencer::attempt::{AttemptEnd, RunningCall};
 use crate::sequencer::model_attempt::AttemptStart;
-use fieldhook_http::SendError;
+use fieldhook_http::{HttpClient, SendError};
 use fieldhook_model::api::{ServerCall, Usage};
 use fieldhook_model::platform::{Execution, REQUEST_KEY_HEADER};
 use fieldhook_program::Attempt;
@@ -45,9 +45,8 @@
     ];
     let limit = call.node.settings.limits.server_timeout();
     let body = server.body.clone().into_bytes();
-    match call
-        .node
-        .client
+    let client = server_client(call);
+    match client
         .fetch(Method::POST, &url, &headers, body, limit)
         .await
     {
@@ -57,6 +56,13 @@
     }
 }
 
+/// Client for servers, whose responses may be as large as a caller's request.
+fn server_client(call: &RunningCall) -> HttpClient {
+    let node = &call.node;
+    node.client
+        .with_max_response(node.settings.limits.body_bytes)
+}
+
 /// Idempotency key of the request, unique among all programs.
 fn server_key(call: &RunningCall) -> String {
     format!("{}.{}", call.program, call.request_key)
@@ -86,10 +92,9 @@
         attempt.target,
         server_key(call)
     );
+    let client = server_client(call);
     for _ in 0..MAX_LOOKUPS {
-        let response = call
-            .node
-            .client
+        let response = client
             .fetch(Method::GET, &url, &[], Vec::new(), LOOKUP_TIMEOUT)
             .await;
         match response {
--- a/crates/emulator/src/engine/service.rs
+++ b/crates/emulator/src/engine/service.rs
@@ -18,6 +18,8 @@
 
 /// Interval at which an idle engine checks for requests, and a stream's response for new text.
 const POLL_INTERVAL: Millis = Millis(1);
+/// Size of each event of a stream that does not end, in bytes.
+const ENDLESS_TEXT_BYTES: usize = 16 << 10;
 
 /// Command that changes what the engine serves. Commands with a lower epoch than a
 /// previous command are rejected.
@@ -146,9 +148,19 @@
         .engine
         .borrow_mut()
         .record_cache_event(&program, &faults);
+    if faults.take_endless() {
+        return endless_response();
+    }
     faults.finish_request(stream_response(stream, 0)).await
 }
 
+/// Sends text as fast as it is read, without end.
+fn endless_response() -> HttpResponse {
+    let event = GenerateEvent::Text("x".repeat(ENDLESS_TEXT_BYTES));
+    let bytes = Bytes::from(encode_event("", "", &event));
+    event_stream(stream::repeat_with(move || Ok(bytes.clone())))
+}
+
 #[derive(Deserialize)]
 struct FromQuery {
     #[serde(default)]
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -36,6 +36,8 @@
     pub hang: u32,
     /// Blocks the whole process once, for this long, in milliseconds.
     pub freeze_ms: u64,
+    /// Number of streams whose text does not end.
+    pub endless: u32,
     /// Number of cache events to drop.
     pub drop_events: u32,
 }
@@ -128,6 +130,14 @@
         }
     }
 
+    /// Returns whether the text of the next stream must not end, and counts it.
+    pub fn take_endless(&self) -> bool {
+        let mut plan = self.plan.borrow_mut();
+        let is_endless = plan.endless > 0;
+        plan.endless = plan.endless.saturating_sub(1);
+        is_endless
+    }
+
     /// Returns whether the next cache event must be dropped, and counts it.
     pub fn take_event_drop(&self) -> bool {
         let mut plan = self.plan.borrow_mut();
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,7 +11,8 @@
 use std::fmt;
 use std::time::Duration;
 
-/// Maximum size of a response body that is read completely, in bytes.
+/// Maximum size of a response body that is read completely, in bytes, unless a
+/// [lower one](HttpClient::with_max_response) is set.
 const MAX_RESPONSE_BYTES: usize = 256 << 20;
 const KEEP_ALIVE_SECONDS: u16 = 10;
 /// More connections than a process can open, so in effect no limit. The library's own value for "no
@@ -71,6 +72,7 @@
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client,
+    max_response_bytes: usize,
 }
 
 impl HttpClient {
@@ -87,11 +89,22 @@
             .response_payload_limit(MAX_RESPONSE_BYTES)
             .build(SharedCfg::default())
             .await;
-        match client {
-            Ok(client) => Self { client },
-            Err(_) => Self {
-                client: Client::new().await,
-            },
+        let client = match client {
+            Ok(client) => client,
+            Err(_) => Client::new().await,
+        };
+        Self {
+            client,
+            max_response_bytes: MAX_RESPONSE_BYTES,
+        }
+    }
+
+    /// Returns a client on the same connections that reads response bodies of at most this size, in
+    /// bytes. A larger one is an error.
+    pub fn with_max_response(&self, bytes: usize) -> Self {
+        Self {
+            client: self.client.clone(),
+            max_response_bytes: bytes,
         }
     }
 
@@ -162,7 +175,7 @@
         let exchange = async {
             let response = self.send(method, url, headers, body, timeout).await?;
             let status = response.status().as_u16();
-            let bytes = response.body().await;
+            let bytes = response.body().limit(self.max_response_bytes).await;
             let bytes = bytes.map_err(|error| SendError::Unknown(error.to_string()))?;
             Ok((status, bytes.to_vec()))
         };
