A turn that does not fit into a record is stored in several

Cause: the limit on a record was applied to the input and to the output of a turn by themselves, not to their sum, so that the record was larger than the log accepts. The owner repeats a refused append for ever, and all that is queued behind waits.

Change: if the input and the output of a turn exceed the size of a record, all but the last part of them goes into records of its own, which the turn continues, as was done for a chain that has expired already. Parts are recorded one after another, so that none overtakes the one before it.

Not changed: an append that the log refuses for good is still repeated (crates/log/src/hedge.rs). No record of a turn is refused any more.

Test, before the fix: log_storage::large_turn_is_kept_and_the_turns_of_its_partition_end (the large turn is not complete). After it: turns of 300 KB, 209 KB and 909 KB are complete, can be continued by their own and by another program, and the next turn of the partition ends.

--- a/crates/emulator/src/log/core.rs
+++ b/crates/emulator/src/log/core.rs
@@ -7,6 +7,8 @@
 
 /// Number of results per producer that are kept to answer repeated appends.
 const RETAINED_RESULTS: usize = 5;
+/// Status with which the service refuses an append whose record is too large.
+const STATUS_TOO_LARGE: u16 = 413;
 /// Maximum number of records in a page of newest records.
 const PAGE_RECORDS: usize = 500;
 
@@ -36,6 +38,8 @@
     partitions: HashMap<(String, u32), PartitionLog>,
     /// Maximum number of stored bytes, see [`LogCore::stored_bytes`]; unlimited if `None`.
     storage_limit: Option<usize>,
+    /// Maximum size of a record in bytes; unlimited if `None`.
+    record_limit: Option<usize>,
 }
 
 impl LogCore {
@@ -49,6 +53,11 @@
         self.storage_limit = Some(bytes);
     }
 
+    /// Rejects appends with a record of more than this size.
+    pub fn set_record_limit(&mut self, bytes: usize) {
+        self.record_limit = Some(bytes);
+    }
+
     /// Number of stored bytes. The newest record of each key counts in addition to the history.
     pub fn stored_bytes(&self) -> usize {
         self.partitions
@@ -61,8 +70,13 @@
     ///
     /// # Errors
     /// The producer is fenced, its sequence number is out of order, the expected end does not
-    /// match, or the storage limit is reached.
+    /// match, the storage limit is reached, or a record is too large.
     pub fn append(&mut self, append: &Append) -> Result<Appended, StoreError> {
+        let size = |record: &KeyedRecord| record.key.len() + record.value.len();
+        let largest = append.records.iter().map(size).max();
+        if self.record_limit.is_some_and(|limit| largest > Some(limit)) {
+            return Err(StoreError::Refused(STATUS_TOO_LARGE));
+        }
         let is_full = self
             .storage_limit
             .is_some_and(|limit| self.stored_bytes() >= limit);
--- a/crates/gateway/src/serve/turn_record.rs
+++ b/crates/gateway/src/serve/turn_record.rs
@@ -6,7 +6,7 @@
 use crate::ledger::client::Recording;
 use fieldhook_ledger::message::{CloseTurn, TurnContent};
 use fieldhook_topology::region::RegionSet;
-use futures_util::future::{join, join_all};
+use futures_util::future::join;
 use tokio::time::Instant;
 
 impl Turn {
@@ -77,64 +77,77 @@
     /// Records the content. If the chain that the turn continues is not stored, it is recorded along
     /// with the turn: it belongs to another program, or has expired since the turn was opened.
     async fn record_content(&self, deadline: Instant) -> bool {
-        let mut records_chain = self.request.supplies_chain;
-        loop {
-            let recording = match records_chain {
-                true => self.record_with_chain(deadline).await,
-                false => {
-                    let previous = self.request.previous.clone();
-                    self.record_turn(previous, &self.input, deadline).await
-                }
-            };
+        if !self.request.supplies_chain {
+            let previous = self.request.previous.clone();
+            let recording = self.record_after(previous, &self.input, "", deadline).await;
             if recording != Recording::UnknownChain {
                 return recording.is_durable();
             }
-            records_chain = true;
             self.report_expired_chain();
         }
+        loop {
+            let recording = self.record_after(None, &self.prompt, "c", deadline).await;
+            if recording != Recording::UnknownChain {
+                return recording.is_durable();
+            }
+        }
     }
 
-    /// Records the content together with its chain. If that exceeds the size of one record, the
-    /// chain is stored in separate records first, as turns that this one continues.
-    async fn record_with_chain(&self, deadline: Instant) -> Recording {
-        if self.prompt.len() + self.output.len() <= MAX_RECORD_BYTES {
-            return self.record_turn(None, &self.prompt, deadline).await;
+    /// Records the turn after `previous`. If the input and the output exceed the size of one record,
+    /// all but the last part of them is stored in separate records first, as turns that this one
+    /// continues. `kind` distinguishes the names of parts that begin after different turns.
+    async fn record_after(
+        &self,
+        previous: Option<String>,
+        input: &[u8],
+        kind: &str,
+        deadline: Instant,
+    ) -> Recording {
+        if input.len() + self.output.len() <= MAX_RECORD_BYTES {
+            return self
+                .record_turn(previous, input, &self.output, deadline)
+                .await;
         }
-        let parts: Vec<&[u8]> = self.chain().chunks(MAX_RECORD_BYTES).collect();
-        let recordings = parts
-            .iter()
-            .enumerate()
-            .map(|(number, part)| self.record_part(number, part, deadline));
-        let recordings = join_all(recordings).await;
-        // A part that overtakes the one before it continues an unknown chain, and is sent again.
-        for outcome in [Recording::NotDurable, Recording::UnknownChain] {
-            if recordings.contains(&outcome) {
-                return outcome;
+        let contents = [input, self.output.as_ref()].concat();
+        let mut parts: Vec<&[u8]> = contents.chunks(MAX_RECORD_BYTES).collect();
+        let last_part = parts.pop().unwrap_or_default();
+        let mut previous = previous;
+        for (number, part) in parts.into_iter().enumerate() {
+            // One after another, because a part continues the one before it.
+            let name = self.part_name(kind, number);
+            let recording = self.record_part(&name, previous, part, deadline).await;
+            if !recording.is_durable() {
+                return recording;
             }
+            previous = Some(name);
         }
-        let last_part = parts.len().checked_sub(1);
-        let previous = last_part.map(|number| self.part_name(number));
-        self.record_turn(previous, &self.input, deadline).await
+        self.record_turn(previous, last_part, &[], deadline).await
     }
 
-    /// Records the turn with this input.
+    /// Records the turn with this input and output.
     async fn record_turn(
         &self,
         previous: Option<String>,
         input: &[u8],
+        output: &[u8],
         deadline: Instant,
     ) -> Recording {
-        let content = self.content(previous, input, &self.output, deadline);
+        let content = self.content(previous, input, output, deadline);
         let close = self.close_request(Some(content));
         self.ledger.close(&close, deadline).await
     }
 
-    /// Records a part of the chain as a turn of its own.
-    async fn record_part(&self, number: usize, part: &[u8], deadline: Instant) -> Recording {
-        let previous = number.checked_sub(1).map(|before| self.part_name(before));
+    /// Records a part of the contents as a turn of its own.
+    async fn record_part(
+        &self,
+        name: &str,
+        previous: Option<String>,
+        part: &[u8],
+        deadline: Instant,
+    ) -> Recording {
         let content = self.content(previous, part, &[], deadline);
         let close = CloseTurn {
-            turn: self.part_name(number),
+            turn: name.to_owned(),
             budget: None,
             engine: None,
             ..self.close_request(Some(content))
@@ -161,9 +174,9 @@
 
     /// Returns a turn name that no client can choose, because header fields contain no control
     /// characters.
-    fn part_name(&self, number: usize) -> String {
+    fn part_name(&self, kind: &str, number: usize) -> String {
         let hash = fieldhook_traffic::assignment::prefix_hash(&self.request.turn);
-        format!("\u{1}{hash:016x}-{number}")
+        format!("\u{1}{hash:016x}-{kind}{number}")
     }
 
     /// Returns the content to store. The client may get the end of the response as late as the
--- a/crates/gateway/tests/gateway/log_storage.rs
+++ b/crates/gateway/tests/gateway/log_storage.rs
@@ -2,6 +2,9 @@
 
 use crate::support::{Act, Server, World, run};
 
+/// Maximum size of a record in bytes, as in the platform's log.
+const RECORD_BYTES: usize = 256 << 10;
+
 /// Size of a turn's input in bytes. The test configuration allows 10,000.
 const INPUT_BYTES: usize = 9_900;
 /// Number of turns, each of its own program. Together they take 4.95 MB.
@@ -36,3 +39,40 @@
         );
     });
 }
+
+/// Guards against a turn that does not fit into a record: its append would be refused again and
+/// again, and no turn of its partition would end.
+#[test]
+fn large_turn_is_kept_and_the_turns_of_its_partition_end() {
+    run(async {
+        for (input_bytes, events) in [(0, 300), (9_000, 200), (9_000, 900)] {
+            let world = World::new().await;
+            world.partitions.set(1);
+            world.log.core.borrow_mut().set_record_limit(RECORD_BYTES);
+            let texts: Vec<String> = (0..events).map(|n| format!("{n:01000}")).collect();
+            let server = Server::start("s1", Act::Events(texts.clone(), None)).await;
+            let gateway = world.ready(&[&server]).await;
+            let large = "x".repeat(input_bytes);
+            let fields = "Request: t1\r\nProgram: p\r\n";
+            assert!(
+                gateway
+                    .ask("POST", "/chat/1", fields, &large)
+                    .await
+                    .complete
+            );
+            server.set(Act::Events(vec!["one".to_owned()], None));
+            let fields = "Request: other\r\nProgram: other\r\n";
+            assert!(gateway.ask("POST", "/chat/1", fields, "A;").await.complete);
+            // The chain is complete, also for another program, which stores it again.
+            let prompt = format!("{large}{}\nB;", texts.join("\n"));
+            for (program, turn) in [("p", "t2"), ("another", "t3")] {
+                let fields = format!("Request: {turn}\r\nProgram: {program}\r\nPrevious: t1\r\n");
+                assert!(gateway.ask("POST", "/chat/1", &fields, "B;").await.complete);
+                let seen = server.seen.borrow();
+                let last = seen.last().expect("a request");
+                assert!(last.body == prompt.as_bytes(), "{program}: another prompt");
+            }
+            assert!(gateway.recording.largest() <= RECORD_BYTES);
+        }
+    });
+}
