--- a/crates/log/src/log_health.rs
+++ b/crates/log/src/log_health.rs
@@ -61,8 +61,8 @@
         self.record_failure_since(Instant::now());
     }
 
-    /// Records that the service refused a call because of the call rate. It may refuse some calls of
-    /// all daemons, or all calls of this one; see [`REFUSED_AFTER`].
+    /// Records that the service refused a call because of the call rate. If it goes on to refuse all
+    /// calls of this daemon, they count as failures.
     pub fn record_refusal(&self) {
         let since = self.first_refusal.get().unwrap_or_else(Instant::now);
         self.first_refusal.set(Some(since));
