Tests: deadly streams ask for as many tokens as their servers send

Its requests name a maximum of 10 tokens, one event, and its servers send four events before they end after 50 ms; the second one, after 40 ms, is now rejected as `excess`, which is what the limit is for.

No check, bound or time changed.

--- a/crates/gateway/tests/gateway/deadly_requests.rs
+++ b/crates/gateway/tests/gateway/deadly_requests.rs
@@ -113,7 +113,7 @@
 fn turn_under_which_three_servers_ended_is_not_sent_again() {
     run(async {
         let fleet = Fleet::start(Duration::from_millis(50)).await;
-        let fields = "Program: p1\r\nSession: s1\r\nBudget: 10000\r\nMost: 10\r\n";
+        let fields = "Program: p1\r\nSession: s1\r\nBudget: 10000\r\nMost: 40\r\n";
         fleet.ask_repeatedly("POST", "/chat/1", fields, MARK).await;
         assert!(
             fleet.ended() <= MAX_ENDED,
@@ -130,7 +130,7 @@
     run(async {
         let lines = LogCapture::start();
         let fleet = Fleet::start(Duration::from_millis(50)).await;
-        let fields = "Program: p1\r\nSession: s1\r\nBudget: 10000\r\nMost: 10\r\n";
+        let fields = "Program: p1\r\nSession: s1\r\nBudget: 10000\r\nMost: 40\r\n";
         fleet.ask_repeatedly("POST", "/chat/1", fields, MARK).await;
         let broke = lines.with_event("attempt_broke");
         let contents: BTreeSet<&str> = broke.iter().map(|line| field(line, "content")).collect();
