--- a/crates/gateway/tests/gateway/detached_attempts.rs
+++ b/crates/gateway/tests/gateway/detached_attempts.rs
@@ -73,7 +73,7 @@
             let gateway = &self.gateways[number % repetition.gateways];
             let deadline_ms = repetition.detachment.deadline_ms();
             let fields = format!(
-                "Request: r{number}\r\nProgram: p\r\nSession: s\r\nDeadline: {deadline_ms}\r\nBudget: 90000\r\nMost: 1000\r\n"
+                "Request: r{number}\r\nProgram: p\r\nSession: s\r\nDeadline: {deadline_ms}\r\nBudget: 90000\r\nMost: 40\r\n"
             );
             let sent = self.sent();
             let mut client = gateway.client().await;
@@ -339,7 +339,7 @@
                 server.set(Act::Paced(texts, milliseconds(20)));
             }
             for gateway in &fleet.gateways {
-                let fields = "Request: last\r\nProgram: p\r\nSession: s\r\nDeadline: 2000\r\nBudget: 90000\r\nMost: 1000\r\n";
+                let fields = "Request: last\r\nProgram: p\r\nSession: s\r\nDeadline: 2000\r\nBudget: 90000\r\nMost: 40\r\n";
                 let reply = gateway.ask("POST", path, fields, "harmless").await;
                 assert_eq!(reply.head.status, 200, "{repetition:?}: {}", reply.text());
                 assert!(reply.complete);
--- a/crates/gateway/tests/gateway/restarted_servers.rs
+++ b/crates/gateway/tests/gateway/restarted_servers.rs
@@ -95,7 +95,7 @@
         for attempt in 0..times {
             let gateway = &self.gateways[attempt % self.gateways.len()];
             let fields = format!(
-                "Request: r{attempt}\r\nProgram: p1\r\nSession: s\r\nDeadline: 1000\r\nBudget: 100000\r\nMost: 2000\r\n"
+                "Request: r{attempt}\r\nProgram: p1\r\nSession: s\r\nDeadline: 1000\r\nBudget: 10000\r\nMost: 40\r\n"
             );
             let mut client = gateway.client().await;
             client.send("POST", path, &fields, body).await;
